--- /dev/null
+++ b/geraniumspool/settings.py
@@ -0,0 +1,320 @@
+"""Settings of the programs, read from YAML files."""
+
+from collections.abc import Iterable, Mapping
+from pathlib import Path as FilePath
+from typing import Any, NamedTuple
+
+from jsonschema import Draft202012Validator
+
+from geraniumspool.contracts import Announcement
+from geraniumspool.documents import (
+    BYTES,
+    COUNT,
+    DURATION,
+    NAME_PATTERN,
+    Reading,
+    make_validator,
+    normalize,
+    read_yaml,
+    show_path,
+)
+from geraniumspool.errors import Finding, InvalidInput
+
+ENTRY = "entry"
+AGENT = "agent"
+MAX_TICKET_KEYS = 8
+MIN_SECRET_LENGTH = 16
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry; addresses with port 0 take any free port.
+
+    :param domain: failure domain it runs in
+    :param operators_token: what operators must present
+    :param ticket_keys: secrets for tickets; the first signs, all verify
+    :param store_urls: base addresses of the platform's store
+    :param region: region it runs in, or empty
+    :param inbox: address for messages of other processes
+    :param callers_listen: address of the callers' HTTP listener
+    :param operators_listen: address of the operators' HTTP listener
+    :param store_timeout_ms: longest wait for an answer of the store
+    :param registration_ttl_ms: time to live of its registration in the store
+    :param heartbeat_period_ms: shortest period asked of agents
+    :param heartbeat_timeout_ms: silence after which an agent counts as dead
+    :param max_body_bytes: longest request body
+    :param max_running_jobs: most callers' requests held open at once
+    :param max_header_bytes: longest request head
+    :param drain_limit_ms: longest graceful shutdown
+    :param log_level: lowest level that is logged
+    :param default_deadline_ms: deadline of jobs where nothing names one
+    """
+
+    domain: str
+    operators_token: str
+    ticket_keys: tuple[str, ...]
+    store_urls: tuple[str, ...]
+    region: str = ""
+    inbox: str = "tcp://127.0.0.1:0"
+    callers_listen: str = "127.0.0.1:0"
+    operators_listen: str = "127.0.0.1:0"
+    store_timeout_ms: float = 1_000
+    registration_ttl_ms: float = 10_000
+    heartbeat_period_ms: float = 1_000
+    heartbeat_timeout_ms: float = 4_000
+    max_body_bytes: int = 4 << 20
+    max_running_jobs: int = 10_000
+    max_header_bytes: int = 16 << 10
+    drain_limit_ms: float = 30_000
+    log_level: str = "info"
+    default_deadline_ms: float = 30_000
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent; addresses with port 0 take any free port.
+
+    :param domain: failure domain it runs in
+    :param store_urls: base addresses of the platform's store
+    :param region: region it runs in, or empty
+    :param inbox: address for messages of other processes
+    :param minion_listen: address of the listener where its minion announces itself
+    :param entries: inbox addresses of entries to try where the store gives none
+    :param store_timeout_ms: longest wait for an answer of the store
+    :param heartbeat_period_ms: period of its heartbeats to entries
+    :param announcement_timeout_ms: silence after which its minion counts as gone
+    :param peer_timeout_ms: silence after which another agent counts as dead
+    :param max_record_bytes: most memory for records of finished jobs
+    :param max_record_age_ms: longest time a record of a finished job is kept
+    :param drain_limit_ms: longest graceful shutdown
+    :param queue_per_slot: most tasks waiting for each slot
+    :param log_level: lowest level that is logged
+    :param minion: its minion, where it does not announce itself
+    """
+
+    domain: str
+    store_urls: tuple[str, ...]
+    region: str = ""
+    inbox: str = "tcp://127.0.0.1:0"
+    minion_listen: str = "127.0.0.1:0"
+    entries: tuple[str, ...] = ()
+    store_timeout_ms: float = 1_000
+    heartbeat_period_ms: float = 1_000
+    announcement_timeout_ms: float = 10_000
+    peer_timeout_ms: float = 4_000
+    max_record_bytes: int = 64 << 20
+    max_record_age_ms: float = 600_000
+    drain_limit_ms: float = 30_000
+    queue_per_slot: int = 2
+    log_level: str = "info"
+    minion: Announcement | None = None
+
+
+_NAME = {"type": "string", "pattern": NAME_PATTERN}
+_SECRET = {"type": "string", "minLength": MIN_SECRET_LENGTH, "maxLength": 256}
+_LISTEN = {"type": "string", "format": "listen"}
+_URL = {"type": "string", "format": "url", "maxLength": 1_000}
+_COMMON = {
+    "domain": _NAME,
+    "region": {"type": "string", "pattern": rf"^\Z|{NAME_PATTERN}"},
+    "inbox": {"type": "string", "format": "inbox"},
+    "store_urls": {
+        "type": "array",
+        "items": _URL,
+        "minItems": 1,
+        "maxItems": 16,
+        "uniqueItems": True,
+    },
+    "store_timeout_ms": DURATION,
+    "heartbeat_period_ms": DURATION,
+    "drain_limit_ms": DURATION,
+    "log_level": {"enum": ["debug", "info", "warning", "error"]},
+}
+_ENTRY_PROPERTIES = _COMMON | {
+    "callers_listen": _LISTEN,
+    "operators_listen": _LISTEN,
+    "operators_token": _SECRET,
+    "ticket_keys": {
+        "type": "array",
+        "items": _SECRET,
+        "minItems": 1,
+        "maxItems": MAX_TICKET_KEYS,
+        "uniqueItems": True,
+    },
+    "registration_ttl_ms": DURATION,
+    "heartbeat_timeout_ms": DURATION,
+    "max_body_bytes": BYTES,
+    "max_running_jobs": COUNT,
+    "max_header_bytes": {"type": "integer", "minimum": 1_024, "maximum": 1 << 20},
+    "default_deadline_ms": DURATION,
+}
+_MINION_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "service": _NAME,
+        "url": _URL,
+        "slots": {"type": "integer", "minimum": 1, "maximum": 10_000},
+        "connections": {"type": "integer", "minimum": 1, "maximum": 100_000},
+        "max_size": {"type": "number", "minimum": 0},
+    },
+    "required": ["service", "url", "slots", "connections"],
+}
+_AGENT_PROPERTIES = _COMMON | {
+    "minion_listen": _LISTEN,
+    "entries": {
+        "type": "array",
+        "items": {"type": "string", "format": "peer"},
+        "maxItems": 64,
+        "uniqueItems": True,
+    },
+    "announcement_timeout_ms": DURATION,
+    "peer_timeout_ms": DURATION,
+    "max_record_bytes": {"type": "integer", "minimum": 1 << 10, "maximum": 1 << 40},
+    "max_record_age_ms": DURATION,
+    "queue_per_slot": {"type": "integer", "minimum": 0, "maximum": 1_000},
+    "minion": _MINION_SCHEMA,
+}
+
+
+class _Order(NamedTuple):
+    """Two settings of which the second must not be below the first.
+
+    :param strict: whether it must be above it
+    """
+
+    lower: tuple[str, ...]
+    higher: tuple[str, ...]
+    strict: bool = True
+
+
+class _Role(NamedTuple):
+    settings: type
+    validator: Draft202012Validator
+    orders: tuple[_Order, ...]
+
+
+def _make_role(name: str, settings: type, properties: dict, orders: Iterable[_Order]) -> _Role:
+    optional = settings._field_defaults
+    schema = {
+        "type": "object",
+        "additionalProperties": False,
+        "properties": {"role": {"const": name}, **properties},
+        "required": ["role", *(field for field in settings._fields if field not in optional)],
+    }
+    return _Role(settings, make_validator(schema), tuple(orders))
+
+
+_ROLES = {
+    ENTRY: _make_role(
+        ENTRY,
+        EntrySettings,
+        _ENTRY_PROPERTIES,
+        (
+            _Order(("heartbeat_period_ms",), ("heartbeat_timeout_ms",)),
+            _Order(("store_timeout_ms",), ("registration_ttl_ms",)),
+        ),
+    ),
+    AGENT: _make_role(
+        AGENT,
+        AgentSettings,
+        _AGENT_PROPERTIES,
+        (
+            _Order(("heartbeat_period_ms",), ("peer_timeout_ms",)),
+            _Order(("minion", "slots"), ("minion", "connections"), strict=False),
+        ),
+    ),
+}
+
+
+def load_entry_settings(path: str) -> EntrySettings:
+    """Return the settings of an entry.
+
+    :param path: name of a YAML file with ``role: entry``
+    :raises InvalidInput: with all findings
+    """
+    return _load(path, ENTRY)
+
+
+def load_agent_settings(path: str) -> AgentSettings:
+    """Return the settings of an agent.
+
+    :param path: name of a YAML file with ``role: agent``
+    :raises InvalidInput: with all findings
+    """
+    return _load(path, AGENT)
+
+
+def check_file(path: str) -> list[Finding]:
+    """Return all findings in a settings file of either role.
+
+    :param path: name of a YAML file
+    """
+    try:
+        data = _read(path)
+    except InvalidInput as error:
+        return error.findings
+    validator = make_validator(
+        {"type": "object", "properties": {"role": {"enum": [ENTRY, AGENT]}}, "required": ["role"]}
+    )
+    reading = read_yaml(str(path), data, validator)
+    if not isinstance(reading.value, dict) or reading.value.get("role") not in (ENTRY, AGENT):
+        return reading.findings
+    return _check(str(path), data, _ROLES[reading.value["role"]]).findings
+
+
+def _load(path: str, role_name: str) -> Any:
+    role = _ROLES[role_name]
+    reading = _check(str(path), _read(path), role)
+    if reading.findings:
+        raise InvalidInput(reading.findings)
+    values = {name: normalize(value) for name, value in reading.value.items() if name != "role"}
+    if "minion" in values:
+        values["minion"] = Announcement(**_normalize_all(values["minion"]))
+    return role.settings(**values)
+
+
+def _normalize_all(values: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: normalize(value) for name, value in values.items()}
+
+
+def _read(path: str) -> bytes:
+    try:
+        return FilePath(path).read_bytes()
+    except OSError as error:
+        text = f"could not be read: {error.strerror}"
+        raise InvalidInput([Finding(str(path), 0, "", text)]) from error
+
+
+def _check(place: str, data: bytes, role: _Role) -> Reading:
+    reading = read_yaml(place, data, role.validator)
+    if not isinstance(reading.value, dict):
+        return reading
+    defaults = role.settings._field_defaults
+    findings = list(reading.findings)
+    for order in role.orders:
+        findings += _check_order(place, reading, order, defaults)
+    findings.sort(key=lambda finding: (finding.line, finding.path))
+    return reading._replace(findings=findings)
+
+
+def _check_order(
+    place: str, reading: Reading, order: _Order, defaults: Mapping[str, Any]
+) -> list[Finding]:
+    lower = _look_up(reading.value, order.lower, defaults)
+    higher = _look_up(reading.value, order.higher, defaults)
+    if lower is None or higher is None:
+        return []
+    if higher > lower or (higher == lower and not order.strict):
+        return []
+    written = order.higher if order.higher in reading.lines else order.lower
+    relation = "more than" if order.strict else "at least"
+    text = f"{show_path(order.higher)} must be {relation} {show_path(order.lower)}"
+    return [Finding(place, reading.lines[written], show_path(written), text)]
+
+
+def _look_up(value: Any, path: Iterable[str], defaults: Mapping[str, Any]) -> float | None:
+    for step in path:
+        if not isinstance(value, dict):
+            return None
+        value = value.get(step, defaults.get(step))
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if is_number else None
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,343 @@
+"""Tests of the configuration in force, its watch and its changes."""
+
+import logging
+import unittest
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event
+
+from geraniumspool.audit import CONFIG_PREFIX, AuditTrail
+from geraniumspool.clock import ManualClock
+from geraniumspool.configuration import (
+    WATCH_WAITING,
+    WATCH_WATCHING,
+    ChangeDesk,
+    Configuration,
+    ConfigurationWatcher,
+)
+from geraniumspool.contracts import Snapshot
+from geraniumspool.documents import DEFAULT_TEAM
+from geraniumspool.errors import ChangeUnknown, DispatchError, InvalidInput, StaleRevision
+from geraniumspool.messages import Document
+from geraniumspool.metrics import MemoryCounters
+from geraniumspool.store import MemoryStore
+
+KEY = "team/opticians"
+OTHER = "team/phones"
+STORED = CONFIG_PREFIX + KEY
+
+
+def weigh(weight: float) -> bytes:
+    return b"weight: %d" % weight
+
+
+class Bench:
+    """One entry's configuration parts on a shared store."""
+
+    def __init__(self, clock: ManualClock, store: MemoryStore):
+        self.clock = clock
+        self.store = store
+        self.counters = MemoryCounters()
+        self.configuration = Configuration(clock, self.counters)
+        self.audit = AuditTrail(store, clock)
+        self.changes: list[Document] = []
+        self.desk = ChangeDesk(store, self.configuration, self.audit, clock, self.changes.extend)
+        self.watcher = ConfigurationWatcher(store, self.configuration, clock, self.changes.extend)
+
+    def propose(self, body: bytes | None, expected: int, change_id: str, key: str = KEY, who="ann"):
+        return self.run(lambda: self.desk.propose(key, body, expected, change_id, who, "why"))
+
+    def run(self, call: Callable):
+        done = Event()
+
+        def capture() -> None:
+            try:
+                done.send(call())
+            except DispatchError as error:
+                done.send_exception(error)
+
+        eventlet.spawn(capture)
+        self.clock.advance(60_000)
+        assert done.ready()
+        return done.wait()
+
+    def weight(self, key: str = KEY) -> float:
+        return self.configuration.team(key.partition("/")[2]).weight
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Revisions, rejections and deltas."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.counters = MemoryCounters()
+        self.configuration = Configuration(ManualClock(), self.counters)
+
+    def test_never_backwards(self):
+        apply = self.configuration.apply
+        steps = [
+            (Document(KEY, 5, weigh(5)), True, 5),
+            (Document(KEY, 5, weigh(6)), False, 5),
+            (Document(KEY, 4, weigh(4)), False, 5),
+            (Document(KEY, 4, b""), False, 5),
+            (Document(KEY, 7, b"weight: none"), False, 5),
+            (Document(KEY, 6, weigh(6)), True, 6),
+            (Document(KEY, 8, b""), True, 1),
+            (Document(KEY, 7, weigh(7)), False, 1),
+            (Document(KEY, 9, weigh(9)), True, 9),
+        ]
+        for document, taken, weight in steps:
+            with self.subTest(document):
+                self.assertEqual([document] if taken else [], apply([document]))
+                self.assertEqual(weight, self.configuration.team("opticians").weight)
+
+    def test_rejection_is_kept_until_a_newer_good_one(self):
+        self.configuration.apply([Document(KEY, 5, weigh(5))])
+        for _ in range(2):
+            self.configuration.apply([Document(KEY, 7, b"weight: 1\nsize: 2")])
+        self.configuration.apply([Document(KEY, 6, weigh(6))])
+        found = [(each.place, each.line, each.path) for each in self.configuration.findings]
+        self.assertEqual([(KEY, 2, "size")], found)
+        self.assertEqual(6, self.configuration.revision)
+        self.assertEqual(1, self.counters.get("config_documents", outcome="rejected"))
+        self.configuration.apply([Document(KEY, 8, b"")])
+        self.assertEqual((), self.configuration.findings)
+
+    def test_since_keeps_revisions_whole(self):
+        documents = [
+            Document("team/a", 2, b"{}"),
+            Document("team/b", 4, b""),
+            Document("team/c", 4, b"{}"),
+            Document("team/d", 6, b"{}"),
+        ]
+        self.configuration.apply(reversed(documents))
+        cases = [
+            (0, 10_000, documents),
+            (0, 0, documents[:1]),
+            (2, 0, documents[1:3]),
+            (3, 60, documents[1:3]),
+            (4, 0, documents[3:]),
+            (6, 10_000, []),
+        ]
+        for revision, limit, expected in cases:
+            with self.subTest(revision=revision, limit=limit):
+                self.assertEqual(tuple(expected), self.configuration.since(revision, limit))
+        in_force = [document.key for document in self.configuration.documents()]
+        self.assertEqual(["team/a", "team/c", "team/d"], in_force)
+
+    def test_snapshot_of_an_older_store(self):
+        cases = [
+            ("missing is deleted", 9, DEFAULT_TEAM.weight),
+            ("store went back", 4, 5),
+        ]
+        for name, revision, weight in cases:
+            with self.subTest(name):
+                configuration = Configuration(ManualClock(), self.counters)
+                configuration.apply([Document(KEY, 5, weigh(5))])
+                configuration.apply_snapshot(Snapshot(revision, ()), configuration.store_revision)
+                self.assertEqual(weight, configuration.team("opticians").weight)
+                later = Snapshot(revision + 9, ())
+                configuration.apply_snapshot(later, configuration.store_revision)
+                self.assertEqual(weight, configuration.team("opticians").weight)
+
+
+class WatcherTest(unittest.TestCase):
+    """Watching through faults."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.bench = Bench(self.clock, self.store)
+        self.author = Bench(self.clock, self.store)
+        task = eventlet.spawn(self.bench.watcher.run)
+        self.addCleanup(task.kill)
+        self.clock.settle()
+
+    def test_follows_changes(self):
+        first = self.author.propose(weigh(2), 0, "c1")
+        self.assertEqual(2, self.bench.weight())
+        second = self.author.propose(None, first.revision, "c2")
+        self.assertEqual(DEFAULT_TEAM.weight, self.bench.weight())
+        expected = [(first.revision, b"weight: 2"), (second.revision, b"")]
+        self.assertEqual(expected, [(each.revision, each.body) for each in self.bench.changes])
+
+    def test_outage_keeps_what_is_in_force(self):
+        self.author.propose(weigh(2), 0, "c1")
+        self.store.down = True
+        self.clock.settle()
+        self.assertEqual(WATCH_WAITING, self.bench.watcher.state)
+        before = self.bench.watcher.last_contact_ms
+        calls = self.store.calls.total()
+        self.clock.advance(600_000)
+        self.assertLess(self.store.calls.total() - calls, 150)
+        self.assertEqual(before, self.bench.watcher.last_contact_ms)
+        self.assertEqual(2, self.bench.weight())
+        self.store.down = False
+        self.clock.advance(5_000)
+        self.assertEqual(WATCH_WATCHING, self.bench.watcher.state)
+        self.assertGreater(self.bench.watcher.last_contact_ms, before)
+
+    def test_deletion_and_compaction_in_an_outage(self):
+        receipt = self.author.propose(weigh(2), 0, "c1")
+        self.store.down = True
+        self.clock.settle()
+        self.store.down = False
+        self.store.delete(STORED, receipt.revision)
+        self.store.compact()
+        self.clock.advance(5_000)
+        self.assertEqual(DEFAULT_TEAM.weight, self.bench.weight())
+        self.assertEqual(b"", self.bench.changes[-1].body)
+
+    def test_foreign_value_is_not_taken(self):
+        receipt = self.author.propose(weigh(2), 0, "c1")
+        self.store.swap(STORED, receipt.revision, weigh(3))
+        self.clock.settle()
+        self.assertEqual(2, self.bench.weight())
+        self.assertEqual([KEY], [each.place for each in self.bench.configuration.findings])
+
+
+class DeskTest(unittest.TestCase):
+    """Operators' changes: races, lost answers, outages."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.bench = Bench(self.clock, self.store)
+        self.rival = Bench(self.clock, self.store)
+
+    def test_accepted_is_in_force_at_once(self):
+        receipt = self.bench.propose(weigh(2), 0, "c1")
+        self.assertEqual(("accepted", receipt.revision), receipt)
+        self.assertEqual(2, self.bench.weight())
+        self.assertEqual([receipt.revision], [each.revision for each in self.bench.changes])
+        self.assertEqual((KEY, receipt.revision, b"weight: 2", True), self.bench.desk.current(KEY))
+
+    def test_repeat_is_idempotent(self):
+        first = self.bench.propose(weigh(2), 0, "c1")
+        self.assertEqual(first, self.rival.propose(weigh(2), 0, "c1"))
+        self.bench.propose(weigh(3), first.revision, "c2")
+        self.assertEqual(first, self.rival.propose(weigh(2), 0, "c1"))
+        self.assertEqual(first, self.bench.propose(weigh(2), 0, "c1"))
+        self.assertEqual(3, self.bench.weight())
+        self.assertEqual(b"weight: 3", self.rival.desk.current(KEY).body)
+        with self.assertRaises(InvalidInput) as caught:
+            self.rival.propose(weigh(4), 0, "c1")
+        self.assertEqual("change_id", caught.exception.findings[0].path)
+
+    def test_all_findings_at_once(self):
+        with self.assertRaises(InvalidInput) as caught:
+            self.bench.propose(b"weight: 0\nsize: 1", 0, " ", who="")
+        paths = [finding.path for finding in caught.exception.findings]
+        self.assertEqual(["weight", "size", "change_id", "who"], paths)
+        self.assertEqual(0, self.store.calls.total())
+
+    def test_race_of_two_operators(self):
+        self.store.slow_ms = 10
+        outcomes = {}
+
+        def propose(bench: Bench, who: str, weight: int) -> None:
+            try:
+                bench.desk.propose(KEY, weigh(weight), 0, f"c-{who}", who, "sale")
+                outcomes[who] = "accepted"
+            except StaleRevision as error:
+                outcomes[who] = error.detail
+
+        eventlet.spawn(propose, self.bench, "ann", 2)
+        eventlet.spawn(propose, self.rival, "bat", 3)
+        self.clock.advance(60_000)
+        self.assertEqual("accepted", outcomes["ann"])
+        self.assertRegex(outcomes["bat"], "changed by ann: sale .change c-ann.")
+        stored = self.rival.run(lambda: self.rival.desk.current(KEY))
+        self.assertEqual(b"weight: 2", stored.body)
+
+    def test_stale(self):
+        receipt = self.bench.propose(weigh(2), 0, "c1")
+        for expected in (0, receipt.revision - 1, receipt.revision + 1):
+            with self.subTest(expected), self.assertRaises(StaleRevision):
+                self.rival.propose(weigh(3), expected, f"d{expected}")
+        with self.assertRaises(StaleRevision):
+            self.bench.propose(weigh(3), 7, "c3", key=OTHER)
+
+    def test_answer_lost_after_the_write(self):
+        self.store.lose_answers = 1
+        receipt = self.bench.propose(weigh(2), 0, "c1")
+        self.assertEqual(receipt.revision, self.store.get(STORED).revision)
+        records = self.bench.desk.history(KEY).records
+        self.assertEqual([("c1", receipt.revision)], [(r.change_id, r.revision) for r in records])
+
+    def test_answer_lost_then_outage_then_overwritten(self):
+        swap = self.store.swap
+
+        def swap_then_fail(*arguments):
+            swap(*arguments)
+            self.store.down = True
+            return swap(*arguments)
+
+        self.store.swap = swap_then_fail
+        with self.assertRaises(ChangeUnknown) as caught:
+            self.bench.propose(weigh(2), 0, "c1")
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        self.store.swap = swap
+        self.store.down = False
+        written = self.store.get(STORED).revision
+        self.rival.propose(weigh(3), written, "c2")
+        self.assertEqual(written, self.bench.propose(weigh(2), 0, "c1").revision)
+        history = self.rival.desk.history(KEY)
+        self.assertEqual(["c2", "c1"], [record.change_id for record in history.records])
+
+    def test_outage(self):
+        receipt = self.bench.propose(weigh(2), 0, "c1")
+        self.bench.desk.history(KEY)
+        self.store.down = True
+        for change_id in ("c1", "c2"):
+            with self.subTest(change_id), self.assertRaises(ChangeUnknown):
+                self.bench.propose(weigh(2), receipt.revision, change_id)
+        current = self.bench.desk.current(KEY)
+        self.assertEqual((KEY, receipt.revision, b"weight: 2", False), current)
+        history = self.bench.desk.history(KEY)
+        self.assertEqual((1, False), (len(history.records), history.fresh))
+
+    def test_deletion_and_recreation(self):
+        first = self.bench.propose(weigh(2), 0, "c1")
+        second = self.bench.propose(None, first.revision, "c2")
+        self.assertEqual((KEY, second.revision, b"", True), self.bench.desk.current(KEY))
+        self.assertEqual(DEFAULT_TEAM.weight, self.bench.weight())
+        third = self.rival.propose(weigh(3), 0, "c3")
+        records = self.rival.desk.history(KEY).records
+        self.assertEqual(
+            [
+                (third.revision, None, "weight: 3"),
+                (second.revision, "weight: 2", None),
+                (first.revision, None, "weight: 2"),
+            ],
+            [(record.revision, record.before, record.after) for record in records],
+        )
+
+    def test_older_change_of_another_key_is_not_skipped(self):
+        self.rival.propose(weigh(2), 0, "c1", key=OTHER)
+        self.bench.propose(weigh(3), 0, "c2")
+        self.assertEqual([OTHER, KEY], [document.key for document in self.bench.changes])
+
+    def test_store_that_went_back(self):
+        self.bench.configuration.apply([Document(KEY, 50, weigh(5))])
+        with self.assertRaises(ChangeUnknown):
+            self.bench.propose(weigh(6), 50, "c1")
+        self.assertEqual(50, self.bench.desk.current(KEY).revision)
+        while self.store.revision < 60:
+            self.store.swap(f"filler/{self.store.revision}", 0, b"")
+        receipt = self.bench.propose(weigh(6), 50, "c1")
+        self.assertGreater(receipt.revision, 50)
+        self.assertEqual(6, self.bench.weight())
+
+    def test_bad_keys(self):
+        for call in (self.bench.desk.current, self.bench.desk.history):
+            with self.subTest(call), self.assertRaises(DispatchError):
+                call("nothing/here")
+
+
+if __name__ == "__main__":
+    unittest.main()
