--- /dev/null
+++ b/geraniumspool/registry.py
@@ -0,0 +1,679 @@
+"""Membership at an entry: heartbeats taken, digests exchanged, leased keys.
+
+Who passes on what, so that news cannot go round in circles:
+
+* An agent beats at one entry, which is the source of the news about it.
+* Inside a failure domain each entry sends digests to all others, with the
+  members that it hears itself and those that other domains told it of.
+* To each other domain, the entry with the lowest address sends digests to one
+  entry, with the members of its own domain. An entry that hears an agent of a
+  domain without entries passes that agent on likewise.
+
+A digest carries what changed since the last one to the same receiver, and a
+few members in turn besides. These refresh the loads and make up for lost
+digests.
+"""
+
+import bisect
+import hashlib
+import heapq
+import itertools
+import logging
+import math
+import random
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+from geraniumspool.contracts import Clock, Messenger, Store
+from geraniumspool.errors import LeaseExpired, StoreError
+from geraniumspool.heartbeat import is_foreign_news, weigh
+from geraniumspool.messages import (
+    MEMBER_DEAD,
+    MEMBER_LEAVING,
+    Digest,
+    Document,
+    Heartbeat,
+    HeartbeatReply,
+    Load,
+    Member,
+    Peer,
+)
+from geraniumspool.roster import (
+    ROLE_AGENT,
+    ROLE_ENTRY,
+    Roster,
+    Sighting,
+    is_final,
+    peer_of,
+)
+
+HINTS_PER_REPLY = 16
+HINT_CANDIDATES = 32
+HINTS_CACHE_MS = 500.0
+FOREIGN_MEMBERS = 64
+HEARTBEATS_PER_S = 120
+REFRESH_PER_DIGEST = 16
+REFRESH_TURNS = 3
+PROBE_ROUNDS = 5
+DOCUMENT_BYTES = 16_384
+PUSHES_AT_ONCE = 16
+PUSH_PAUSE_MS = 50.0
+ENTRY_PREFIX = "entries/"
+RENEWALS_PER_TTL = 3
+
+Demand = tuple[tuple[str, float, float], ...]
+
+_LOG = logging.getLogger(__name__)
+_NO_LOAD = Load()
+
+
+class PeerDemand(NamedTuple):
+    """Demand that another entry reported.
+
+    :param entry: the entry; one of another domain reports for its whole domain
+    :param demand: tasks a second and running tasks, per team
+    """
+
+    entry: Peer
+    demand: Demand
+
+
+class _AgentView(NamedTuple):
+    config_revision: int
+    foreign: frozenset[str]
+    sent_version: int
+    sent_foreign: frozenset[str]
+
+
+class _Report(NamedTuple):
+    domain: str
+    heard_ms: float
+    demand: Demand
+    in_force: tuple[tuple[str, int], ...]
+    config_revision: int
+
+
+class _AfarRevision(NamedTuple):
+    revision: int
+    heard_ms: float
+    direct: bool
+
+
+class _Link:
+    def __init__(self) -> None:
+        self.sent: dict[Peer, Member] | None = None
+        self.turn = 0
+
+
+class _Ring(NamedTuple):
+    version: int
+    places: list[tuple[bytes, str]]
+    entries: int
+
+
+class Registry:
+    """Membership as one entry keeps it and passes it on."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        roster: Roster,
+        clock: Clock,
+        configuration: Any,
+        me: Callable[[], Member],
+        heartbeat_period_ms: float,
+        heartbeat_timeout_ms: float,
+        demand: Callable[[], Demand] = tuple,
+        generator: random.Random | None = None,
+    ):
+        """Connect the parts.
+
+        :param configuration: has ``revision``, ``apply(documents)`` and
+            ``since(revision, limit_bytes)``
+        :param me: returns this entry as it is now
+        :param heartbeat_period_ms: shortest period of agents' heartbeats
+        :param heartbeat_timeout_ms: silence that means death, at that period
+        :param demand: returns tasks a second and running tasks, per team
+        :param generator: source of random samples, seeded by the own address by default
+        """
+        self._messenger = messenger
+        self._roster = roster
+        self._clock = clock
+        self._configuration = configuration
+        self._me = me
+        self._floor_ms = heartbeat_period_ms
+        self._timeout_ms = heartbeat_timeout_ms
+        self._demand = demand
+        self._random = generator or random.Random(messenger.me.address)
+        self._agents: dict[Peer, _AgentView] = {}
+        self._links: dict[Peer, _Link] = {}
+        self._reports: dict[Peer, _Report] = {}
+        self._afar: dict[str, _AfarRevision] = {}
+        self._rings: dict[str, _Ring] = {}
+        self._best: dict[tuple[str, str], tuple[float, list[Member]]] = {}
+        self._rounds = 0
+        roster.observe(me(), revive=True)
+
+    @property
+    def period_ms(self) -> float:
+        """Period that agents are told, which grows with their number."""
+        return max(self._floor_ms, len(self._agents) * 1000.0 / HEARTBEATS_PER_S)
+
+    @property
+    def timeout_ms(self) -> float:
+        """Silence that means death, in proportion to the period."""
+        return self._timeout_ms * self.period_ms / self._floor_ms
+
+    def run(self) -> None:
+        """Do a round each period, for ever."""
+        while True:
+            self.run_round()
+            self._clock.sleep(self._floor_ms)
+
+    def run_round(self) -> None:
+        """Expire silent members and send the digests that are due."""
+        self._rounds += 1
+        self._roster.observe(self._me(), revive=True)
+        self._watch_unheard()
+        for member in self._roster.expire(self.timeout_ms, self._learnt_timeout_ms()):
+            _LOG.info("%s %s is silent", member.role, member.address)
+        self._roster.forget()
+        self._prune()
+        self._send_digests()
+        if self._rounds % PROBE_ROUNDS == 0:
+            self._probe_silent()
+
+    def take_heartbeat(self, sender: Peer, heartbeat: Heartbeat) -> None:
+        """Take an agent's heartbeat and reply, if this entry is in charge of it."""
+        member = heartbeat.member
+        if peer_of(member) != sender:
+            return
+        if heartbeat.roster_entry not in (0, self._messenger.me.incarnation):
+            self._take_copy(heartbeat)
+            return
+        self._roster.hear(member)
+        self._messenger.send(sender, self._reply(sender, heartbeat))
+
+    def take_digest(self, sender: Peer, digest: Digest) -> None:
+        """Take another entry's digest and answer it if it asks for one."""
+        if peer_of(digest.sender) != sender:
+            return
+        if digest.sender.domain == self._roster.domain:
+            self._roster.hear(digest.sender)
+        else:
+            self._roster.relay(digest.sender, sender)
+        for member in digest.members:
+            if is_foreign_news(member, self._messenger.me):
+                self._roster.relay(member, sender)
+        self._reports[sender] = _Report(
+            digest.sender.domain,
+            self._clock.now(),
+            digest.demand,
+            digest.in_force,
+            digest.config_revision,
+        )
+        self._note_afar(digest)
+        if digest.documents:
+            self._configuration.apply(digest.documents)
+        if digest.reply:
+            self._send_digest(digest.sender, answer=True)
+
+    def peers_demand(self) -> list[PeerDemand]:
+        """Return the demand that other entries reported lately."""
+        reports = self._reports.items()
+        return [PeerDemand(peer, r.demand) for peer, r in reports if self._is_fresh(r)]
+
+    def in_force(self) -> dict[str, int]:
+        """Return the lowest configuration revision in force per failure domain.
+
+        Of a domain that is silent it is the last that was reported.
+        """
+        own = self._roster.domain
+        lowest = self._served_revisions()
+        for report in self._reports.values():
+            if not self._is_fresh(report):
+                continue
+            told = [revision for domain, revision in report.in_force if domain == own]
+            if report.domain == own:
+                told.append(report.config_revision)
+            lowest[own] = min([lowest[own], *told])
+        afar = {domain: news.revision for domain, news in self._afar.items()}
+        return afar | lowest
+
+    def push_configuration(self) -> None:
+        """Send new configuration to entries and agents now, in small batches.
+
+        It suspends the calling green task between batches.
+        """
+        self._send_digests()
+        batches: dict[int, tuple[Document, ...]] = {}
+        pushed = 0
+        for peer in list(self._agents):
+            view = self._agents.get(peer)
+            if view is None or view.config_revision >= self._configuration.revision:
+                continue
+            if view.config_revision not in batches:
+                batches[view.config_revision] = self._documents(view.config_revision)
+            documents = batches[view.config_revision]
+            self._messenger.send(peer, self._make_reply(documents=documents))
+            pushed += 1
+            if pushed % PUSHES_AT_ONCE == 0:
+                self._clock.sleep(PUSH_PAUSE_MS)
+
+    # Heartbeats
+
+    def _take_copy(self, heartbeat: Heartbeat) -> None:
+        serving = self._roster.find_incarnation(heartbeat.roster_entry)
+        if serving is None or is_final(serving):
+            self._roster.observe(heartbeat.member)
+        else:
+            self._roster.relay(heartbeat.member, peer_of(serving))
+
+    def _reply(self, sender: Peer, heartbeat: Heartbeat) -> HeartbeatReply:
+        member = heartbeat.member
+        view = self._agents.get(sender) or _AgentView(0, frozenset(), 0, frozenset())
+        version = heartbeat.roster_version
+        whole = heartbeat.roster_entry == 0 or not self._roster.covers(version)
+        leaving = is_final(member) or member.state == MEMBER_LEAVING
+        documents = self._documents(heartbeat.config_revision)
+        if whole and leaving:
+            return self._make_reply(documents=documents)
+        known = frozenset() if whole else view.foreign
+        if not whole and version == view.sent_version:
+            known = view.sent_foreign
+        window = self._choose_foreign(member)
+        self._agents[sender] = _AgentView(
+            heartbeat.config_revision, known, self._roster.version, window
+        )
+        members = self._select_members(member, version, whole, known, window)
+        hints = self._choose_hints(member, window)
+        return self._make_reply(whole, members, hints, documents, self._roster.version)
+
+    def _make_reply(
+        self,
+        whole: bool = False,
+        members: tuple[Member, ...] = (),
+        hints: tuple[tuple[str, int, Load], ...] = (),
+        documents: tuple[Document, ...] = (),
+        version: int = 0,
+    ) -> HeartbeatReply:
+        revision = self._configuration.revision
+        return HeartbeatReply(version, whole, members, hints, revision, documents, self.period_ms)
+
+    def _documents(self, revision: int) -> tuple[Document, ...]:
+        if revision >= self._configuration.revision:
+            return ()
+        return tuple(self._configuration.since(revision, DOCUMENT_BYTES))
+
+    def _select_members(
+        self,
+        agent: Member,
+        version: int,
+        whole: bool,
+        known: frozenset[str],
+        window: frozenset[str],
+    ) -> tuple[Member, ...]:
+        def is_near(member: Member) -> bool:
+            return member.domain == agent.domain or member.role == ROLE_ENTRY
+
+        if whole:
+            members = self._roster.members()
+            return tuple(
+                m for m in members if is_near(m) or (m.address in window and not is_final(m))
+            )
+        shown = window | known
+        changed = self._roster.since(version)
+        selected = [m for m in changed if is_near(m) or m.address in shown]
+        fresh = window - known
+        if fresh:
+            done = set(map(peer_of, selected))
+            living = [m for m in self._roster.members() if not is_final(m)]
+            selected += [m for m in living if m.address in fresh and peer_of(m) not in done]
+        return tuple(selected)
+
+    def _choose_foreign(self, agent: Member) -> frozenset[str]:
+        ring = self._ring(agent.domain)
+        size = max(0, FOREIGN_MEMBERS - ring.entries)
+        places = ring.places
+        if len(places) <= size:
+            return frozenset(address for _, address in places)
+        start = bisect.bisect(places, (_place(agent.address), ""))
+        chosen = itertools.islice(itertools.cycle(places), start, start + size)
+        return frozenset(address for _, address in chosen)
+
+    def _ring(self, domain: str) -> _Ring:
+        ring = self._rings.get(domain)
+        if ring and ring.version == self._roster.version:
+            return ring
+        foreign = [m for m in self._roster.members() if m.domain != domain]
+        addresses = {member.address for member in foreign if member.role == ROLE_AGENT}
+        entries = sum(m.role == ROLE_ENTRY and not is_final(m) for m in foreign)
+        places = sorted((_place(address), address) for address in addresses)
+        self._rings[domain] = _Ring(self._roster.version, places, entries)
+        return self._rings[domain]
+
+    def _choose_hints(
+        self, agent: Member, window: frozenset[str]
+    ) -> tuple[tuple[str, int, Load], ...]:
+        near = self._roster.agents(agent.service, agent.domain)
+        best = self._find_best(agent.service, agent.domain, near)
+        chosen = dict.fromkeys(self._sample(best, HINTS_PER_REPLY // 2))
+        chosen |= dict.fromkeys(self._sample(near, HINTS_PER_REPLY))
+        if len(chosen) <= HINTS_PER_REPLY:
+            others = self._roster.agents(agent.service)
+            chosen |= dict.fromkeys(m for m in others if m.address in window)
+        peers = [peer for peer in map(peer_of, chosen) if peer != peer_of(agent)]
+        hints = []
+        for peer in list(dict.fromkeys(peers))[:HINTS_PER_REPLY]:
+            member = self._roster.get(peer)
+            if member:
+                hints.append((peer.address, peer.incarnation, member.load))
+        return tuple(hints)
+
+    def _find_best(self, service: str, domain: str, agents: list[Member]) -> list[Member]:
+        now = self._clock.now()
+        made_ms, best = self._best.get((service, domain), (-math.inf, []))
+        if now - made_ms >= HINTS_CACHE_MS:
+            best = heapq.nlargest(
+                HINT_CANDIDATES, agents, key=lambda member: member.load.free - member.load.queued
+            )
+            self._best[service, domain] = (now, best)
+        return best
+
+    def _sample(self, members: list[Member], size: int) -> list[Member]:
+        return self._random.sample(members, min(size, len(members)))
+
+    # Rounds
+
+    def _watch_unheard(self) -> None:
+        nobody = Sighting()
+        own = self._messenger.me
+        for member in self._roster.members():
+            peer = peer_of(member)
+            if peer == own or member.domain != self._roster.domain or is_final(member):
+                continue
+            if self._roster.sighting(peer) == nobody:
+                self._roster.watch(peer)
+
+    def _learnt_timeout_ms(self) -> float:
+        turns = 1 + math.ceil(len(self._roster.members()) / REFRESH_PER_DIGEST)
+        return self.timeout_ms + REFRESH_TURNS * turns * self._floor_ms
+
+    def _prune(self) -> None:
+        for peer in list(self._agents):
+            if self._roster.is_gone(peer) or not self._roster.sighting(peer).direct:
+                del self._agents[peer]
+        living = {peer_of(entry) for entry in self._roster.entries()}
+        for table in (self._links, self._reports):
+            for peer in [peer for peer in table if peer not in living]:
+                del table[peer]
+
+    def _probe_silent(self) -> None:
+        living = {entry.address for entry in self._roster.entries()}
+        for member in self._roster.members():
+            silent = member.role == ROLE_ENTRY and member.state == MEMBER_DEAD
+            if silent and member.domain == self._roster.domain and member.address not in living:
+                revision = self._configuration.revision
+                probe = Digest(self._me(), False, (), (), (), revision, (), reply=True)
+                self._messenger.send(peer_of(member), probe)
+
+    def _send_digests(self) -> None:
+        for entry in self._receivers():
+            self._send_digest(entry)
+
+    def _receivers(self) -> Iterator[Member]:
+        own = self._messenger.me
+        foreign: dict[str, list[Member]] = {}
+        for entry in self._roster.entries():
+            if entry.domain != self._roster.domain:
+                foreign.setdefault(entry.domain, []).append(entry)
+            elif peer_of(entry) != own:
+                yield entry
+        if not self._is_speaker() and not self._has_guests():
+            return
+        for entries in foreign.values():
+            staying = [e for e in entries if e.state != MEMBER_LEAVING] or entries
+            yield min(staying, key=lambda entry: weigh(own.address, entry.address))
+
+    def _is_speaker(self) -> bool:
+        near = [e.address for e in self._roster.entries() if e.domain == self._roster.domain]
+        return self._messenger.me.address <= min(near, default=self._messenger.me.address)
+
+    def _has_guests(self) -> bool:
+        members = map(self._roster.get, self._agents)
+        return any(member and member.domain != self._roster.domain for member in members)
+
+    def _send_digest(self, receiver: Member, answer: bool = False) -> None:
+        peer = peer_of(receiver)
+        link = self._links.setdefault(peer, _Link())
+        near = receiver.domain == self._roster.domain
+        view = self._near_view() if near else self._far_view()
+        bare = {key: member._replace(load=_NO_LOAD) for key, member in view.items()}
+        changed = self._choose_changed(link, view, bare)
+        report = self._reports.get(peer)
+        told = report.config_revision if report else None
+        behind = told is None or told < self._configuration.revision
+        digest = Digest(
+            sender=self._me(),
+            whole=link.sent is None,
+            members=tuple(changed),
+            demand=self._near_demand() if near else self._far_demand(),
+            in_force=tuple((self._near_revisions() if near else self._far_revisions()).items()),
+            config_revision=self._configuration.revision,
+            documents=() if told is None else self._documents(told),
+            reply=behind and not answer,
+        )
+        if self._messenger.send(peer, digest):
+            link.sent = bare
+            link.turn += REFRESH_PER_DIGEST
+
+    def _choose_changed(
+        self, link: _Link, view: dict[Peer, Member], bare: dict[Peer, Member]
+    ) -> list[Member]:
+        if link.sent is None:
+            return list(view.values())
+        chosen = {key: view[key] for key, member in bare.items() if link.sent.get(key) != member}
+        order = list(view)
+        for step in range(min(REFRESH_PER_DIGEST, len(order))):
+            key = order[(link.turn + step) % len(order)]
+            chosen[key] = view[key]
+        return list(chosen.values())
+
+    def _near_view(self) -> dict[Peer, Member]:
+        return {
+            peer: member
+            for peer, member, sighting in self._others()
+            if self._is_heard_here(sighting) or self._is_from_afar(sighting)
+        }
+
+    def _far_view(self) -> dict[Peer, Member]:
+        speaker = self._is_speaker()
+        view = {}
+        for peer, member, sighting in self._others():
+            own = member.domain == self._roster.domain and not self._is_from_afar(sighting)
+            guest = member.domain != self._roster.domain and self._is_heard_here(sighting)
+            if guest or (speaker and own):
+                view[peer] = member
+        return view
+
+    def _others(self) -> Iterator[tuple[Peer, Member, Sighting]]:
+        own = self._messenger.me
+        for member in self._roster.members():
+            peer = peer_of(member)
+            if peer != own:
+                yield peer, member, self._roster.sighting(peer)
+
+    @staticmethod
+    def _is_heard_here(sighting: Sighting) -> bool:
+        return sighting.direct and not sighting.claimed
+
+    def _is_from_afar(self, sighting: Sighting) -> bool:
+        if sighting.source is None:
+            return False
+        source = self._roster.get(sighting.source)
+        return source is not None and source.domain != self._roster.domain
+
+    # Demand and revisions
+
+    def _is_fresh(self, report: _Report) -> bool:
+        return self._clock.now() - report.heard_ms <= self._timeout_ms
+
+    def _near_demand(self) -> Demand:
+        return tuple(self._demand())
+
+    def _far_demand(self) -> Demand:
+        if not self._is_speaker():
+            return ()
+        totals: dict[str, tuple[float, float]] = {}
+        own = self._roster.domain
+        reports = [r for r in self._reports.values() if r.domain == own and self._is_fresh(r)]
+        for demand in [self._near_demand(), *(report.demand for report in reports)]:
+            for team, rate, running in demand:
+                old_rate, old_running = totals.get(team, (0.0, 0.0))
+                totals[team] = (old_rate + rate, old_running + running)
+        return tuple((team, *total) for team, total in totals.items())
+
+    def _served_revisions(self) -> dict[str, int]:
+        lowest = {self._roster.domain: self._configuration.revision}
+        for peer, view in self._agents.items():
+            member = self._roster.get(peer)
+            if member and not is_final(member):
+                revision = lowest.get(member.domain, view.config_revision)
+                lowest[member.domain] = min(revision, view.config_revision)
+        return lowest
+
+    def _near_revisions(self) -> dict[str, int]:
+        now = self._clock.now()
+        fresh = {
+            domain: news.revision
+            for domain, news in self._afar.items()
+            if news.direct and now - news.heard_ms <= self._timeout_ms
+        }
+        return fresh | self._served_revisions()
+
+    def _note_afar(self, digest: Digest) -> None:
+        direct = digest.sender.domain != self._roster.domain
+        for domain, revision in digest.in_force:
+            if domain != self._roster.domain:
+                self._afar[domain] = _AfarRevision(revision, self._clock.now(), direct)
+
+    def _far_revisions(self) -> dict[str, int]:
+        served = self._served_revisions()
+        own = self._roster.domain
+        if self._is_speaker():
+            served[own] = self.in_force()[own]
+        else:
+            del served[own]
+        return served
+
+
+def _place(address: str) -> bytes:
+    return hashlib.blake2b(address.encode(), digest_size=8).digest()
+
+
+class Registrar:
+    """Keeps an entry's leased key in the store and reads those of others.
+
+    While the store is out, what is known stays in use.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        roster: Roster,
+        clock: Clock,
+        me: Callable[[], Member],
+        ttl_ms: float,
+    ):
+        """Connect the parts.
+
+        :param roster: where the other entries are recorded
+        :param me: returns this entry as it is now
+        :param ttl_ms: time to live of the lease
+        """
+        self._store = store
+        self._roster = roster
+        self._clock = clock
+        self._me = me
+        self._ttl_ms = ttl_ms
+        self._lease = 0
+        self._revision = 0
+        self._written = b""
+
+    @property
+    def registered(self) -> bool:
+        """Whether the own key was there at the last answer of the store."""
+        return self._lease != 0 and self._written != b""
+
+    def run(self) -> None:
+        """Refresh the key and the list of entries, for ever."""
+        while True:
+            self.refresh()
+            self._clock.sleep(self._ttl_ms / RENEWALS_PER_TTL)
+
+    def refresh(self) -> None:
+        """Renew the lease, write the own key if need be, and read the others."""
+        try:
+            self._renew()
+            self._write()
+            self._observe(discover_entries(self._store))
+        except StoreError as error:
+            _LOG.warning("entry key not refreshed: %s", error)
+
+    def withdraw(self) -> None:
+        """Delete the own key, as far as the store can be reached."""
+        try:
+            if self._revision:
+                self._store.delete(self._key(), self._revision)
+        except StoreError as error:
+            _LOG.warning("entry key not deleted: %s", error)
+
+    def _key(self) -> str:
+        return ENTRY_PREFIX + self._me().address
+
+    def _renew(self) -> None:
+        if self._lease:
+            try:
+                self._store.keep_alive(self._lease)
+                return
+            except LeaseExpired:
+                self._lease = 0
+        self._written = b""
+        self._lease = self._store.grant_lease(self._ttl_ms)
+
+    def _write(self) -> None:
+        value = msgspec.json.encode(self._me()._replace(load=_NO_LOAD))
+        if value == self._written:
+            return
+        self._written = b""
+        outcome = self._store.swap(self._key(), self._revision, value, self._lease)
+        if not outcome.swapped:
+            current = outcome.current.revision if outcome.current else 0
+            outcome = self._store.swap(self._key(), current, value, self._lease)
+        if outcome.swapped:
+            self._revision = outcome.revision
+            self._written = value
+
+    def _observe(self, entries: tuple[Member, ...]) -> None:
+        own = self._me()
+        if all(peer_of(entry) != peer_of(own) for entry in entries):
+            self._written = b""
+        for entry in entries:
+            if entry.address != own.address:
+                self._roster.observe(entry)
+
+
+def discover_entries(store: Store) -> tuple[Member, ...]:
+    """Return the entries registered in the store, with one read.
+
+    :raises StoreError: if the store does not answer
+    """
+    members = []
+    for pair in store.list(ENTRY_PREFIX).pairs:
+        try:
+            members.append(msgspec.json.decode(pair.value, type=Member))
+        except msgspec.MsgspecError as error:
+            _LOG.warning("key %s ignored: %s", pair.key, error)
+    return tuple(members)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,496 @@
+"""Tests of the membership at the entries, with agents that beat at them."""
+
+import random
+import unittest
+from collections import Counter
+
+from geraniumspool import messages
+from geraniumspool.clock import ManualClock
+from geraniumspool.heartbeat import Heartbeater
+from geraniumspool.messages import Digest, Document, Heartbeat, HeartbeatReply, Load, Member, Peer
+from geraniumspool.registry import (
+    FOREIGN_MEMBERS,
+    HINTS_PER_REPLY,
+    Registrar,
+    Registry,
+    discover_entries,
+)
+from geraniumspool.roster import Roster, peer_of
+from geraniumspool.store import MemoryStore
+from tests.test_heartbeat import FakeConfiguration, RecordingMessenger
+
+PERIOD_MS = 2_000.0
+TIMEOUT_MS = 10_000.0
+BUDGET_BYTES_PER_S = 2_000
+
+
+class Process:
+    """An entry or an agent on a network in memory."""
+
+    def __init__(self, network, number, domain, role, incarnation=None):
+        self.network = network
+        address = f"tcp://10.0.{number // 250}.{number % 250 + 1}:7000"
+        service = "fitting" if role == "agent" else ""
+        incarnation = incarnation or (1 << 60) + number
+        self.member = Member(address, incarnation, domain, role, "ready", service)
+        self.me = peer_of(self.member)
+        self.paused = False
+        self.roster = Roster(network.clock, domain)
+        self.configuration = FakeConfiguration()
+        common = (self, self.roster, network.clock)
+        if role == "entry":
+            self.part = Registry(
+                *common,
+                self.configuration,
+                lambda: self.member,
+                PERIOD_MS,
+                TIMEOUT_MS,
+                lambda: (("opticians", 1.0, 2.0),),
+            )
+        else:
+            self.part = Heartbeater(*common, lambda: self.member, self.configuration, PERIOD_MS)
+        network.processes[self.me] = self
+
+    def send(self, peer, message):
+        data = messages.encode(self.me, peer.incarnation, message)
+        self.network.queue.append((self, peer, data))
+        return True
+
+    def step(self):
+        if isinstance(self.part, Registry):
+            self.part.run_round()
+        else:
+            self.part.beat()
+
+    def receive(self, delivery):
+        if isinstance(delivery.message, Heartbeat):
+            self.part.take_heartbeat(delivery.sender, delivery.message)
+        elif isinstance(delivery.message, HeartbeatReply):
+            self.part.take_reply(delivery.sender, delivery.message)
+        else:
+            self.part.take_digest(delivery.sender, delivery.message)
+
+    def state_of(self, process):
+        member = self.roster.get(process.me)
+        return member.state if member else None
+
+
+class Network:
+    """Carries messages between processes and counts their bytes."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.processes = {}
+        self.queue = []
+        self.cut = set()
+        self.bytes = Counter()
+        self.count = Counter()
+
+    def deliver(self):
+        while self.queue:
+            source, peer, data = self.queue.pop(0)
+            target = self.processes.get(peer)
+            self.bytes[source.me] += len(data)
+            self.count[source.me] += 1
+            domains = frozenset({source.member.domain, target.member.domain}) if target else None
+            if target and not target.paused and domains not in self.cut:
+                self.bytes[target.me] += len(data)
+                target.receive(messages.decode(data))
+
+    def run(self, rounds):
+        for _ in range(rounds):
+            for process in list(self.processes.values()):
+                if not process.paused:
+                    process.step()
+                    self.deliver()
+            self.clock.advance(PERIOD_MS)
+
+    def introduce(self):
+        entries = [p for p in self.processes.values() if p.member.role == "entry"]
+        for process in self.processes.values():
+            for entry in entries:
+                process.roster.observe(entry.member)
+
+
+class FleetTest(unittest.TestCase):
+    """Two domains of two entries and three agents each."""
+
+    def setUp(self):
+        self.network = Network()
+        self.entries = [self.add(n, "north" if n < 2 else "south", "entry") for n in range(4)]
+        domains = [(n, "north" if n < 13 else "south") for n in range(10, 16)]
+        self.agents = [self.add(n, domain, "agent") for n, domain in domains]
+        self.network.introduce()
+        self.network.run(4)
+
+    def add(self, number, domain, role, incarnation=None):
+        return Process(self.network, number, domain, role, incarnation)
+
+    def everybody(self):
+        return [process for process in self.network.processes.values() if not process.paused]
+
+    def check_states(self, process, expected):
+        for other in self.everybody():
+            if other is not process:
+                self.assertEqual(other.state_of(process), expected, other.me.address)
+
+    def entry_of(self, agent):
+        return self.network.processes[agent.part.target]
+
+    def test_everybody_knows_everybody(self):
+        for process in self.everybody():
+            others = {agent.me for agent in self.agents} - {process.me}
+            self.assertEqual(set(map(peer_of, process.roster.agents("fitting"))), others)
+            self.assertEqual(len(process.roster.entries()), 4)
+
+    def test_silent_agent_is_dead_everywhere_and_back_when_heard(self):
+        agent = self.agents[0]
+        agent.paused = True
+        self.network.run(4)
+        self.check_states(agent, "ready")
+        self.network.run(5)
+        self.check_states(agent, "dead")
+        agent.paused = False
+        self.network.run(4)
+        self.check_states(agent, "ready")
+
+    def test_new_incarnation_at_an_old_address(self):
+        old = self.agents[0]
+        del self.network.processes[old.me]
+        new = self.add(10, "north", "agent", incarnation=5)
+        self.network.introduce()
+        self.network.run(4)
+        self.check_states(new, "ready")
+        self.check_states(old, "dead")
+
+    def test_death_of_an_entry_kills_no_agent(self):
+        entry = self.entry_of(self.agents[0])
+        changes = []
+        for process in self.everybody():
+            process.roster.subscribe(changes.append)
+        entry.paused = True
+        self.network.run(30)
+        self.check_states(entry, "dead")
+        self.assertEqual({member.role for member in changes}, {"entry"})
+        self.assertNotEqual(self.entry_of(self.agents[0]), entry)
+
+    def test_agent_that_dies_with_its_entry(self):
+        agent = self.agents[0]
+        entry = self.entry_of(agent)
+        agent.paused = entry.paused = True
+        self.network.run(15)
+        self.check_states(agent, "dead")
+
+    def test_agent_that_dies_after_it_moved(self):
+        agent = self.agents[0]
+        first = self.entry_of(agent)
+        first.paused = True
+        self.network.run(3)
+        self.assertNotEqual(self.entry_of(agent), first)
+        first.paused = False
+        self.network.run(2)
+        agent.paused = True
+        self.network.run(12)
+        self.check_states(agent, "dead")
+
+    def test_partition_between_domains_kills_nobody(self):
+        """It lasts longer than dead members are remembered."""
+        self.network.cut.add(frozenset({"north", "south"}))
+        self.network.run(330)
+        for process in self.everybody():
+            others = {other.me for other in self.everybody()} - {process.me}
+            ready = {peer_of(m) for m in process.roster.members() if m.state == "ready"}
+            self.assertEqual(ready - {process.me}, others)
+        self.agents[5].member = self.agents[5].member._replace(state="ejected")
+        self.network.run(2)
+        self.assertEqual(self.agents[0].state_of(self.agents[5]), "ready")
+        self.network.cut.clear()
+        self.network.run(4)
+        self.check_states(self.agents[5], "ejected")
+
+    def test_entries_of_a_domain_that_lost_each_other_meet_again(self):
+        self.network.cut.add(frozenset({"north"}))
+        self.network.run(12)
+        self.assertEqual(self.entries[0].state_of(self.entries[1]), "dead")
+        self.network.cut.clear()
+        self.network.run(20)
+        for process in self.entries[:2] + self.agents:
+            self.check_states(process, "ready")
+
+    def test_domain_without_entries_is_served_by_another(self):
+        for entry in self.entries[2:]:
+            entry.paused = True
+        self.network.run(60)
+        for agent in self.agents:
+            self.check_states(agent, "ready")
+        for entry in self.entries[2:]:
+            entry.paused = False
+        self.network.run(40)
+        for agent in self.agents:
+            self.check_states(agent, "ready")
+        self.assertEqual(self.entry_of(self.agents[5]).member.domain, "south")
+
+    def test_leaving_is_known_at_once_in_the_own_domain(self):
+        agent = self.agents[0]
+        agent.member = agent.member._replace(state="left", archive="tcp://10.0.0.12:7000")
+        agent.part.beat_now()
+        self.network.deliver()
+        for entry in self.entries:
+            self.assertEqual(entry.state_of(agent), "left")
+        agent.paused = True
+        self.network.run(3)
+        self.check_states(agent, "left")
+
+    def test_load_alone_changes_no_membership(self):
+        versions = [process.roster.version for process in self.everybody()]
+        for agent in self.agents:
+            agent.member = agent.member._replace(load=Load(8, 5))
+        self.network.run(5)
+        self.assertEqual([p.roster.version for p in self.everybody()], versions)
+        for process in self.everybody():
+            loads = [m.load for m in process.roster.agents("fitting") if peer_of(m) != process.me]
+            self.assertEqual(set(loads), {Load(8, 5)})
+
+    def test_configuration_reaches_all_and_is_reported(self):
+        self.entries[3].configuration.apply([Document("team/opticians", 9, b"{}")])
+        self.assertEqual(self.entries[3].part.in_force(), {"north": 0, "south": 0})
+        self.network.run(6)
+        for process in self.everybody():
+            self.assertEqual(process.configuration.revision, 9)
+        for entry in self.entries:
+            self.assertEqual(entry.part.in_force(), {"north": 9, "south": 9})
+        self.agents[0].paused = True
+        self.entries[0].configuration.apply([Document("team/opticians", 11, b"{}")])
+        self.network.run(5)
+        for entry in self.entries:
+            self.assertEqual(entry.part.in_force(), {"north": 9, "south": 11})
+
+    def test_configuration_is_pushed_without_waiting_for_heartbeats(self):
+        for entry in self.entries[:2]:
+            entry.configuration.apply([Document("team/opticians", 9, b"{}")])
+            entry.part.push_configuration()
+        self.network.deliver()
+        for agent in self.agents[:3]:
+            self.assertEqual(agent.configuration.revision, 9)
+
+    def test_demand_is_told_per_entry_and_per_domain(self):
+        self.network.run(6)
+        totals = Counter()
+        for entry in self.entries:
+            for report in entry.part.peers_demand():
+                totals[report.demand] += 1
+        one, both = (("opticians", 1.0, 2.0),), (("opticians", 2.0, 4.0),)
+        self.assertEqual(totals[one], 4)
+        self.assertEqual(totals[both], 2)
+
+    def test_quiet_fleet_sends_one_heartbeat_a_period_and_few_digests(self):
+        self.network.count.clear()
+        self.network.run(10)
+        for agent in self.agents:
+            self.assertEqual(self.network.count[agent.me], 10)
+        digests = sum(self.network.count[e.me] for e in self.entries) - 10 * len(self.agents)
+        self.assertEqual(digests, 10 * (4 + 2))
+
+
+class BudgetTest(unittest.TestCase):
+    """Traffic at the aimed-at size."""
+
+    def test_control_traffic_of_an_agent(self):
+        network = Network()
+        entry = Process(network, 0, "north", "entry")
+        generator = random.Random(1)
+        for number in range(3 * 487):
+            domain = ("north", "south", "east")[number % 3]
+            agent = Process(network, number + 10, domain, "agent").member
+            load = Load(8, generator.randrange(9), generator.randrange(3), generator.random())
+            entry.roster.observe(agent._replace(load=load))
+        agents = [p for p in network.processes.values() if p.member.domain == "north"][1:]
+        network.processes = {process.me: process for process in [entry, *agents]}
+        network.introduce()
+        network.run(1)
+        period_ms = entry.part.period_ms
+        self.assertGreater(period_ms, 487 / 120 * 1_000 - 1)
+        for agent in agents:
+            foreign = [m for m in agent.roster.members() if m.domain != "north"]
+            self.assertEqual(len(foreign), FOREIGN_MEMBERS)
+            self.assertEqual(agent.roster.count(domain="north", role="agent"), 486)
+        network.bytes.clear()
+        for round_number in range(3):
+            moving = agents[round_number]
+            moving.member = moving.member._replace(state="ejected")
+            network.run(1)
+        worst = max(network.bytes[agent.me] for agent in agents) / 3
+        self.assertLess(worst / (PERIOD_MS / 1_000), BUDGET_BYTES_PER_S)
+
+
+class ReplyTest(unittest.TestCase):
+    """Single replies of one entry."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.me = Member("tcp://127.0.0.1:1", 1, "north", "entry", "ready")
+        self.messenger = RecordingMessenger(peer_of(self.me))
+        self.roster = Roster(self.clock, "north")
+        self.configuration = FakeConfiguration()
+        self.registry = Registry(
+            self.messenger,
+            self.roster,
+            self.clock,
+            self.configuration,
+            lambda: self.me,
+            PERIOD_MS,
+            TIMEOUT_MS,
+        )
+
+    def ask(self, number=0, entry=1, version=0, state="ready", revision=0):
+        member = Member(f"tcp://127.0.0.1:{9 + number}", 9 + number, "north", "agent", state, "f")
+        self.messenger.sent.clear()
+        heartbeat = Heartbeat(member, entry, version, revision)
+        self.registry.take_heartbeat(peer_of(member), heartbeat)
+        return self.messenger.sent[-1][1] if self.messenger.sent else None
+
+    def test_whole_or_changes(self):
+        first = self.ask(entry=0)
+        self.ask(number=1, entry=0)
+        version = first.roster_version
+        cases = (
+            ("first contact", 0, 0, True, 3),
+            ("changes", 1, version, False, 1),
+            ("nothing new", 1, self.roster.version, False, 0),
+            ("version of the future", 1, version + 100, True, 3),
+        )
+        for name, entry, asked, whole, members in cases:
+            with self.subTest(name):
+                reply = self.ask(entry=entry, version=asked)
+                self.assertEqual((reply.whole, len(reply.members)), (whole, members))
+
+    def test_agent_in_charge_of_another_entry_gets_no_reply(self):
+        self.assertIsNone(self.ask(entry=2, state="leaving"))
+        self.assertEqual(self.roster.find_incarnation(9).state, "leaving")
+
+    def test_leaving_agent_at_first_contact_gets_no_roster(self):
+        reply = self.ask(entry=0, state="leaving")
+        self.assertEqual((reply.roster_version, reply.members), (0, ()))
+
+    def test_heartbeat_in_another_name_is_ignored(self):
+        member = Member("tcp://127.0.0.1:9", 9, "north", "agent", "ready", "f")
+        self.registry.take_heartbeat(Peer("tcp://127.0.0.1:8", 8), Heartbeat(member, 0, 0, 0))
+        self.assertEqual(self.messenger.sent, [])
+        self.assertIsNone(self.roster.find_incarnation(9))
+
+    def test_lost_reply_is_made_up_for(self):
+        """Foreign members beyond the window enter it later, also after a lost reply."""
+        for number in range(2 * FOREIGN_MEMBERS):
+            foreign = Member(f"tcp://10.0.0.{number}:1", 500 + number, "south", "agent", "ready")
+            self.roster.observe(foreign)
+        known = {m.address: m for m in self.ask(entry=0).members}
+        version = self.roster.version
+        for number in range(2 * FOREIGN_MEMBERS):
+            new = Member(f"tcp://10.0.1.{number}:1", 900 + number, "south", "agent", "ready")
+            self.roster.observe(new)
+        lost = self.ask(version=version)
+        again = self.ask(version=version)
+        self.assertEqual(again.members, lost.members)
+        self.assertEqual(self.ask(version=again.roster_version).members, ())
+        known |= {m.address: m for m in again.members}
+        self.assertGreater(len(again.members), 0)
+        self.assertLess(len(known), 2 * FOREIGN_MEMBERS)
+
+    def test_hints_are_bounded_and_lean_to_free_agents(self):
+        for number in range(200):
+            member = Member(
+                f"tcp://10.0.0.{number}:1", 500 + number, "north", "agent", "ready", "f"
+            )
+            self.roster.observe(member._replace(load=Load(8, 8 if number < 20 else 0)))
+        replies = [self.ask(entry=0).loads for _ in range(5)]
+        for loads in replies:
+            self.assertEqual(len({incarnation for _, incarnation, _ in loads}), HINTS_PER_REPLY)
+            self.assertGreaterEqual(sum(load.free == 8 for _, _, load in loads), 3)
+            self.assertGreaterEqual(sum(load.free == 0 for _, _, load in loads), 3)
+        self.assertGreater(len(set(replies)), 1)
+
+    def test_digest_in_another_name_is_ignored(self):
+        other = Member("tcp://127.0.0.1:2", 2, "north", "entry", "ready")
+        self.registry.take_digest(Peer(other.address, 3), Digest(other, True, (), (), (), 0, ()))
+        self.assertIsNone(self.roster.find_incarnation(2))
+
+
+class RegistrarTest(unittest.TestCase):
+    """Leased keys, with faults of the store."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.roster = Roster(self.clock, "north")
+        self.me = Member("tcp://127.0.0.1:1", 1, "north", "entry", "ready")
+        self.other = Member("tcp://127.0.0.1:2", 2, "south", "entry", "ready")
+        self.registrar = self.make(self.me, self.roster)
+        self.make(self.other, Roster(self.clock, "south")).refresh()
+
+    def make(self, member, roster):
+        return Registrar(self.store, roster, self.clock, lambda: member, 10_000)
+
+    def set_down(self, down):
+        self.store.down = down
+
+    def lose_answer(self):
+        self.store.lose_answers = 1
+
+    def refuse(self):
+        self.store.refuse_leases = True
+
+    def test_faults(self):
+        """Each case: a fault, whether registered with it, and how it is mended."""
+        cases = (
+            ("none", lambda: None, True, lambda: None),
+            ("store down", lambda: self.set_down(True), False, lambda: self.set_down(False)),
+            ("lost answer", self.lose_answer, False, lambda: None),
+            (
+                "leases refused",
+                self.refuse,
+                False,
+                lambda: setattr(self.store, "refuse_leases", False),
+            ),
+        )
+        for name, break_store, registered, mend in cases:
+            with self.subTest(name):
+                self.setUp()
+                break_store()
+                self.registrar.refresh()
+                self.assertEqual(self.registrar.registered, registered)
+                mend()
+                self.registrar.refresh()
+                self.assertTrue(self.registrar.registered)
+                self.assertEqual(set(discover_entries(self.store)), {self.me, self.other})
+                self.assertEqual(self.roster.entries(), [self.other])
+
+    def test_outage_keeps_what_is_known(self):
+        self.registrar.refresh()
+        self.store.down = True
+        self.clock.advance(3_600_000)
+        self.registrar.refresh()
+        self.assertEqual(self.roster.entries(), [self.other])
+
+    def test_lapsed_lease_is_replaced_and_the_key_written_again(self):
+        self.registrar.refresh()
+        self.clock.advance(10_001)
+        self.assertEqual(discover_entries(self.store), ())
+        self.registrar.refresh()
+        self.assertEqual(discover_entries(self.store), (self.me,))
+
+    def test_key_of_an_earlier_incarnation_is_overwritten(self):
+        self.registrar.refresh()
+        successor = self.me._replace(incarnation=7)
+        registrar = self.make(successor, Roster(self.clock, "north"))
+        registrar.refresh()
+        self.assertIn(successor, discover_entries(self.store))
+        registrar.withdraw()
+        self.assertEqual(discover_entries(self.store), (self.other,))
+
+    def test_malformed_key_is_passed_over(self):
+        self.store.swap("entries/broken", 0, b"{")
+        self.assertEqual(discover_entries(self.store), (self.other,))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,215 @@
+"""Tests of the roster."""
+
+import unittest
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.messages import Load, Member, Peer
+from geraniumspool.roster import Roster, Sighting, peer_of
+
+STATES = ("starting", "ready", "ejected", "leaving", "left", "dead")
+ENTRY = Member("tcp://127.0.0.1:1", 1, "north", "entry", "ready")
+OTHER_ENTRY = Member("tcp://127.0.0.1:2", 2, "north", "entry", "ready")
+FAR_ENTRY = Member("tcp://127.0.0.1:3", 3, "south", "entry", "ready")
+
+
+def make_agent(state="ready", incarnation=100, domain="north", address="tcp://127.0.0.1:9"):
+    return Member(address, incarnation, domain, "agent", state, "fitting")
+
+
+class RosterTest(unittest.TestCase):
+    """Precedence, expiry, versions and queries."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.roster = Roster(self.clock, "north", remember_ms=60_000)
+        self.changes = []
+        self.roster.subscribe(self.changes.append)
+
+    def state(self, incarnation=100):
+        return self.roster.find_incarnation(incarnation).state
+
+    def check_transitions(self, allowed, take):
+        for old in STATES:
+            for new in STATES:
+                with self.subTest(old=old, new=new):
+                    self.setUp()
+                    self.roster.observe(make_agent(old))
+                    changed = take(make_agent(new))
+                    expected = new if new in allowed[old] else old
+                    self.assertEqual(self.state(), expected)
+                    self.assertEqual(changed, expected != old)
+                    self.assertEqual(len(self.changes), 1 + changed)
+
+    def test_states_move_forward_by_hearsay(self):
+        allowed = {
+            "starting": STATES,
+            "ready": ("ejected", "leaving", "left", "dead"),
+            "ejected": ("ready", "leaving", "left", "dead"),
+            "leaving": ("left", "dead"),
+            "left": (),
+            "dead": ("left",),
+        }
+        self.check_transitions(allowed, lambda member: self.roster.observe(member))
+
+    def test_a_process_that_is_heard_may_come_back_from_dead_but_not_from_left(self):
+        allowed = {
+            "starting": STATES,
+            "ready": ("ejected", "leaving", "left", "dead"),
+            "ejected": ("ready", "leaving", "left", "dead"),
+            "leaving": ("left", "dead"),
+            "left": (),
+            "dead": STATES,
+        }
+        self.check_transitions(allowed, lambda member: self.roster.hear(member))
+
+    def test_new_incarnation_replaces_the_old_one(self):
+        for old, expected in (("ready", "dead"), ("leaving", "dead"), ("left", "left")):
+            with self.subTest(old=old):
+                self.setUp()
+                self.roster.hear(make_agent(old))
+                self.roster.hear(make_agent(incarnation=101))
+                self.assertEqual(self.state(100), expected)
+                self.assertEqual(self.state(101), "ready")
+                self.assertTrue(self.roster.is_gone(Peer("tcp://127.0.0.1:9", 100)))
+                self.assertFalse(self.roster.is_gone(Peer("tcp://127.0.0.1:9", 102)))
+                current = [member.incarnation for member in self.roster.agents("fitting")]
+                self.assertEqual(current, [101])
+
+    def test_replaced_incarnation_comes_back_only_when_heard(self):
+        self.roster.hear(make_agent(incarnation=100))
+        self.roster.hear(make_agent(incarnation=101))
+        self.assertFalse(self.roster.observe(make_agent(incarnation=100), revive=True))
+        self.assertFalse(self.roster.relay(make_agent(incarnation=100), peer_of(OTHER_ENTRY)))
+        self.assertEqual((self.state(100), self.state(101)), ("dead", "ready"))
+        self.roster.hear(make_agent(incarnation=100))
+        self.assertEqual((self.state(100), self.state(101)), ("ready", "dead"))
+
+    def test_news_of_a_final_incarnation_replaces_nothing(self):
+        self.roster.hear(make_agent(incarnation=101))
+        self.roster.observe(make_agent("left", incarnation=100))
+        self.assertEqual((self.state(100), self.state(101)), ("left", "ready"))
+
+    def test_what_is_heard_prevails_over_what_is_relayed(self):
+        source = peer_of(OTHER_ENTRY)
+        cases = (("dead", "ready"), ("ejected", "ready"), ("leaving", "leaving"), ("left", "left"))
+        for relayed, expected in cases:
+            with self.subTest(relayed=relayed):
+                self.setUp()
+                self.roster.hear(make_agent())
+                self.roster.relay(make_agent(relayed), source)
+                self.assertEqual(self.state(), expected)
+
+    def test_dead_is_believed_only_from_the_source(self):
+        self.roster.observe(OTHER_ENTRY)
+        self.roster.observe(ENTRY)
+        self.roster.relay(make_agent(), peer_of(OTHER_ENTRY))
+        self.roster.relay(make_agent("dead"), peer_of(ENTRY))
+        self.assertEqual(self.state(), "ready")
+        self.roster.relay(make_agent("dead"), peer_of(OTHER_ENTRY))
+        self.assertEqual(self.state(), "dead")
+        self.roster.relay(make_agent(), peer_of(OTHER_ENTRY))
+        self.assertEqual(self.state(), "ready")
+
+    def test_silence(self):
+        """Each case: how the member became known, and whether 10 s of silence kill it."""
+
+        def claim():
+            self.roster.observe(OTHER_ENTRY)
+            self.roster.hear(make_agent())
+            self.clock.advance(1)
+            self.roster.relay(make_agent(), peer_of(OTHER_ENTRY))
+
+        def claim_and_hear():
+            claim()
+            self.roster.hear(make_agent())
+
+        def orphan():
+            self.roster.observe(OTHER_ENTRY)
+            self.roster.relay(make_agent(), peer_of(OTHER_ENTRY))
+            self.roster.observe(OTHER_ENTRY._replace(state="dead"))
+
+        def hear_guest():
+            self.roster.observe(FAR_ENTRY)
+            self.roster.hear(make_agent(domain="south"))
+
+        cases = (
+            ("heard", lambda: self.roster.hear(make_agent()), "dead"),
+            ("observed", lambda: self.roster.observe(make_agent()), "ready"),
+            ("relayed", lambda: self.roster.relay(make_agent(), peer_of(ENTRY)), "ready"),
+            ("heard by another since", claim, "ready"),
+            ("heard here after another", claim_and_hear, "dead"),
+            ("its entry died", orphan, "dead"),
+            ("guest whose domain has entries", hear_guest, "ready"),
+            ("guest", lambda: self.roster.hear(make_agent(domain="south")), "dead"),
+        )
+        for name, prepare, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                prepare()
+                self.clock.advance(9_000)
+                self.assertEqual(self.roster.expire(10_000), [])
+                self.clock.advance(1_001)
+                dead = self.roster.expire(10_000)
+                self.assertEqual([m.state for m in dead], ["dead"] * (expected == "dead"))
+                self.assertEqual(self.state(), expected)
+
+    def test_learnt_members_expire_only_in_the_own_domain(self):
+        self.roster.relay(make_agent(), peer_of(OTHER_ENTRY))
+        self.roster.relay(
+            make_agent("ready", 200, "south", "tcp://127.0.0.1:8"), peer_of(FAR_ENTRY)
+        )
+        self.clock.advance(3_600_000)
+        self.roster.expire(10_000, learnt_timeout_ms=100_000)
+        self.assertEqual((self.state(100), self.state(200)), ("dead", "ready"))
+
+    def test_load_is_no_membership_change(self):
+        self.roster.hear(make_agent())
+        version = self.roster.version
+        self.assertFalse(self.roster.hear(make_agent()._replace(load=Load(8, 3))))
+        self.assertTrue(self.roster.observe_load("tcp://127.0.0.1:9", 100, Load(8, 2)))
+        self.assertFalse(self.roster.observe_load("tcp://127.0.0.1:9", 101, Load(8, 2)))
+        self.assertEqual((self.roster.version, len(self.changes)), (version, 1))
+        self.assertEqual(self.roster.agents("fitting", "north")[0].load, Load(8, 2))
+
+    def test_changes_since_a_version(self):
+        self.roster.observe(ENTRY)
+        self.roster.observe(make_agent())
+        version = self.roster.version
+        self.assertEqual(self.roster.since(version), ())
+        self.roster.observe(OTHER_ENTRY)
+        self.roster.observe(ENTRY._replace(state="leaving"))
+        changed = [(m.incarnation, m.state) for m in self.roster.since(version)]
+        self.assertEqual(changed, [(2, "ready"), (1, "leaving")])
+        for stale in (0, self.roster.version + 1):
+            self.assertEqual(len(self.roster.since(stale)), 3)
+
+    def test_forgotten_members_make_older_versions_whole(self):
+        self.roster.observe(ENTRY)
+        version = self.roster.version
+        self.roster.observe(make_agent("left")._replace(archive="tcp://127.0.0.1:8"))
+        self.clock.advance(59_999)
+        self.roster.forget()
+        self.assertEqual(self.roster.find_incarnation(100).archive, "tcp://127.0.0.1:8")
+        self.clock.advance(1)
+        self.roster.forget()
+        self.assertIsNone(self.roster.find_incarnation(100))
+        self.assertFalse(self.roster.covers(version))
+        self.assertTrue(self.roster.covers(self.roster.version))
+
+    def test_queries_follow_the_states(self):
+        self.roster.observe(ENTRY)
+        self.roster.observe(FAR_ENTRY)
+        self.roster.observe(make_agent())
+        self.roster.observe(make_agent("ready", 200, "south", "tcp://127.0.0.1:8"))
+        self.assertEqual(self.roster.domains(), ("north", "south"))
+        self.assertEqual(len(self.roster.agents("fitting")), 2)
+        self.assertEqual(self.roster.count(role="agent", domain="south"), 1)
+        self.roster.observe(make_agent("ejected", 200, "south", "tcp://127.0.0.1:8"))
+        self.roster.observe(FAR_ENTRY._replace(state="left"))
+        self.assertEqual([m.incarnation for m in self.roster.agents("fitting")], [100])
+        self.assertEqual(self.roster.entries(), [ENTRY])
+        self.assertEqual(self.roster.sighting(peer_of(ENTRY)), Sighting())
+
+
+if __name__ == "__main__":
+    unittest.main()
