--- /dev/null
+++ b/geraniumspool/admission.py
@@ -0,0 +1,83 @@
+"""Admission at a home: whether a job can be finished in time."""
+
+from typing import NamedTuple
+
+from geraniumspool.decisions import (
+    JOB_REFUSED_DEADLINE,
+    JOB_REFUSED_NO_CAPACITY,
+    JOB_REFUSED_OVERLOAD,
+)
+from geraniumspool.job import Job
+from geraniumspool.worker import Worker
+
+MAX_PENDING_TASKS = 20_000
+MAX_PENDING_BYTES = 64 * 1024 * 1024
+DEADLINE_SHARE = 0.9
+MIN_RETRY_MS = 50.0
+NO_CAPACITY_RETRY_MS = 1_000.0
+
+
+class Verdict(NamedTuple):
+    """What admission decided.
+
+    :param code: decision code of a refusal, empty where the job is taken
+    :param retry_after_ms: when another try may help, or 0
+    :param wait_ms: predicted wait before the job's tasks get slots
+    """
+
+    code: str
+    detail: str
+    retry_after_ms: float
+    wait_ms: float
+
+
+class Backlog(NamedTuple):
+    """What waits at the home ahead of a new job.
+
+    :param tasks: tasks without a slot
+    :param work_ms: estimated run time of those due before the new job
+    :param size_bytes: payload bytes held
+    """
+
+    tasks: int
+    work_ms: float
+    size_bytes: int
+
+
+def judge(
+    job: Job, size_bytes: int, workers: list[Worker], own_slots: int, backlog: Backlog
+) -> Verdict:
+    """Decide whether a home takes a job.
+
+    The wait is the work ahead divided by the slots this home can count on:
+    its own, and those of others that seem free.
+
+    :param size_bytes: payload bytes of the job
+    :param workers: workers that take offers
+    :param own_slots: slots of the home's own minion
+    """
+    if not workers or not _fits_all(job, workers):
+        retry = 0.0 if workers else NO_CAPACITY_RETRY_MS
+        return Verdict(JOB_REFUSED_NO_CAPACITY, "no known minion fits every task", retry, 0.0)
+    slots = max(1, own_slots + sum(worker.free for worker in workers))
+    wait_ms = backlog.work_ms / slots
+    tasks = backlog.tasks + len(job.tasks)
+    if tasks > MAX_PENDING_TASKS or backlog.size_bytes + size_bytes > MAX_PENDING_BYTES:
+        retry = max(MIN_RETRY_MS, wait_ms)
+        return Verdict(JOB_REFUSED_OVERLOAD, "too many tasks wait here", retry, wait_ms)
+    return _judge_deadline(job, slots, wait_ms)
+
+
+def _judge_deadline(job: Job, slots: int, wait_ms: float) -> Verdict:
+    finish_ms = wait_ms + max(job.longest_ms, job.work_ms / slots)
+    allowed_ms = job.deadline_ms * DEADLINE_SHARE
+    if finish_ms <= allowed_ms or wait_ms <= 0:
+        return Verdict("", "", 0.0, wait_ms)
+    retry = max(MIN_RETRY_MS, min(finish_ms - allowed_ms, wait_ms))
+    detail = f"predicted finish in {finish_ms:.0f} ms, deadline in {job.deadline_ms:.0f} ms"
+    return Verdict(JOB_REFUSED_DEADLINE, detail, retry, wait_ms)
+
+
+def _fits_all(job: Job, workers: list[Worker]) -> bool:
+    largest = max(task.size for task in job.tasks)
+    return any(worker.fits(largest) for worker in workers)
--- /dev/null
+++ b/geraniumspool/agent.py
@@ -0,0 +1,358 @@
+"""The agent: a process beside each minion, home of jobs and runner of tasks."""
+
+import logging
+
+import msgspec
+
+from geraniumspool.application import Application, ReadyLine, draw_incarnation
+from geraniumspool.clock import SystemClock
+from geraniumspool.configuration import Configuration
+from geraniumspool.contracts import Announcement, Clock, Messenger, MinionClient, Store
+from geraniumspool.decisions import DRAIN_FINISHED, DRAIN_STARTED, DecisionLog
+from geraniumspool.errors import InvalidInput, StoreError
+from geraniumspool.handover import Handing
+from geraniumspool.health import Health
+from geraniumspool.heartbeat import Heartbeater
+from geraniumspool.home import Home
+from geraniumspool.link import NngMessenger
+from geraniumspool.messages import (
+    MEMBER_EJECTED,
+    MEMBER_LEAVING,
+    MEMBER_LEFT,
+    MEMBER_READY,
+    MEMBER_STARTING,
+    Cancel,
+    Decline,
+    Delivery,
+    Drain,
+    Handover,
+    HandoverReceipt,
+    HeartbeatReply,
+    Inquire,
+    Load,
+    Member,
+    Offer,
+    Peer,
+    Results,
+    Revoke,
+    Revoked,
+    Submit,
+    WrongIncarnation,
+)
+from geraniumspool.metrics import Metrics
+from geraniumspool.minion import HttpMinionClient
+from geraniumspool.placement import Placement, choose_placement
+from geraniumspool.records import Records
+from geraniumspool.registry import discover_entries
+from geraniumspool.roster import ROLE_AGENT, Roster
+from geraniumspool.runner import Runner
+from geraniumspool.scope import scope_by
+from geraniumspool.settings import AgentSettings
+from geraniumspool.store import EtcdStore
+from geraniumspool.submission import collect
+from geraniumspool.web import Application as WebApplication
+from geraniumspool.web import Reply, Request, Route, WebServer, reply_json
+
+_LOG = logging.getLogger(__name__)
+
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+HOUSEKEEPING_MS = 500.0
+DISCOVERY_MS = 2_000.0
+STOP_GRACE_MS = 300.0
+PROMETHEUS_TEXT = "text/plain; version=0.0.4"
+
+
+class Agent(Application):
+    """One agent process."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        messenger: Messenger,
+        store: Store,
+        client: MinionClient,
+        clock: Clock,
+        metrics: Metrics,
+        placement: Placement | None = None,
+    ):
+        """Connect the parts; nothing runs before :meth:`start`."""
+        super().__init__(clock)
+        self._settings = settings
+        self._messenger = messenger
+        self._store = store
+        self.metrics = metrics
+        self._version = 0
+        self._left = False
+        self._draining = False
+        self._announced_ms = clock.now()
+        self.configuration = Configuration(clock, metrics)
+        self.decisions = DecisionLog(messenger.me.incarnation, clock, _LOG)
+        self.roster = Roster(clock, settings.domain)
+        self.health = Health(
+            clock,
+            self.decisions,
+            messenger.me.address,
+            self._may_eject,
+            lambda: self.configuration.service(self.home.service).ejection_failure_share,
+        )
+        self.runner = Runner(
+            messenger, clock, client, metrics, self.health, settings.queue_per_slot
+        )
+        self.home = Home(
+            messenger,
+            clock,
+            metrics,
+            self.decisions,
+            self.roster,
+            self.configuration,
+            self.runner,
+            Records(clock, settings.max_record_bytes, settings.max_record_age_ms),
+            placement or choose_placement("late"),
+            settings.domain,
+            settings.peer_timeout_ms,
+        )
+        self.heartbeater = Heartbeater(
+            messenger,
+            self.roster,
+            clock,
+            self.describe,
+            self.configuration,
+            settings.heartbeat_period_ms,
+        )
+        self._handing = Handing(messenger, clock, self.roster, self.home, settings.domain)
+        self._web = WebServer(self._make_web(), settings.minion_listen, clock)
+        self._handlers = self._make_handlers()
+        self.runner.on_change = self._changed
+        self.health.on_change = self._changed
+
+    def start(self) -> None:
+        """Bind the listeners, find the entries and begin to beat."""
+        self._web.start()
+        self._messenger.start(self._receive)
+        if self._settings.minion is not None:
+            self._take_announcement(self._settings.minion)
+        self.heartbeater.add_entries(self._settings.entries)
+        self._run(self._discover)
+        self._run(self.heartbeater.run)
+        self._run(self._keep_house)
+
+    def ready_line(self) -> ReadyLine:
+        """Return the inbox and the address for the minion's announcements."""
+        return ReadyLine(ready=ROLE_AGENT, inbox=self._messenger.me.address, minion=self.minion_url)
+
+    @property
+    def minion_url(self) -> str:
+        """Return the base address where the minion announces itself."""
+        return f"http://{self._web.address}"
+
+    def describe(self) -> Member:
+        """Return this agent as the others should know it."""
+        minion = self.runner.minion
+        archive = self._handing.archive
+        return Member(
+            *self._messenger.me,
+            self._settings.domain,
+            ROLE_AGENT,
+            self._state(),
+            self.home.service,
+            minion.max_size if minion else 0.0,
+            self.home.load() if minion else Load(),
+            archive.address if archive else "",
+            archive.incarnation if archive else 0,
+            self._version,
+        )
+
+    def drain(self) -> bool:
+        """Finish what runs, hand the records over, and leave."""
+        self._draining = True
+        self.decisions.record(DRAIN_STARTED, self._messenger.me.address)
+        self.home.leave()
+        self.runner.leave()
+        self._changed()
+        finished = self._wait_until(self._is_idle, self._settings.drain_limit_ms)
+        if not finished:
+            self.home.abandon()
+            self._clock.sleep(STOP_GRACE_MS)
+        handed = self._handing.hand_over()
+        self._left = True
+        self._changed()
+        self.decisions.record(
+            DRAIN_FINISHED, self._messenger.me.address, finished=str(finished), records=handed
+        )
+        self._clock.sleep(STOP_GRACE_MS)
+        self.heartbeater.beat_now()
+        return finished
+
+    def stop(self) -> None:
+        """Close links and listeners."""
+        super().stop()
+        self._web.stop()
+        self._messenger.stop()
+
+    def _state(self) -> str:
+        if self._left:
+            return MEMBER_LEFT
+        if self._draining or self.runner.leaving:
+            return MEMBER_LEAVING
+        if self.runner.minion is None:
+            return MEMBER_STARTING
+        return MEMBER_EJECTED if self.health.is_ejected else MEMBER_READY
+
+    def _is_idle(self) -> bool:
+        return self.home.is_idle and self.runner.is_idle
+
+    def _changed(self) -> None:
+        self._version += 1
+        self.heartbeater.beat_now()
+
+    def _may_eject(self) -> bool:
+        service = self.home.service
+        domain = self._settings.domain
+        share = self.configuration.service(service).ejection_domain_share
+        ready = self.roster.count(ROLE_AGENT, MEMBER_READY, domain)
+        ejected = self.roster.count(ROLE_AGENT, MEMBER_EJECTED, domain)
+        return ejected + 1 <= share * max(ready + ejected, 1)
+
+    def _make_handlers(self) -> dict:
+        return {
+            Submit: self.home.take_submit,
+            Decline: self.home.take_decline,
+            Inquire: self.home.take_inquire,
+            Cancel: self.home.take_cancel,
+            Offer: self.runner.take_offer,
+            Results: self.home.take_results,
+            Revoke: self.runner.take_revoke,
+            Revoked: self.home.take_revoked,
+            HeartbeatReply: self._take_reply,
+            WrongIncarnation: self._take_rejection,
+            Handover: self._handing.take,
+            HandoverReceipt: self._handing.take_receipt,
+            Drain: self._take_drain,
+        }
+
+    def _receive(self, delivery: Delivery) -> None:
+        handler = self._handlers.get(type(delivery.message))
+        if handler is None:
+            self.metrics.add("messages_rejected", reason="unexpected")
+            return
+        handler(delivery.sender, delivery.message)
+
+    def _take_reply(self, sender: Peer, reply: HeartbeatReply) -> None:
+        self.heartbeater.take_reply(sender, reply)
+        for address, incarnation, load in reply.loads:
+            self.home.hint(Peer(address, incarnation), load)
+        self.home.schedule_place()
+
+    def _take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
+        self.heartbeater.take_rejection(sender)
+        self.home.take_rejection(sender, rejection)
+        self.runner.forget_home(Peer(sender.address, rejection.meant))
+
+    def _take_drain(self, _sender: Peer, drain: Drain) -> None:
+        self.decisions.record(
+            DRAIN_STARTED, self._messenger.me.address, who=drain.who, why=drain.why
+        )
+        self.request_exit()
+
+    def _discover(self) -> None:
+        """Read the entries from the store until some are known."""
+        while True:
+            try:
+                for member in discover_entries(self._store):
+                    self.roster.observe(member)
+                if self.roster.entries():
+                    self.heartbeater.beat()
+                    return
+            except StoreError as error:
+                _LOG.warning("entries not read: %s", error)
+            self._clock.sleep(DISCOVERY_MS if not self.roster.entries() else DISCOVERY_MS * 5)
+
+    def _keep_house(self) -> None:
+        while True:
+            self._clock.sleep(HOUSEKEEPING_MS)
+            self.home.expire_records()
+            self.home.schedule_place()
+            self.roster.forget()
+            self._check_minion()
+
+    def _check_minion(self) -> None:
+        silent_ms = self._clock.now() - self._announced_ms
+        is_fixed = self._settings.minion is not None
+        if is_fixed or not self.runner.accepts:
+            return
+        if silent_ms > self._settings.announcement_timeout_ms:
+            _LOG.warning("minion silent for %d ms", silent_ms)
+            self.runner.leave()
+
+    def _take_announcement(self, announcement: Announcement) -> None:
+        self._announced_ms = self._clock.now()
+        known = self.runner.minion
+        if known is not None and known.url != announcement.url:
+            self.health.reset()
+        self.home.service = announcement.service
+        if not self._draining:
+            self.runner.announce(announcement)
+
+    def _make_web(self) -> WebApplication:
+        routes = [
+            Route("PUT", "/v1/minion", self._put_minion),
+            Route("DELETE", "/v1/minion", self._delete_minion),
+            Route("GET", "/healthz", self._get_health),
+            Route("GET", "/metrics", self._get_metrics),
+        ]
+        return WebApplication(routes, MAX_ANNOUNCEMENT_BYTES, self.metrics, _LOG)
+
+    def _put_minion(self, request: Request) -> Reply:
+        announcement = parse_announcement(request.body)
+        self._take_announcement(announcement)
+        return reply_json(200, {"state": self._state()})
+
+    def _delete_minion(self, _request: Request) -> Reply:
+        self.runner.leave()
+        return reply_json(200, {"state": self._state(), "idle": self.runner.is_idle})
+
+    def _get_health(self, _request: Request) -> Reply:
+        return reply_json(200, {"state": self._state()})
+
+    def _get_metrics(self, _request: Request) -> Reply:
+        return Reply(200, self.metrics.render(), PROMETHEUS_TEXT)
+
+
+def parse_announcement(body: bytes) -> Announcement:
+    """Return what a minion says of itself.
+
+    :param body: JSON object with the fields of ``Announcement``
+    :raises InvalidInput: if it is anything else
+    """
+    with collect("announcement") as findings:
+        try:
+            fields = msgspec.json.decode(body, type=dict[str, str | int | float])
+            announcement = msgspec.convert(
+                [fields.get(name) for name in Announcement._fields], Announcement, strict=False
+            )
+        except msgspec.MsgspecError as error:
+            findings.add("", str(error))
+            raise InvalidInput(findings.all) from error
+        if announcement.slots < 1:
+            findings.add("slots", "must be at least 1")
+        if announcement.connections < 1:
+            findings.add("connections", "must be at least 1")
+        if not announcement.url.startswith("http://"):
+            findings.add("url", "must be an http address")
+    return announcement
+
+
+def build_agent(settings: AgentSettings, placement: str = "late") -> Agent:
+    """Return an agent with real parts.
+
+    :param settings: checked settings
+    :param placement: name of a placement, see :mod:`geraniumspool.placement`
+    """
+    clock = SystemClock()
+    metrics = Metrics(ROLE_AGENT, settings.domain)
+    messenger = NngMessenger(settings.inbox, draw_incarnation(), clock, metrics)
+    store = EtcdStore(list(settings.store_urls), clock, metrics, settings.store_timeout_ms)
+    client = HttpMinionClient(metrics)
+    agent = Agent(settings, messenger, store, client, clock, metrics, choose_placement(placement))
+    messenger.scope = scope_by(agent.roster, settings.domain)
+    return agent
--- /dev/null
+++ b/geraniumspool/archive.py
@@ -0,0 +1,88 @@
+"""Archives: finished records of homes that left, kept by a peer.
+
+An archive answers resubmissions and never runs anything.
+"""
+
+from geraniumspool.messages import STATE_MAY_HAVE_RUN, STATE_NOT_RUN, Answer, Handover, Peer, Record
+from geraniumspool.records import Watermark
+from geraniumspool.ticket import Ticket, read_ticket
+
+MAX_ARCHIVES = 200
+MAX_ARCHIVE_BYTES = 64 * 1024 * 1024
+CODE_GONE = "home_gone"
+CODE_NEVER_SUBMITTED = "job_never_submitted"
+
+
+class Archive:
+    """Records of one home that left.
+
+    :ivar is_whole: whether the last batch has arrived
+    """
+
+    def __init__(self, home: Peer):
+        """Start empty."""
+        self.home = home
+        self.records: dict[int, Record] = {}
+        self.watermark = Watermark()
+        self.batches: set[int] = set()
+        self.last_batch: int | None = None
+        self.size_bytes = 0
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether every batch has arrived."""
+        return self.last_batch is not None and len(self.batches) == self.last_batch + 1
+
+    def take(self, handover: Handover) -> None:
+        """Take one batch; a repeated one changes nothing."""
+        if handover.batch in self.batches:
+            return
+        self.batches.add(handover.batch)
+        self.watermark = Watermark(handover.watermark_ms, handover.watermark_job)
+        if handover.last:
+            self.last_batch = handover.batch
+        for record in handover.records:
+            self.records[read_ticket(record.ticket).job] = record
+            self.size_bytes += sum(len(body) for body in record.answer.results)
+
+    def covers(self, ticket: Ticket) -> bool:
+        """Return whether a missing record proves that the job never ran."""
+        return self.is_whole and Watermark(ticket.issued_ms, ticket.job) > self.watermark
+
+
+class Archives:
+    """Archives by home, bounded in number and bytes; the oldest go first."""
+
+    def __init__(self):
+        """Start empty."""
+        self._archives: dict[Peer, Archive] = {}
+
+    def take(self, handover: Handover) -> None:
+        """Take one batch of a leaving home's records."""
+        archive = self._archives.get(handover.home)
+        if archive is None:
+            archive = self._archives[handover.home] = Archive(handover.home)
+        archive.take(handover)
+        while self._is_full() and len(self._archives) > 1:
+            del self._archives[next(iter(self._archives))]
+
+    def find(self, ticket: Ticket) -> Record | None:
+        """Return the record of a ticket's job, or None."""
+        archive = self._archives.get(ticket.home)
+        return archive.records.get(ticket.job) if archive is not None else None
+
+    def judge_missing(self, ticket: Ticket, text: str) -> Answer:
+        """Return the answer for a ticket of another home without a record."""
+        archive = self._archives.get(ticket.home)
+        if archive is not None and archive.covers(ticket):
+            detail = "the home left before this job was submitted"
+            return Answer(0, text, STATE_NOT_RUN, CODE_NEVER_SUBMITTED, detail)
+        return Answer(0, text, STATE_MAY_HAVE_RUN, CODE_GONE, "the job's home is gone")
+
+    def all(self) -> list[Archive]:
+        """Return every archive, oldest first."""
+        return list(self._archives.values())
+
+    def _is_full(self) -> bool:
+        size = sum(archive.size_bytes for archive in self._archives.values())
+        return len(self._archives) > MAX_ARCHIVES or size > MAX_ARCHIVE_BYTES
--- /dev/null
+++ b/geraniumspool/callers.py
@@ -0,0 +1,336 @@
+"""The callers' HTTP interface of an entry."""
+
+import logging
+
+import msgspec
+
+from geraniumspool.binding import Bindings, BindingUnavailable
+from geraniumspool.calls import Calls, NoAnswer
+from geraniumspool.configuration import Configuration
+from geraniumspool.contracts import Clock
+from geraniumspool.decisions import (
+    HOME_CHOSEN,
+    JOB_REFUSED_NO_CAPACITY,
+    JOB_REFUSED_OVERLOAD,
+    JOB_REFUSED_QUOTA,
+    TICKET_HOME_GONE,
+    DecisionLog,
+    describe,
+)
+from geraniumspool.errors import ForeignService
+from geraniumspool.homes import Homes, NoHome
+from geraniumspool.messages import (
+    STATE_COMPLETE,
+    STATE_CONFLICT,
+    STATE_MAY_HAVE_RUN,
+    STATE_NOT_RUN,
+    Answer,
+    Cancel,
+    Decline,
+    Inquire,
+    Peer,
+    Submit,
+)
+from geraniumspool.metrics import Metrics
+from geraniumspool.quota import Quotas, Shortage
+from geraniumspool.submission import Submission, check_limits, parse_submission, parse_ticket_order
+from geraniumspool.ticket import Keyring, Ticket
+from geraniumspool.web import Reply, Request, Route, reply_json, reply_problem
+
+_LOG = logging.getLogger(__name__)
+
+ASK_LIMIT_MS = 2_000.0
+OVERLOAD_RETRY_MS = 250.0
+HTTP_CREATED = 201
+STATUS_OF_CODE = {
+    JOB_REFUSED_QUOTA: 429,
+    JOB_REFUSED_NO_CAPACITY: 422,
+    "job_cancelled": 409,
+}
+STATUS_OF_OUTCOME = {STATE_NOT_RUN: 503, STATE_MAY_HAVE_RUN: 502}
+CODE_CONFLICT = "job_conflict"
+CODE_HOME_GONE = "home_gone"
+PROMETHEUS_TEXT = "text/plain; version=0.0.4"
+
+
+class Callers:
+    """Serves callers: tickets, jobs, states, reasons."""
+
+    def __init__(
+        self,
+        keyring: Keyring,
+        homes: Homes,
+        calls: Calls,
+        quotas: Quotas,
+        bindings: Bindings,
+        configuration: Configuration,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        clock: Clock,
+        default_deadline_ms: float,
+        max_running_jobs: int,
+    ):
+        """Connect the parts.
+
+        :param default_deadline_ms: deadline of jobs where nothing names one
+        :param max_running_jobs: jobs in flight above which new ones are refused
+        """
+        self._keyring = keyring
+        self._homes = homes
+        self._calls = calls
+        self._quotas = quotas
+        self._bindings = bindings
+        self._configuration = configuration
+        self._decisions = decisions
+        self._metrics = metrics
+        self._clock = clock
+        self._default_deadline_ms = default_deadline_ms
+        self._max_running_jobs = max_running_jobs
+        self.ready = False
+
+    def routes(self) -> list[Route]:
+        """Return the routes of this interface."""
+        return [
+            Route("POST", "/v1/tickets", self._post_tickets),
+            Route("POST", "/v1/jobs", self._post_job),
+            Route("PUT", "/v1/jobs/{ticket}", self._put_job),
+            Route("GET", "/v1/jobs/{ticket}", self.get_job),
+            Route("DELETE", "/v1/jobs/{ticket}", self.delete_job),
+            Route("GET", "/v1/jobs/{ticket}/decisions", self.get_decisions),
+            Route("GET", "/healthz", self._get_health),
+            Route("GET", "/readyz", self._get_ready),
+            Route("GET", "/metrics", self._get_metrics),
+        ]
+
+    def get_job(self, request: Request) -> Reply:
+        """Tell a job's state, or its kept answer."""
+        text, ticket = self._read_ticket(request)
+        return self._ask(text, ticket, Inquire(self._calls.next_number(), text))
+
+    def delete_job(self, request: Request) -> Reply:
+        """Cancel a job."""
+        text, ticket = self._read_ticket(request)
+        peer = self._homes.find(ticket).peer
+        if peer is None:
+            return self._reply_gone(text, ticket)
+        cancel = Cancel(self._calls.next_number(), text)
+        answer = self._calls.submit(peer, cancel, ASK_LIMIT_MS)
+        return self._reply(text, ticket, peer, answer)
+
+    def get_decisions(self, request: Request) -> Reply:
+        """Tell every decision on a job that is still kept."""
+        text, ticket = self._read_ticket(request)
+        peer = self._homes.find(ticket).peer
+        own = self._decisions.about(f"{ticket.job:x}")
+        rows = [describe(decision) for decision in own]
+        if peer is not None:
+            inquire = Inquire(self._calls.next_number(), text, True)
+            answer = self._calls.ask(peer, inquire, ASK_LIMIT_MS)
+            if isinstance(answer, Answer):
+                rows.extend(msgspec.json.decode(answer.decisions or b"[]"))
+        rows.sort(key=lambda row: row["at_ms"])
+        return reply_json(200, {"job": text, "decisions": rows})
+
+    def _post_tickets(self, request: Request) -> Reply:
+        order = parse_ticket_order(request.body)
+        tickets = [self._homes.issue(order.service) for _ in range(order.count)]
+        return reply_json(HTTP_CREATED, {"tickets": tickets})
+
+    def _put_job(self, request: Request) -> Reply:
+        text, ticket = self._read_ticket(request)
+        submission = self._read_submission(request)
+        if submission.service != ticket.service:
+            raise ForeignService(f"the ticket is for service {ticket.service!r}")
+        return self._submit(text, ticket, submission)
+
+    def _post_job(self, request: Request) -> Reply:
+        submission = self._read_submission(request)
+        try:
+            text = self._homes.issue(submission.service)
+        except NoHome as error:
+            return self._reply_no_home(request, error)
+        key = request.header("Idempotency-Key")
+        if key:
+            try:
+                text = self._bindings.bind(submission.team, key, text)
+            except BindingUnavailable as error:
+                return _reply_unbound(error)
+            ticket = self._keyring.verify(text)
+            return self._submit(text, ticket, submission)
+        return self._submit_unknown(text, submission)
+
+    def _reply_no_home(self, request: Request, error: NoHome) -> Reply:
+        """Refuse: not run, unless an idempotency key may have run before."""
+        outcome = STATE_MAY_HAVE_RUN if request.header("Idempotency-Key") else STATE_NOT_RUN
+        return reply_problem(
+            error.status,
+            error.code,
+            error.detail,
+            outcome=outcome,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    def _submit_unknown(self, text: str, submission: Submission) -> Reply:
+        """Submit under a ticket that nobody else has seen."""
+        shortage = self._find_shortage(submission)
+        ticket = self._keyring.verify(text)
+        if shortage is not None:
+            code, detail, retry_ms = shortage
+            answer = Answer(0, text, STATE_NOT_RUN, code, detail, retry_ms)
+            self._note_refusal(ticket, code, detail, retry_ms)
+            return self._reply(text, ticket, ticket.home, answer)
+        try:
+            return self._send(text, ticket, ticket.home, submission)
+        finally:
+            self._quotas.give_back(submission.team, len(submission.tasks))
+
+    def _submit(self, text: str, ticket: Ticket, submission: Submission) -> Reply:
+        """Submit under a ticket that may have been submitted before.
+
+        A refusal goes to the home first: only the home can tell that the
+        job has not run, and keep it so.
+        """
+        peer, is_archive = self._homes.find(ticket)
+        if peer is None:
+            return self._reply_gone(text, ticket)
+        if is_archive:
+            return self._send(text, ticket, peer, submission._replace(tasks=()))
+        shortage = self._find_shortage(submission)
+        if shortage is not None:
+            code, detail, retry_ms = shortage
+            self._note_refusal(ticket, code, detail, retry_ms)
+            decline = Decline(self._calls.next_number(), text, code, detail, retry_ms)
+            limit_ms = self._deadline(submission)
+            return self._reply(text, ticket, peer, self._calls.submit(peer, decline, limit_ms))
+        try:
+            return self._send(text, ticket, peer, submission)
+        finally:
+            self._quotas.give_back(submission.team, len(submission.tasks))
+
+    def _send(self, text: str, ticket: Ticket, peer: Peer, submission: Submission) -> Reply:
+        deadline_ms = self._deadline(submission)
+        submit = Submit(
+            self._calls.next_number(),
+            text,
+            submission.service,
+            submission.team,
+            deadline_ms,
+            submission.digest,
+            submission.tasks,
+        )
+        self._homes.note_routed(peer, len(submission.tasks))
+        self._decisions.record(HOME_CHOSEN, f"{ticket.job:x}", home=peer.address)
+        answer = self._calls.submit(peer, submit, deadline_ms)
+        return self._reply(text, ticket, peer, answer)
+
+    def _find_shortage(self, submission: Submission) -> tuple[str, str, float] | None:
+        if len(self._calls) >= self._max_running_jobs:
+            return JOB_REFUSED_OVERLOAD, "too many jobs are in flight here", OVERLOAD_RETRY_MS
+        shortage: Shortage | None = self._quotas.take(submission.team, len(submission.tasks))
+        if shortage is not None:
+            return JOB_REFUSED_QUOTA, shortage.detail, shortage.retry_after_ms
+        return None
+
+    def _note_refusal(self, ticket: Ticket, code: str, detail: str, retry_ms: float) -> None:
+        self._metrics.add("jobs_refused", code=code)
+        subject = f"{ticket.job:x}"
+        self._decisions.record(code, subject, detail=detail, retry_after_ms=round(retry_ms))
+
+    def _deadline(self, submission: Submission) -> float:
+        if submission.deadline_ms > 0:
+            return submission.deadline_ms
+        document = self._configuration.service(submission.service)
+        return document.deadline_ms or self._default_deadline_ms
+
+    def _read_submission(self, request: Request) -> Submission:
+        submission = parse_submission(request.body)
+        check_limits(submission, self._configuration.service(submission.service))
+        return submission
+
+    def _read_ticket(self, request: Request) -> tuple[str, Ticket]:
+        text = request.parameters[0]
+        return text, self._keyring.verify(text)
+
+    def _ask(self, text: str, ticket: Ticket, message: Inquire | Cancel) -> Reply:
+        peer = self._homes.find(ticket).peer
+        if peer is None:
+            return self._reply_gone(text, ticket)
+        return self._reply(text, ticket, peer, self._calls.ask(peer, message, ASK_LIMIT_MS))
+
+    def _reply(self, text: str, ticket: Ticket, peer: Peer, answer: Answer | NoAnswer) -> Reply:
+        if isinstance(answer, NoAnswer):
+            return self._reply_silent(ticket, answer)
+        if answer.request:
+            self._homes.note_load(peer, answer.load)
+        if answer.state == STATE_COMPLETE:
+            return self._reply_complete(text, ticket, answer)
+        if answer.state == STATE_CONFLICT:
+            detail = "another job was submitted under this ticket; it is untouched"
+            return reply_problem(409, answer.code or CODE_CONFLICT, detail)
+        if answer.state not in STATUS_OF_OUTCOME:
+            return reply_json(200, {"job": text, "state": answer.state})
+        return self._reply_failed(ticket, answer)
+
+    def _reply_complete(self, text: str, ticket: Ticket, answer: Answer) -> Reply:
+        results = [msgspec.Raw(body) for body in answer.results]
+        value = {"job": text, "outcome": STATE_COMPLETE, "results": results}
+        next_ticket = self._next_ticket(ticket.service)
+        if next_ticket is not None:
+            value["next_ticket"] = next_ticket
+        return reply_json(200, value)
+
+    def _reply_failed(self, ticket: Ticket, answer: Answer) -> Reply:
+        status = STATUS_OF_CODE.get(answer.code, STATUS_OF_OUTCOME[answer.state])
+        is_new_try = answer.state == STATE_NOT_RUN
+        return reply_problem(
+            status,
+            answer.code,
+            answer.detail,
+            outcome=answer.state,
+            decision=f"{ticket.job:x}",
+            retry_after_ms=answer.retry_after_ms or None,
+            next_ticket=self._next_ticket(ticket.service) if is_new_try else None,
+        )
+
+    def _reply_silent(self, ticket: Ticket, answer: NoAnswer) -> Reply:
+        decision = self._decisions.record(
+            TICKET_HOME_GONE, f"{ticket.job:x}", home=ticket.home.address, reason=answer.code
+        )
+        return reply_problem(
+            502, answer.code, answer.detail, outcome=STATE_MAY_HAVE_RUN, decision=decision
+        )
+
+    def _reply_gone(self, text: str, ticket: Ticket) -> Reply:
+        return self._reply_silent(ticket, NoAnswer(CODE_HOME_GONE, "the job's home is gone"))
+
+    def _next_ticket(self, service: str) -> str | None:
+        try:
+            return self._homes.issue(service)
+        except NoHome:
+            return None
+
+    def _get_health(self, _request: Request) -> Reply:
+        return reply_json(200, {"state": "alive"})
+
+    def _get_ready(self, _request: Request) -> Reply:
+        if self.ready:
+            return reply_json(200, {"state": "ready"})
+        return reply_problem(503, "not_ready", "the entry takes no jobs now")
+
+    def _get_metrics(self, _request: Request) -> Reply:
+        return Reply(200, self._metrics.render(), PROMETHEUS_TEXT)
+
+
+def _reply_unbound(error: BindingUnavailable) -> Reply:
+    """Refuse a job whose key could not be looked up.
+
+    An earlier request under this key may have run, so "not run" is not said.
+    """
+    detail = f"{error.detail}; repeat the request with the same key"
+    return reply_problem(
+        error.status,
+        error.code,
+        detail,
+        outcome=STATE_MAY_HAVE_RUN,
+        retry_after_ms=error.retry_after_ms,
+    )
--- a/geraniumspool/clock.py
+++ b/geraniumspool/clock.py
@@ -113,6 +113,11 @@
         """Suspend the calling green task for ``delay_ms`` milliseconds."""
         eventlet.sleep(delay_ms / MS_PER_SECOND)
 
+    def wait(self, event: Event, timeout_ms: float) -> bool:
+        """Return whether ``event`` was sent within ``timeout_ms``."""
+        event.wait(timeout=max(0.0, timeout_ms) / MS_PER_SECOND)
+        return event.ready()
+
 
 class ManualClock(BaseClock):
     """A clock that moves only when told to."""
--- /dev/null
+++ b/geraniumspool/entry.py
@@ -0,0 +1,259 @@
+"""The entry: serves callers and operators, and keeps the membership."""
+
+import logging
+
+from geraniumspool.application import Application, ReadyLine, draw_incarnation
+from geraniumspool.audit import AuditTrail
+from geraniumspool.binding import Bindings
+from geraniumspool.callers import Callers
+from geraniumspool.calls import Calls
+from geraniumspool.clock import SystemClock
+from geraniumspool.configuration import ChangeDesk, Configuration, ConfigurationWatcher
+from geraniumspool.contracts import Clock, Messenger, Store
+from geraniumspool.decisions import (
+    CONFIG_TAKEN,
+    DRAIN_FINISHED,
+    DRAIN_STARTED,
+    DecisionLog,
+    encode_decisions,
+)
+from geraniumspool.homes import Homes
+from geraniumspool.link import NngMessenger
+from geraniumspool.messages import (
+    MEMBER_LEAVING,
+    MEMBER_LEFT,
+    MEMBER_READY,
+    Answer,
+    Delivery,
+    Digest,
+    Document,
+    Drain,
+    Heartbeat,
+    Inquire,
+    Member,
+    Peer,
+    WrongIncarnation,
+)
+from geraniumspool.metrics import Metrics
+from geraniumspool.operators import Operators
+from geraniumspool.quota import Quotas
+from geraniumspool.registry import Registrar, Registry
+from geraniumspool.roster import ROLE_ENTRY, Roster, is_final, peer_of
+from geraniumspool.scope import scope_by
+from geraniumspool.settings import EntrySettings
+from geraniumspool.store import EtcdStore
+from geraniumspool.ticket import Keyring
+from geraniumspool.web import Application as WebApplication
+from geraniumspool.web import Route, WebServer
+
+_LOG = logging.getLogger(__name__)
+
+
+class Entry(Application):
+    """One entry process."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        messenger: Messenger,
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        """Connect the parts; nothing runs before :meth:`start`."""
+        super().__init__(clock)
+        self._settings = settings
+        self._messenger = messenger
+        self.metrics = metrics
+        self._state = MEMBER_READY
+        self.decisions = DecisionLog(messenger.me.incarnation, clock, _LOG)
+        self.roster = Roster(clock, settings.domain)
+        self.configuration = Configuration(clock, metrics)
+        self.calls = Calls(messenger, clock, metrics, self.roster.is_gone)
+        self._connect_membership(store, clock)
+        self._connect_configuration(store, clock)
+        self._connect_web(store, clock)
+        self._handlers = self._make_handlers()
+        self.roster.subscribe(self._member_changed)
+
+    def start(self) -> None:
+        """Bind the listeners, register, and begin to follow the store."""
+        self._messenger.start(self._receive)
+        self._callers_server.start()
+        self._operators_server.start()
+        self.callers.ready = True
+        self._run(self._registrar.run)
+        self._run(self.registry.run)
+        self._run(self.watcher.run)
+
+    def ready_line(self) -> ReadyLine:
+        """Return the inbox and the addresses of both listeners."""
+        return ReadyLine(
+            ready=ROLE_ENTRY,
+            inbox=self._messenger.me.address,
+            callers=self._callers_server.address,
+            operators=self._operators_server.address,
+        )
+
+    def describe(self) -> Member:
+        """Return this entry as the others should know it."""
+        return Member(*self._messenger.me, self._settings.domain, ROLE_ENTRY, self._state)
+
+    def drain(self) -> bool:
+        """Take no new requests and finish those in flight."""
+        self.decisions.record(DRAIN_STARTED, self._messenger.me.address)
+        self.callers.ready = False
+        self._state = MEMBER_LEAVING
+        self._registrar.withdraw()
+        finished = self._callers_server.drain(self._settings.drain_limit_ms)
+        self._state = MEMBER_LEFT
+        self.registry.run_round()
+        self.decisions.record(DRAIN_FINISHED, self._messenger.me.address, finished=str(finished))
+        return finished
+
+    def stop(self) -> None:
+        """Close links and listeners."""
+        super().stop()
+        self._callers_server.stop()
+        self._operators_server.stop()
+        self._messenger.stop()
+
+    def _connect_membership(self, store: Store, clock: Clock) -> None:
+        self.registry = Registry(
+            self._messenger,
+            self.roster,
+            clock,
+            self.configuration,
+            self.describe,
+            self._settings.heartbeat_period_ms,
+            self._settings.heartbeat_timeout_ms,
+            lambda: self.quotas.demand(),
+        )
+        self.quotas = Quotas(
+            clock,
+            self.configuration,
+            self.registry.peers_demand,
+            lambda: len(self.roster.entries()),
+        )
+        self._registrar = Registrar(
+            store, self.roster, clock, self.describe, self._settings.registration_ttl_ms
+        )
+
+    def _connect_configuration(self, store: Store, clock: Clock) -> None:
+        self.watcher = ConfigurationWatcher(
+            store, self.configuration, clock, self._configuration_changed
+        )
+        self.desk = ChangeDesk(
+            store,
+            self.configuration,
+            AuditTrail(store, clock),
+            clock,
+            self._configuration_changed,
+        )
+
+    def _connect_web(self, store: Store, clock: Clock) -> None:
+        settings = self._settings
+        keyring = Keyring(list(settings.ticket_keys))
+        homes = Homes(self.roster, keyring, clock, settings.domain)
+        self.callers = Callers(
+            keyring,
+            homes,
+            self.calls,
+            self.quotas,
+            Bindings(store, clock),
+            self.configuration,
+            self.decisions,
+            self.metrics,
+            clock,
+            settings.default_deadline_ms,
+            settings.max_running_jobs,
+        )
+        operators = Operators(
+            settings.operators_token,
+            self._messenger,
+            self.roster,
+            self.registry,
+            self.configuration,
+            self.watcher,
+            self.desk,
+            self.calls,
+            self.decisions,
+            self.metrics,
+            clock,
+            self.describe,
+            self.request_exit,
+        )
+        self._callers_server = self._serve(self.callers.routes(), settings.callers_listen)
+        shared = [
+            Route("GET", "/v1/jobs/{ticket}", self.callers.get_job),
+            Route("DELETE", "/v1/jobs/{ticket}", self.callers.delete_job),
+            Route("GET", "/v1/jobs/{ticket}/decisions", self.callers.get_decisions),
+        ]
+        self._operators_server = self._serve(operators.routes(shared), settings.operators_listen)
+
+    def _serve(self, routes: list[Route], listen: str) -> WebServer:
+        application = WebApplication(routes, self._settings.max_body_bytes, self.metrics, _LOG)
+        connections = self._settings.max_running_jobs + 100
+        return WebServer(application, listen, self._clock, connections)
+
+    def _make_handlers(self) -> dict:
+        return {
+            Answer: self.calls.take_answer,
+            Heartbeat: self.registry.take_heartbeat,
+            Digest: self._take_digest,
+            Inquire: self._take_inquire,
+            WrongIncarnation: self._take_rejection,
+            Drain: self._take_drain,
+        }
+
+    def _receive(self, delivery: Delivery) -> None:
+        handler = self._handlers.get(type(delivery.message))
+        if handler is None:
+            self.metrics.add("messages_rejected", reason="unexpected")
+            return
+        handler(delivery.sender, delivery.message)
+
+    def _take_digest(self, sender: Peer, digest: Digest) -> None:
+        before = self.configuration.revision
+        self.registry.take_digest(sender, digest)
+        if self.configuration.revision > before:
+            self.registry.push_configuration()
+
+    def _take_inquire(self, sender: Peer, inquire: Inquire) -> None:
+        """Tell another entry about a decision of this one."""
+        decision = self.decisions.get(inquire.ticket)
+        rows = encode_decisions([decision] if decision else [])
+        answer = Answer(inquire.request, inquire.ticket, "unknown", decisions=rows)
+        self._messenger.send(sender, answer)
+
+    def _take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
+        self.calls.take_rejection(sender, rejection.meant)
+
+    def _take_drain(self, _sender: Peer, drain: Drain) -> None:
+        self.decisions.record(
+            DRAIN_STARTED, self._messenger.me.address, who=drain.who, why=drain.why
+        )
+        self.request_exit()
+
+    def _member_changed(self, member: Member) -> None:
+        if is_final(member):
+            self.calls.wake(peer_of(member))
+
+    def _configuration_changed(self, documents: list[Document]) -> None:
+        for document in documents:
+            self.decisions.record(CONFIG_TAKEN, document.key, revision=document.revision)
+        self.registry.push_configuration()
+
+
+def build_entry(settings: EntrySettings) -> Entry:
+    """Return an entry with real parts.
+
+    :param settings: checked settings
+    """
+    clock = SystemClock()
+    metrics = Metrics(ROLE_ENTRY, settings.domain)
+    messenger = NngMessenger(settings.inbox, draw_incarnation(), clock, metrics)
+    store = EtcdStore(list(settings.store_urls), clock, metrics, settings.store_timeout_ms)
+    entry = Entry(settings, messenger, store, clock, metrics)
+    messenger.scope = scope_by(entry.roster, settings.domain)
+    return entry
--- /dev/null
+++ b/geraniumspool/home.py
@@ -0,0 +1,732 @@
+"""The home: runs the jobs whose tickets name this process, each task once.
+
+At most one offer is open for a task. The next one goes out only after a
+worker's word that the task has not started and never will under the old one.
+"""
+
+import contextlib
+import heapq
+import itertools
+from collections import Counter
+from typing import NamedTuple
+
+import eventlet
+
+from geraniumspool import decisions as codes
+from geraniumspool.admission import Backlog, judge
+from geraniumspool.archive import Archives
+from geraniumspool.configuration import Configuration
+from geraniumspool.contracts import Clock, Counters, Messenger
+from geraniumspool.decisions import DecisionLog, encode_decisions
+from geraniumspool.errors import MalformedTicket
+from geraniumspool.estimate import RunTimes
+from geraniumspool.job import Job, Waiter
+from geraniumspool.messages import (
+    MEMBER_DEAD,
+    MEMBER_EJECTED,
+    MEMBER_LEFT,
+    MEMBER_READY,
+    STATE_COMPLETE,
+    STATE_CONFLICT,
+    STATE_MAY_HAVE_RUN,
+    STATE_NOT_RUN,
+    STATE_RUNNING,
+    STATE_UNKNOWN,
+    Answer,
+    Cancel,
+    Decline,
+    Inquire,
+    Load,
+    Member,
+    Offer,
+    OfferedTask,
+    Peer,
+    Record,
+    Results,
+    Revoke,
+    Revoked,
+    Submit,
+    TaskResult,
+    WrongIncarnation,
+)
+from geraniumspool.placement import Placement
+from geraniumspool.records import Records
+from geraniumspool.roster import Roster
+from geraniumspool.runner import Runner
+from geraniumspool.ticket import Ticket, read_ticket
+from geraniumspool.worker import OpenOffer, Worker, expect
+
+STRETCH = 2.0
+WATCH_MS = 100.0
+PROBE_MS = 250.0
+PEER_TIMEOUT_MS = 4_000.0
+REVOKE_WAIT_MS = 1_000.0
+LEFT_GRACE_MS = 500.0
+SUSPECT_MS = 2_000.0
+MIN_PROBES = 2
+
+CODE_TASK_FAILED = "task_failed"
+CODE_WORKER_LOST = "worker_lost"
+CODE_RESULT_LOST = "result_lost"
+CODE_CANCELLED = "job_cancelled"
+CODE_EXPIRED = "job_expired"
+CODE_STOPPED = "home_stopped"
+CODE_EVICTED = "record_evicted"
+
+
+class _Pending(NamedTuple):
+    due: float
+    order: int
+    job: Job
+    index: int
+
+
+class Home:
+    """Jobs of this process: admission, placement, answers, records."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        clock: Clock,
+        counters: Counters,
+        decisions: DecisionLog,
+        roster: Roster,
+        configuration: Configuration,
+        runner: Runner,
+        records: Records,
+        placement: Placement,
+        domain: str,
+        peer_timeout_ms: float = PEER_TIMEOUT_MS,
+    ):
+        """Start with no job.
+
+        :param peer_timeout_ms: silence after which a worker with open offers
+            counts as lost
+        """
+        self._messenger = messenger
+        self._clock = clock
+        self._counters = counters
+        self._decisions = decisions
+        self._roster = roster
+        self._configuration = configuration
+        self._runner = runner
+        self._records = records
+        self._placement = placement
+        self._domain = domain
+        self._peer_timeout_ms = peer_timeout_ms
+        self._jobs: dict[int, Job] = {}
+        self._workers: dict[Peer, Worker] = {}
+        self._pending: list[_Pending] = []
+        self._waiting = 0
+        self._waiting_ms = 0.0
+        self._held_bytes = 0
+        self._team_work: Counter[str] = Counter()
+        self._order = itertools.count()
+        self._next_offer = 1
+        self._place_scheduled = False
+        self._revokes: dict[Peer, tuple[set[int], bool]] = {}
+        self._times = RunTimes()
+        self.archives = Archives()
+        self.service = ""
+        self.leaving = False
+        roster.subscribe(self._member_changed)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no job is running here."""
+        return not self._jobs
+
+    @property
+    def me(self) -> Peer:
+        """Return this process."""
+        return self._messenger.me
+
+    def load(self) -> Load:
+        """Return the runner's load, with the home's own backlog in the wait."""
+        load = self._runner.load()
+        slots = max(1, load.slots)
+        return load._replace(wait_ms=load.wait_ms + self._waiting_ms / slots)
+
+    def take_submit(self, sender: Peer, submit: Submit) -> None:
+        """Run a job, join it, or refuse it."""
+        waiter = Waiter(sender, submit.request)
+        ticket = self._find(waiter, submit.ticket, submit.digest)
+        if ticket is None:
+            return
+        job = Job(ticket, submit)
+        if self.leaving:
+            self._refuse(waiter, job, codes.JOB_REFUSED_LEAVING, "the home is leaving", 0.0)
+            return
+        self._estimate(job)
+        verdict = self._judge(job)
+        if verdict.code:
+            self._refuse(waiter, job, verdict.code, verdict.detail, verdict.retry_after_ms)
+            return
+        self._accept(waiter, job, verdict.wait_ms)
+
+    def take_decline(self, sender: Peer, decline: Decline) -> None:
+        """Refuse a job for good on an entry's word, unless it is known."""
+        waiter = Waiter(sender, decline.request)
+        ticket = self._find(waiter, decline.ticket, None)
+        if ticket is None:
+            return
+        job = Job(ticket, Submit(decline.request, decline.ticket, "", "", 0.0, b"", ()))
+        self._refuse(waiter, job, decline.code, decline.detail, decline.retry_after_ms)
+
+    def take_inquire(self, sender: Peer, inquire: Inquire) -> None:
+        """Tell a job's state, and its decisions where asked for."""
+        answer = self._look_up(inquire.ticket)
+        if inquire.explain:
+            answer = answer._replace(decisions=self._explain(inquire.ticket))
+        self._messenger.send(sender, answer._replace(request=inquire.request, load=self.load()))
+
+    def take_cancel(self, sender: Peer, cancel: Cancel) -> None:
+        """Cancel a job; one that is not known never runs any more."""
+        waiter = Waiter(sender, cancel.request)
+        ticket = self._find(waiter, cancel.ticket, None)
+        if ticket is None:
+            job = self._job_of(cancel.ticket)
+            if job is not None:
+                self._end(job, CODE_CANCELLED, "cancelled by its caller")
+            return
+        job = Job(ticket, Submit(cancel.request, cancel.ticket, "", "", 0.0, b"", ()))
+        self._refuse(waiter, job, CODE_CANCELLED, "cancelled before it was submitted", 0.0)
+
+    def take_results(self, sender: Peer, results: Results) -> None:
+        """Take what became of offered tasks."""
+        worker = self._workers.get(sender)
+        if worker is None:
+            self._counters.add("answers_dropped", len(results.done) + len(results.refused))
+            return
+        worker.hear(results.load, self._clock.now())
+        for result in results.done:
+            offer = self._settle(worker, result.offer)
+            if offer is not None:
+                self._take_result(worker, offer, result)
+        for refusal in results.refused:
+            offer = self._settle(worker, refusal.offer)
+            if offer is not None:
+                self._take_back(offer, refusal.code)
+        self._schedule_place()
+
+    def take_revoked(self, sender: Peer, revoked: Revoked) -> None:
+        """Take a worker's word on revoked offers."""
+        worker = self._workers.get(sender)
+        if worker is None:
+            return
+        worker.hear(revoked.load, self._clock.now())
+        for number in revoked.not_started:
+            offer = self._settle(worker, number)
+            if offer is not None:
+                self._take_back(offer, codes.TASK_REVOKED)
+        for number in revoked.started:
+            self._note_started(worker, number)
+        for number in revoked.lost:
+            offer = self._settle(worker, number)
+            if offer is not None:
+                self._lose(offer, CODE_RESULT_LOST)
+        self._schedule_place()
+
+    def take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
+        """Learn that another process has taken over a worker's address."""
+        self._drop_worker(Peer(sender.address, rejection.meant))
+
+    def expire_records(self) -> None:
+        """Let go of records that are too old."""
+        self._records.expire()
+
+    def leave(self) -> None:
+        """Take no new jobs; those that run go on."""
+        self.leaving = True
+
+    def abandon(self) -> None:
+        """End every job that still runs, since the process stops."""
+        for job in list(self._jobs.values()):
+            self._end(job, CODE_STOPPED, "the home stopped before the job was done")
+
+    def records(self) -> Records:
+        """Return the records of finished jobs."""
+        return self._records
+
+    def hint(self, peer: Peer, load: Load) -> None:
+        """Take a worker's load that the membership passed on."""
+        worker = self._workers.get(peer)
+        if worker is not None and not worker.open:
+            worker.hint(load)
+
+    def schedule_place(self) -> None:
+        """Place waiting tasks soon, since something may have changed."""
+        self._schedule_place()
+
+    def _find(self, waiter: Waiter, text: str, digest: bytes | None) -> Ticket | None:
+        """Answer from what is known; return the ticket where nothing is."""
+        try:
+            ticket = read_ticket(text)
+        except MalformedTicket as error:
+            self._send(waiter, Answer(0, text, STATE_CONFLICT, error.code, error.detail))
+            return None
+        job = self._jobs.get(ticket.job)
+        if job is not None:
+            self._join(waiter, job, digest)
+            return None
+        record = self._find_record(ticket)
+        if record is not None:
+            self._counters.add("jobs_rejoined")
+            self._send(waiter, _conflict_or(record.answer, record.digest, digest))
+            return None
+        missing = self._judge_missing(ticket, text)
+        if missing is not None:
+            self._send(waiter, missing)
+            return None
+        return ticket
+
+    def _find_record(self, ticket: Ticket) -> Record | None:
+        if ticket.home == self.me:
+            return self._records.find(ticket)
+        return self.archives.find(ticket)
+
+    def _judge_missing(self, ticket: Ticket, text: str) -> Answer | None:
+        if ticket.home != self.me:
+            return self.archives.judge_missing(ticket, text)
+        if self._records.may_have_evicted(ticket):
+            detail = "the ticket is older than what is still remembered"
+            return Answer(0, text, STATE_MAY_HAVE_RUN, CODE_EVICTED, detail)
+        return None
+
+    def _look_up(self, text: str) -> Answer:
+        try:
+            ticket = read_ticket(text)
+        except MalformedTicket:
+            return Answer(0, text, STATE_UNKNOWN)
+        if ticket.job in self._jobs:
+            return Answer(0, text, STATE_RUNNING)
+        record = self._find_record(ticket)
+        if record is not None:
+            return record.answer
+        return self._judge_missing(ticket, text) or Answer(0, text, STATE_UNKNOWN)
+
+    def _job_of(self, text: str) -> Job | None:
+        try:
+            return self._jobs.get(read_ticket(text).job)
+        except MalformedTicket:
+            return None
+
+    def _explain(self, subject: str) -> bytes:
+        decision = self._decisions.get(subject)
+        if decision is not None:
+            return encode_decisions([decision])
+        with contextlib.suppress(MalformedTicket):
+            subject = f"{read_ticket(subject).job:x}"
+        return encode_decisions(self._decisions.about(subject))
+
+    def _join(self, waiter: Waiter, job: Job, digest: bytes | None) -> None:
+        if digest is not None and digest != job.digest:
+            self._send(waiter, Answer(0, job.text, STATE_CONFLICT))
+            return
+        self._counters.add("jobs_rejoined")
+        self._decisions.record(codes.JOB_JOINED, job.subject, entry=waiter.entry.address)
+        job.waiters.add(waiter)
+
+    def _estimate(self, job: Job) -> None:
+        job.estimates = [self._times.estimate(task.run_ms) for task in job.tasks]
+        job.work_ms = sum(job.estimates)
+
+    def _usable(self) -> list[Worker]:
+        members = self._roster.agents(self.service)
+        workers = [self._worker(member) for member in members if not self._is_own(member)]
+        if self._runner.accepts:
+            workers.append(self._own_worker())
+        now = self._clock.now()
+        return [worker for worker in workers if worker.suspect_until <= now]
+
+    def _is_own(self, member: Member) -> bool:
+        return (member.address, member.incarnation) == self.me
+
+    def _own_worker(self) -> Worker:
+        max_size = self._runner.minion.max_size
+        load = self._runner.load()
+        member = Member(*self.me, self._domain, "agent", MEMBER_READY, self.service, max_size, load)
+        worker = self._worker(member)
+        worker.member = member
+        worker.hear(load, self._clock.now())
+        return worker
+
+    def _worker(self, member: Member) -> Worker:
+        peer = Peer(member.address, member.incarnation)
+        worker = self._workers.get(peer)
+        if worker is None:
+            worker = self._workers[peer] = Worker(member, self._clock.now())
+        return worker
+
+    def _judge(self, job: Job):
+        ahead = Backlog(self._waiting, self._waiting_ms, self._held_bytes)
+        return judge(job, job.size_bytes, self._usable(), self._runner.slots, ahead)
+
+    def _refuse(self, waiter: Waiter, job: Job, code: str, detail: str, retry_ms: float) -> None:
+        self._counters.add("jobs_refused", code=code)
+        self._decisions.record(code, job.subject, detail=detail, retry_after_ms=round(retry_ms))
+        job.waiters.add(waiter)
+        self._finish(job, Answer(0, job.text, STATE_NOT_RUN, code, detail, retry_ms))
+
+    def _accept(self, waiter: Waiter, job: Job, wait_ms: float) -> None:
+        self._counters.add("jobs_accepted")
+        self._jobs[job.ticket.job] = job
+        self._held_bytes += job.size_bytes
+        self._team_work[job.team] += job.work_ms
+        job.waiters.add(waiter)
+        job.due = self._due(job)
+        self._decisions.record(
+            codes.JOB_ACCEPTED,
+            job.subject,
+            tasks=len(job.tasks),
+            wait_ms=round(wait_ms, 1),
+            work_ms=round(job.work_ms, 1),
+            team=job.team,
+        )
+        detail = "the deadline passed"
+        expire = self._clock.after(job.deadline_ms, lambda: self._end(job, CODE_EXPIRED, detail))
+        job.timers.append(expire)
+        for index in range(len(job.tasks)):
+            self._push(job, index)
+        self._schedule_place()
+
+    def _due(self, job: Job) -> float:
+        slots = sum(worker.load.slots for worker in self._usable()) or 1
+        ideal = max(job.longest_ms, job.work_ms / slots)
+        stretched = STRETCH * ideal * self._crowding(job.team)
+        return self._clock.now() + min(stretched, job.deadline_ms)
+
+    def _crowding(self, team: str) -> float:
+        """Return how far a team's work exceeds its fair share, at least 1."""
+        shares = {
+            name: work / self._configuration.team(name).weight
+            for name, work in self._team_work.items()
+            if work > 0
+        }
+        if len(shares) < 2:
+            return 1.0
+        return max(1.0, shares[team] * len(shares) / sum(shares.values()))
+
+    def _push(self, job: Job, index: int) -> None:
+        estimate = job.estimates[index]
+        self._waiting += 1
+        self._waiting_ms += estimate
+        heapq.heappush(self._pending, _Pending(job.due - estimate, next(self._order), job, index))
+
+    def _pop(self) -> _Pending | None:
+        while self._pending:
+            pending = heapq.heappop(self._pending)
+            if not pending.job.is_final and not pending.job.ending:
+                self._uncount(pending)
+                return pending
+        return None
+
+    def _uncount(self, pending: _Pending) -> None:
+        self._waiting -= 1
+        self._waiting_ms = max(0.0, self._waiting_ms - pending.job.estimates[pending.index])
+
+    def _drop_pending(self, job: Job) -> None:
+        """Forget a job's waiting tasks, at once."""
+        mine = [pending for pending in self._pending if pending.job is job]
+        if not mine:
+            return
+        for pending in mine:
+            self._uncount(pending)
+        self._pending = [pending for pending in self._pending if pending.job is not job]
+        heapq.heapify(self._pending)
+
+    def _schedule_place(self) -> None:
+        if not self._place_scheduled:
+            self._place_scheduled = True
+            eventlet.spawn_n(self._place)
+
+    def _place(self) -> None:
+        self._place_scheduled = False
+        if not self._waiting:
+            return
+        workers = self._usable()
+        if not workers:
+            return
+        allotments = self._placement.allot(self._waiting, workers, self.me, self._domain)
+        batches: dict[Peer, list[_Pending]] = {}
+        unplaced = []
+        for allotment in allotments:
+            batch = batches.setdefault(allotment.worker.peer, [])
+            self._draw(allotment.worker, allotment.count, batch, unplaced)
+        for pending in unplaced:
+            self._push(pending.job, pending.index)
+        for peer, batch in batches.items():
+            if batch:
+                self._offer(self._workers[peer], batch)
+
+    def _draw(self, worker: Worker, count: int, batch: list, unplaced: list) -> None:
+        while count > 0:
+            pending = self._pop()
+            if pending is None:
+                return
+            if worker.fits(pending.job.tasks[pending.index].size):
+                batch.append(pending)
+                count -= 1
+            else:
+                unplaced.append(pending)
+
+    def _offer(self, worker: Worker, batch: list[_Pending]) -> None:
+        now = self._clock.now()
+        limit_ms = self._configuration.service(self.service).run_limit_ms
+        tasks = []
+        for pending in batch:
+            job, index = pending.job, pending.index
+            number = self._next_offer
+            self._next_offer += 1
+            run_ms = job.estimates[index]
+            offer = OpenOffer(
+                number, job, index, now, run_ms, expect(now, worker.load.wait_ms, run_ms)
+            )
+            worker.add(offer)
+            job.open_offers[number] = worker.peer
+            payload = job.tasks[index].payload
+            rank = pending.due - now
+            tasks.append(
+                OfferedTask(
+                    number, job.ticket.job, index, self.service, payload, run_ms, rank, limit_ms
+                )
+            )
+            self._decisions.record(
+                codes.TASK_PLACED,
+                job.subject,
+                task=index,
+                worker=worker.peer.address,
+                free=worker.free,
+                wait_ms=round(worker.load.wait_ms, 1),
+            )
+        floor = worker.floor(tasks[0].offer)
+        message = Offer(floor, tuple(tasks), self._waiting > 0)
+        if worker.peer == self.me:
+            self._runner.take_offer(self.me, message)
+            return
+        self._messenger.send(worker.peer, message)
+        self._watch(worker)
+
+    def _settle(self, worker: Worker, number: int) -> OpenOffer | None:
+        offer = worker.open.pop(number, None)
+        worker.revoking.discard(number)
+        if offer is None:
+            self._counters.add("answers_dropped")
+            return None
+        offer.job.open_offers.pop(number, None)
+        return offer
+
+    def _take_result(self, worker: Worker, offer: OpenOffer, result: TaskResult) -> None:
+        job, index = offer.job, offer.index
+        job.started = True
+        declared = job.tasks[index].run_ms
+        if result.ok:
+            self._times.learn(declared, result.run_ms)
+        if job.is_final:
+            return
+        if not result.ok:
+            self._decisions.record(
+                codes.TASK_FAILED, job.subject, task=index, worker=worker.peer.address
+            )
+            detail = f"task {index}: {result.body[:200].decode(errors='replace')}"
+            self._end(job, result.code or CODE_TASK_FAILED, detail)
+            return
+        job.take_result(index, result.body)
+        if job.left == 0 and not job.ending:
+            self._complete(job)
+        elif job.ending:
+            self._check_ending(job)
+
+    def _take_back(self, offer: OpenOffer, code: str) -> None:
+        job = offer.job
+        self._counters.add("tasks_taken_back", code=code)
+        self._decisions.record(codes.TASK_REFUSED, job.subject, task=offer.index, reason=code)
+        if job.is_final:
+            return
+        if job.ending:
+            self._check_ending(job)
+        else:
+            self._push(job, offer.index)
+
+    def _note_started(self, worker: Worker, number: int) -> None:
+        offer = worker.open.get(number)
+        if offer is None:
+            return
+        offer.job.started = True
+        worker.revoking.discard(number)
+        now = self._clock.now()
+        worker.open[number] = offer._replace(expected_ms=expect(now, 0.0, offer.run_ms))
+        if offer.job.ending:
+            self._check_ending(offer.job)
+
+    def _lose(self, offer: OpenOffer, code: str) -> None:
+        job = offer.job
+        job.started = True
+        if job.is_final:
+            return
+        self._decisions.record(
+            codes.TASK_OUTCOME_UNKNOWN, job.subject, task=offer.index, reason=code
+        )
+        self._end(job, code, f"task {offer.index} may have run; its result is lost")
+
+    def _complete(self, job: Job) -> None:
+        self._counters.add("jobs_complete")
+        self._decisions.record(codes.JOB_COMPLETE, job.subject)
+        results = tuple(job.results)
+        self._finish(job, Answer(0, job.text, STATE_COMPLETE, results=results))
+
+    def _end(self, job: Job, code: str, detail: str) -> None:
+        """Fail a job: at once where a task started, else when that is known."""
+        if job.is_final or job.ending:
+            return
+        job.ending = code
+        job.detail = detail
+        self._counters.add("jobs_failed", code=code)
+        self._drop_pending(job)
+        self._revoke(job)
+        job.timers.append(self._clock.after(REVOKE_WAIT_MS, lambda: self._give_up(job)))
+        self._check_ending(job)
+
+    def _check_ending(self, job: Job) -> None:
+        if job.is_final:
+            return
+        if job.started:
+            self._finish_failed(job, STATE_MAY_HAVE_RUN)
+        elif not job.open_offers:
+            self._finish_failed(job, STATE_NOT_RUN)
+
+    def _give_up(self, job: Job) -> None:
+        if not job.is_final:
+            self._finish_failed(job, STATE_MAY_HAVE_RUN)
+
+    def _finish_failed(self, job: Job, state: str) -> None:
+        code = {
+            CODE_CANCELLED: codes.JOB_CANCELLED,
+            CODE_EXPIRED: codes.JOB_EXPIRED,
+        }.get(job.ending, codes.JOB_FAILED)
+        self._decisions.record(code, job.subject, outcome=state, reason=job.ending)
+        retry_ms = self._runner.load().wait_ms if state == STATE_NOT_RUN else 0.0
+        self._finish(job, Answer(0, job.text, state, job.ending, job.detail, retry_ms))
+
+    def _finish(self, job: Job, answer: Answer) -> None:
+        job.is_final = True
+        job.cancel_timers()
+        if self._jobs.pop(job.ticket.job, None) is not None:
+            self._held_bytes -= job.size_bytes
+            self._team_work[job.team] -= job.work_ms
+            if self._team_work[job.team] <= 0.001:
+                del self._team_work[job.team]
+        self._records.keep(job.ticket, Record(job.text, job.digest, answer))
+        for waiter in job.waiters:
+            self._send(waiter, answer)
+        job.waiters.clear()
+
+    def _send(self, waiter: Waiter, answer: Answer) -> None:
+        message = answer._replace(request=waiter.request, load=self.load())
+        self._messenger.send(waiter.entry, message)
+
+    def _revoke(self, job: Job) -> None:
+        """Ask for all open offers of a job back, batched with other jobs'."""
+        for number, peer in job.open_offers.items():
+            if not self._revokes:
+                eventlet.spawn_n(self._send_revokes)
+            offers, _ = self._revokes.setdefault(peer, (set(), True))
+            offers.add(number)
+
+    def _send_revokes(self) -> None:
+        revokes, self._revokes = self._revokes, {}
+        for peer, (offers, stop) in revokes.items():
+            worker = self._workers.get(peer)
+            if worker is not None:
+                self._ask_back(worker, tuple(sorted(offers)), stop)
+
+    def _ask_back(self, worker: Worker, offers: tuple[int, ...], stop: bool) -> None:
+        worker.revoking.update(offers)
+        message = Revoke(worker.floor(self._next_offer), offers, stop)
+        self._counters.add("offers_revoked", len(offers))
+        if worker.peer == self.me:
+            self._runner.take_revoke(self.me, message)
+            return
+        self._messenger.send(worker.peer, message)
+        self._watch(worker)
+
+    def _watch(self, worker: Worker) -> None:
+        if not worker.is_watched:
+            worker.is_watched = True
+            eventlet.spawn_n(self._watch_worker, worker)
+
+    def _watch_worker(self, worker: Worker) -> None:
+        """Probe a worker whose results are overdue, until nothing is open."""
+        while worker.open:
+            self._clock.sleep(WATCH_MS)
+            now = self._clock.now()
+            overdue = worker.overdue(now)
+            unanswered = [offer for offer in worker.revoking if offer in worker.open]
+            asked = sorted(set(overdue) | set(unanswered))
+            if not asked:
+                continue
+            self._probe(worker, asked, now)
+        worker.is_watched = False
+
+    def _probe(self, worker: Worker, asked: list[int], now: float) -> None:
+        silent_ms = now - max(worker.heard_ms, worker.open[asked[0]].sent_ms)
+        if silent_ms > self._peer_timeout_ms and worker.probes >= MIN_PROBES:
+            self._decisions.record(
+                codes.WORKER_SILENT, worker.peer.address, silent_ms=round(silent_ms)
+            )
+            self._drop_worker(worker.peer)
+            return
+        pause = PROBE_MS * 2**worker.probes
+        if now - worker.probed_ms < pause:
+            return
+        worker.probed_ms = now
+        worker.probes += 1
+        if worker.probes >= MIN_PROBES:
+            worker.suspect_until = now + SUSPECT_MS
+        self._counters.add("probes_sent")
+        self._ask_back(worker, tuple(asked), False)
+
+    def _drop_worker(self, peer: Peer) -> None:
+        worker = self._workers.pop(peer, None)
+        if worker is None:
+            return
+        offers = list(worker.open.values())
+        worker.open.clear()
+        for offer in offers:
+            offer.job.open_offers.pop(offer.offer, None)
+            self._lose(offer, CODE_WORKER_LOST)
+
+    def _member_changed(self, member: Member) -> None:
+        peer = Peer(member.address, member.incarnation)
+        worker = self._workers.get(peer)
+        if worker is not None:
+            worker.member = member
+        if member.state == MEMBER_DEAD and worker is not None:
+            self._suspect(worker)
+        if member.state in (MEMBER_DEAD, MEMBER_LEFT):
+            self._clock.after(LEFT_GRACE_MS, lambda: self._member_gone(peer))
+        if member.state in (MEMBER_READY, MEMBER_EJECTED):
+            self._schedule_place()
+
+    def _suspect(self, worker: Worker) -> None:
+        worker.suspect_until = self._clock.now() + SUSPECT_MS
+        if worker.open and worker.peer != self.me:
+            self._ask_back(worker, tuple(sorted(worker.open)), False)
+
+    def _member_gone(self, peer: Peer) -> None:
+        """Give up a member that left; ask one that only fell silent."""
+        member = self._roster.get(peer)
+        if member is None or member.state == MEMBER_LEFT:
+            self._drop_worker(peer)
+            self._runner.forget_home(peer)
+        elif member.state == MEMBER_DEAD:
+            worker = self._workers.get(peer)
+            if worker is not None and not worker.open:
+                del self._workers[peer]
+
+
+def _conflict_or(answer: Answer, kept: bytes, digest: bytes | None) -> Answer:
+    """Return the kept answer, or a conflict where another body was sent."""
+    if digest is not None and kept and digest != kept:
+        return Answer(0, answer.ticket, STATE_CONFLICT)
+    return answer
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -155,10 +155,12 @@
     """Home to runner: run these tasks, each at most once.
 
     :param floor: offers below this number are settled; refuse and forget them
+    :param more: whether tasks wait at the home for a free slot
     """
 
     floor: int
     tasks: tuple[OfferedTask, ...]
+    more: bool = False
 
 
 class TaskResult(NamedTuple):
@@ -223,10 +225,12 @@
 
     :param kind: kind number of the rejected message
     :param request: its request number, or 0
+    :param meant: the incarnation it was meant for
     """
 
     kind: int
     request: int = 0
+    meant: int = 0
 
 
 class Member(NamedTuple):
@@ -236,6 +240,7 @@
     :param state: one of the MEMBER_ constants
     :param archive: address of the peer that holds its records, once left
     :param archive_incarnation: that peer's incarnation, or 0
+    :param version: raised by the member itself with every change but of load
     """
 
     address: str
@@ -248,6 +253,7 @@
     load: Load = Load()
     archive: str = ""
     archive_incarnation: int = 0
+    version: int = 0
 
 
 MEMBER_STARTING = "starting"
@@ -334,11 +340,13 @@
 class Handover(NamedTuple):
     """Leaving home to a peer: keep these records, run nothing.
 
+    :param home: whose records these are
     :param watermark_ms: issue time up to which records may be missing
     :param watermark_job: random number that breaks ties at that time
     :param last: whether the archive is whole after this message
     """
 
+    home: Peer
     batch: int
     watermark_ms: int
     watermark_job: int
@@ -349,6 +357,7 @@
 class HandoverReceipt(NamedTuple):
     """Peer to the leaving home: this batch is kept."""
 
+    home: Peer
     batch: int
 
 
--- /dev/null
+++ b/geraniumspool/operators.py
@@ -0,0 +1,304 @@
+"""The operators' HTTP interface of an entry, behind a token."""
+
+import hmac
+import logging
+from collections.abc import Callable
+from typing import TypedDict
+
+import msgspec
+
+from geraniumspool.calls import Calls
+from geraniumspool.configuration import ChangeDesk, Configuration, ConfigurationWatcher
+from geraniumspool.contracts import Clock, Messenger
+from geraniumspool.decisions import DecisionLog, describe, parse_decision_id
+from geraniumspool.documents import check_key
+from geraniumspool.errors import InvalidInput, NotFound, Unauthorized
+from geraniumspool.messages import Answer, Drain, Inquire, Member, Peer
+from geraniumspool.metrics import Metrics
+from geraniumspool.registry import Registry
+from geraniumspool.roster import ROLE_AGENT, Roster, is_final, peer_of
+from geraniumspool.submission import Findings
+from geraniumspool.web import Reply, Request, Route, reply_json
+
+_LOG = logging.getLogger(__name__)
+
+ASK_LIMIT_MS = 2_000.0
+BEARER = "Bearer "
+HTTP_ACCEPTED = 202
+
+
+class DomainStatus(TypedDict):
+    """Summary of one failure domain."""
+
+    domain: str
+    agents: int
+    ready: int
+    leaving: int
+    ejected: int
+    slots: int
+    free: int
+    queued: int
+    config_revision: int
+
+
+class ChangeRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a configuration change."""
+
+    change_id: str
+    expected_revision: int
+    body: str | None
+    who: str
+    why: str
+
+
+class DrainRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a request to drain a process."""
+
+    address: str
+    who: str
+    why: str
+
+
+class Operators:
+    """Serves operators: status, roster, configuration, drain, reasons."""
+
+    def __init__(
+        self,
+        token: str,
+        messenger: Messenger,
+        roster: Roster,
+        registry: Registry,
+        configuration: Configuration,
+        watcher: ConfigurationWatcher,
+        desk: ChangeDesk,
+        calls: Calls,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        clock: Clock,
+        me: Callable[[], Member],
+        request_exit: Callable[[], None],
+    ):
+        """Connect the parts.
+
+        :param token: what operators must present
+        :param me: returns this entry as it is now
+        :param request_exit: asks this process itself to drain
+        """
+        self._token = token
+        self._messenger = messenger
+        self._roster = roster
+        self._registry = registry
+        self._configuration = configuration
+        self._watcher = watcher
+        self._desk = desk
+        self._calls = calls
+        self._decisions = decisions
+        self._metrics = metrics
+        self._clock = clock
+        self._me = me
+        self._request_exit = request_exit
+
+    def routes(self, job_routes: list[Route]) -> list[Route]:
+        """Return the routes of this interface, each behind the token.
+
+        :param job_routes: routes on jobs that callers have as well
+        """
+        own = [
+            Route("GET", "/v1/status", self._get_status),
+            Route("GET", "/v1/roster", self._get_roster),
+            Route("GET", "/v1/config", self._get_documents),
+            Route("GET", "/v1/config/{kind}/{name}", self._get_document),
+            Route("PUT", "/v1/config/{kind}/{name}", self._put_document),
+            Route("GET", "/v1/config/{kind}/{name}/history", self._get_history),
+            Route("GET", "/v1/config-status", self._get_config_status),
+            Route("POST", "/v1/drain", self._post_drain),
+            Route("GET", "/v1/decisions/{id}", self._get_decision),
+        ]
+        return [
+            Route(route.method, route.pattern, self._guard(route.handler))
+            for route in own + job_routes
+        ]
+
+    def _guard(self, handler: Callable[[Request], Reply]) -> Callable[[Request], Reply]:
+        expected = (BEARER + self._token).encode()
+
+        def guarded(request: Request) -> Reply:
+            presented = request.header("Authorization").encode("latin-1", "replace")
+            if not hmac.compare_digest(presented, expected):
+                raise Unauthorized("the operators' token is missing or wrong")
+            return handler(request)
+
+        return guarded
+
+    def _get_status(self, _request: Request) -> Reply:
+        me = self._me()
+        last = self._watcher.last_contact_ms
+        age_ms = None if last is None else round(self._clock.now() - last)
+        return reply_json(
+            200,
+            {
+                "entry": {
+                    "address": me.address,
+                    "domain": me.domain,
+                    "incarnation": f"{me.incarnation:x}",
+                    "state": me.state,
+                    "jobs": len(self._calls),
+                },
+                "domains": self._describe_domains(),
+                "store": {"state": self._watcher.state, "last_contact_ms": age_ms},
+                "config_revision": self._configuration.revision,
+                "counters": self._metrics.snapshot(),
+            },
+        )
+
+    def _describe_domains(self) -> list[DomainStatus]:
+        revisions = self._registry.in_force()
+        return [
+            self._describe_domain(domain, revisions.get(domain, 0))
+            for domain in self._roster.domains()
+        ]
+
+    def _describe_domain(self, domain: str, revision: int) -> DomainStatus:
+        agents = [
+            member
+            for member in self._roster.members()
+            if member.role == ROLE_AGENT and member.domain == domain and not is_final(member)
+        ]
+        states = [member.state for member in agents]
+        return DomainStatus(
+            domain=domain,
+            agents=len(agents),
+            ready=states.count("ready"),
+            leaving=states.count("leaving"),
+            ejected=states.count("ejected"),
+            slots=sum(member.load.slots for member in agents),
+            free=sum(member.load.free for member in agents),
+            queued=sum(member.load.queued for member in agents),
+            config_revision=revision,
+        )
+
+    def _get_roster(self, _request: Request) -> Reply:
+        rows = [
+            {
+                "address": member.address,
+                "incarnation": f"{member.incarnation:x}",
+                "domain": member.domain,
+                "role": member.role,
+                "state": member.state,
+                "service": member.service,
+                "slots": member.load.slots,
+                "free": member.load.free,
+                "queued": member.load.queued,
+            }
+            for member in self._roster.members()
+        ]
+        rows.sort(key=lambda row: (row["domain"], row["role"], row["address"]))
+        return reply_json(200, {"members": rows})
+
+    def _get_documents(self, _request: Request) -> Reply:
+        rows = [
+            {"key": document.key, "revision": document.revision, "body": document.body.decode()}
+            for document in self._configuration.documents()
+            if document.body
+        ]
+        return reply_json(200, {"documents": rows})
+
+    def _get_document(self, request: Request) -> Reply:
+        key = "/".join(request.parameters)
+        document = self._desk.current(key)
+        if not document.body and not document.revision:
+            raise NotFound(f"there is no document {key!r}")
+        return reply_json(
+            200,
+            {
+                "key": key,
+                "revision": document.revision,
+                "body": document.body.decode(),
+                "fresh": document.fresh,
+            },
+        )
+
+    def _put_document(self, request: Request) -> Reply:
+        key = "/".join(request.parameters)
+        change = _parse(request.body, ChangeRequest, "change")
+        body = None if change.body is None else change.body.encode()
+        receipt = self._desk.propose(
+            key, body, change.expected_revision, change.change_id, change.who, change.why
+        )
+        return reply_json(200, {"status": receipt.status, "revision": receipt.revision})
+
+    def _get_history(self, request: Request) -> Reply:
+        key = "/".join(request.parameters)
+        findings = check_key(key)
+        if findings:
+            raise InvalidInput(findings)
+        history = self._desk.history(key)
+        rows = [
+            {
+                "revision": record.revision,
+                "who": record.who,
+                "why": record.why,
+                "at_ms": record.at_ms,
+                "change_id": record.change_id,
+                "before": record.before,
+                "after": record.after,
+            }
+            for record in history.records
+        ]
+        return reply_json(200, {"changes": rows, "fresh": history.fresh})
+
+    def _get_config_status(self, _request: Request) -> Reply:
+        revisions = self._registry.in_force()
+        rows = [{"domain": domain, "revision": revisions[domain]} for domain in sorted(revisions)]
+        return reply_json(200, {"newest": self._configuration.revision, "domains": rows})
+
+    def _post_drain(self, request: Request) -> Reply:
+        order = _parse(request.body, DrainRequest, "drain")
+        members = [member for member in self._roster.members() if not is_final(member)]
+        found = [member for member in members if member.address == order.address]
+        if not found:
+            raise NotFound(f"no living process has the address {order.address!r}")
+        peer = peer_of(found[0])
+        if peer == self._messenger.me:
+            self._request_exit()
+        else:
+            self._messenger.send(peer, Drain(order.who, order.why))
+        _LOG.info(
+            "drain asked for",
+            extra={"fields": (("address", order.address), ("who", order.who), ("why", order.why))},
+        )
+        return reply_json(HTTP_ACCEPTED, {"address": order.address, "state": "asked"})
+
+    def _get_decision(self, request: Request) -> Reply:
+        name = request.parameters[0]
+        incarnation = parse_decision_id(name)
+        if incarnation is None:
+            raise NotFound(f"{name!r} is no decision's id")
+        if incarnation == self._messenger.me.incarnation:
+            decision = self._decisions.get(name)
+            rows = [] if decision is None else [describe(decision)]
+        else:
+            rows = self._ask_decision(incarnation, name)
+        if not rows:
+            raise NotFound(f"decision {name!r} is not kept any more")
+        return reply_json(200, {"decisions": rows})
+
+    def _ask_decision(self, incarnation: int, name: str) -> list:
+        member = self._roster.find_incarnation(incarnation)
+        if member is None:
+            return []
+        inquire = Inquire(self._calls.next_number(), name, True)
+        peer = Peer(member.address, member.incarnation)
+        answer = self._calls.ask(peer, inquire, ASK_LIMIT_MS)
+        if not isinstance(answer, Answer):
+            return []
+        return msgspec.json.decode(answer.decisions or b"[]")
+
+
+def _parse(body: bytes, kind: type, place: str):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        findings = Findings(place)
+        findings.add("", str(error))
+        raise InvalidInput(findings.all) from error
--- /dev/null
+++ b/geraniumspool/runner.py
@@ -0,0 +1,346 @@
+"""The runner: runs offered tasks on the minion beside it, each at most once."""
+
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable
+
+import eventlet
+
+from geraniumspool.contracts import Announcement, Clock, Counters, Messenger, MinionClient
+from geraniumspool.errors import NotStarted, TaskFailed, TaskUnknown
+from geraniumspool.health import Health
+from geraniumspool.ledger import DONE, LOST, QUEUED, REFUSED, RUNNING, Entry, Ledger
+from geraniumspool.messages import (
+    Load,
+    Offer,
+    OfferedTask,
+    Peer,
+    Refusal,
+    Results,
+    Revoke,
+    Revoked,
+    TaskResult,
+)
+
+REFUSED_STALE = "offer_stale"
+REFUSED_NO_MINION = "minion_absent"
+REFUSED_LEAVING = "worker_leaving"
+REFUSED_EJECTED = "worker_ejected"
+REFUSED_BUSY = "worker_busy"
+REFUSED_REVOKED = "offer_revoked"
+
+RESULT_HOLD_MS = 100.0
+LOW_WATER_SHARE = 0.25
+DEFAULT_QUEUE_PER_SLOT = 2.0
+KEPT_RESULT_BYTES = 16 * 1024 * 1024
+CLOSED_HOMES = 20_000
+
+
+class Runner:
+    """Runs tasks of any home on one minion, within its slots."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        clock: Clock,
+        client: MinionClient,
+        counters: Counters,
+        health: Health,
+        queue_per_slot: float = DEFAULT_QUEUE_PER_SLOT,
+        result_hold_ms: float = RESULT_HOLD_MS,
+    ):
+        """Start without a minion.
+
+        :param queue_per_slot: tasks that may wait here for each slot
+        :param result_hold_ms: longest time a result waits for company
+        """
+        self._messenger = messenger
+        self._clock = clock
+        self._client = client
+        self._counters = counters
+        self._health = health
+        self._queue_per_slot = queue_per_slot
+        self._result_hold_ms = result_hold_ms
+        self._ledgers: dict[Peer, Ledger] = {}
+        self._closed: OrderedDict[Peer, None] = OrderedDict()
+        self._queue: list[tuple[float, int, Entry]] = []
+        self._order = itertools.count()
+        self._queued = 0
+        self._queued_ms = 0.0
+        self._running: dict[str, float] = {}
+        self._kept_bytes = 0
+        self._kept: OrderedDict[int, Entry] = OrderedDict()
+        self.minion: Announcement | None = None
+        self.leaving = False
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def slots(self) -> int:
+        """Number of tasks the minion runs at once, 0 without a minion."""
+        if self.minion is None:
+            return 0
+        return min(self.minion.slots, self.minion.connections)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no task is running or waiting here."""
+        return not self._running and self._queued == 0
+
+    @property
+    def accepts(self) -> bool:
+        """Whether offers are taken at all."""
+        return self.minion is not None and not self.leaving
+
+    def load(self) -> Load:
+        """Return what this runner has to offer now."""
+        slots = self.slots if self.accepts else 0
+        free = max(0, slots - len(self._running) - self._queued)
+        if self._health.is_ejected:
+            free = 0
+        return Load(slots, free, self._queued, self.predict_wait())
+
+    def predict_wait(self) -> float:
+        """Return the predicted wait of a task that arrives now, in ms."""
+        slots = self.slots
+        if slots == 0:
+            return 0.0
+        if len(self._running) + self._queued < slots:
+            return 0.0
+        now = self._clock.now()
+        left = sum(max(0.0, due - now) for due in self._running.values())
+        return (left + self._queued_ms) / slots
+
+    def announce(self, minion: Announcement) -> None:
+        """Take the minion's word on what it is."""
+        changed = minion != self.minion or self.leaving
+        self.minion = minion
+        self.leaving = False
+        if changed:
+            self.on_change()
+            self._fill_slots()
+
+    def leave(self) -> None:
+        """Take no new work; give back what has not started."""
+        if self.leaving:
+            return
+        self.leaving = True
+        for _, _, entry in self._queue:
+            if entry.state == QUEUED:
+                self._give_back(entry, REFUSED_LEAVING)
+        self._queue.clear()
+        for ledger in self._ledgers.values():
+            self._flush(ledger)
+        self.on_change()
+
+    def take_offer(self, sender: Peer, offer: Offer) -> None:
+        """Take, queue or refuse each task of an offer."""
+        ledger = self._ledger(sender)
+        self._settle(ledger, offer.floor)
+        ledger.more = offer.more
+        for task in offer.tasks:
+            self._take_task(ledger, task)
+        self._fill_slots()
+        if ledger.refused:
+            self._flush(ledger)
+
+    def take_revoke(self, sender: Peer, revoke: Revoke) -> None:
+        """Start none of these offers any more, and tell their states."""
+        ledger = self._ledger(sender)
+        self._settle(ledger, revoke.floor)
+        not_started, started, lost = [], [], []
+        for offer in revoke.offers:
+            state = self._revoke_one(ledger, offer, revoke.stop)
+            if state == REFUSED:
+                not_started.append(offer)
+            elif state == RUNNING:
+                started.append(offer)
+            elif state == LOST:
+                lost.append(offer)
+        reply = Revoked(tuple(not_started), tuple(started), tuple(lost), self.load())
+        self._messenger.send(sender, reply)
+        self._fill_slots()
+        if ledger.done:
+            self._flush(ledger)
+
+    def forget_home(self, home: Peer) -> None:
+        """Drop what waits for a home that is gone; running tasks go on."""
+        self._closed[home] = None
+        while len(self._closed) > CLOSED_HOMES:
+            self._closed.popitem(last=False)
+        ledger = self._ledgers.pop(home, None)
+        if ledger is None:
+            return
+        for entry in ledger.entries.values():
+            if entry.state == QUEUED:
+                self._dequeue(entry, REFUSED)
+        self._settle(ledger, ledger.highest() + 1)
+        self._fill_slots()
+
+    def _ledger(self, home: Peer) -> Ledger:
+        ledger = self._ledgers.get(home)
+        if ledger is None:
+            ledger = Ledger(home)
+            self._ledgers[home] = ledger
+        return ledger
+
+    def _settle(self, ledger: Ledger, floor: int) -> None:
+        for entry in ledger.raise_floor(floor):
+            self._kept.pop(id(entry), None)
+            if entry.result is not None:
+                self._kept_bytes -= len(entry.result.body)
+
+    def _take_task(self, ledger: Ledger, task: OfferedTask) -> None:
+        if task.offer in ledger.entries:
+            self._counters.add("offers_repeated")
+            return
+        code = self._reason_to_refuse(ledger, task)
+        if code:
+            if code != REFUSED_STALE:
+                ledger.entries[task.offer] = Entry(ledger, None, REFUSED)
+            ledger.refused.append(Refusal(task.offer, code))
+            self._counters.add("offers_refused", code=code)
+            return
+        entry = Entry(ledger, task, QUEUED)
+        ledger.entries[task.offer] = entry
+        ledger.open_tasks[task.job] += 1
+        ledger.queued += 1
+        self._queued += 1
+        self._queued_ms += task.run_ms
+        due = self._clock.now() + task.rank
+        heapq.heappush(self._queue, (due, next(self._order), entry))
+
+    def _reason_to_refuse(self, ledger: Ledger, task: OfferedTask) -> str:
+        if task.offer < ledger.floor or ledger.home in self._closed:
+            return REFUSED_STALE
+        if self.minion is None:
+            return REFUSED_NO_MINION
+        if self.leaving:
+            return REFUSED_LEAVING
+        if not self._health.admits(len(self._running) + self._queued):
+            return REFUSED_EJECTED
+        room = self.slots * (1 + self._queue_per_slot)
+        if len(self._running) + self._queued >= room:
+            return REFUSED_BUSY
+        return ""
+
+    def _fill_slots(self) -> None:
+        while self._queue and len(self._running) < self.slots:
+            _, _, entry = heapq.heappop(self._queue)
+            if entry.state != QUEUED:
+                continue
+            if self._health.is_ejected and self._running:
+                heapq.heappush(self._queue, (0.0, next(self._order), entry))
+                return
+            self._dequeue(entry, RUNNING)
+            self._start(entry)
+
+    def _start(self, entry: Entry) -> None:
+        task_id = name_task(entry.task)
+        self._running[task_id] = self._clock.now() + entry.task.run_ms
+        self._counters.add("tasks_started")
+        eventlet.spawn_n(self._run, entry, task_id)
+
+    def _run(self, entry: Entry, task_id: str) -> None:
+        task = entry.task
+        started = self._clock.now()
+        ok, body, code = False, b"", ""
+        try:
+            body = self._client.run(self.minion, task_id, task.payload, task.limit_ms)
+            ok = True
+        except NotStarted as error:
+            code = error.code
+        except (TaskFailed, TaskUnknown) as error:
+            code = error.code
+            body = error.detail.encode()
+        finally:
+            self._running.pop(task_id, None)
+        run_ms = self._clock.now() - started
+        self._health.note(ok, run_ms, code)
+        if code == NotStarted.code:
+            self._give_back(entry, code)
+            self._flush(entry.ledger)
+        else:
+            self._finish(entry, TaskResult(task.offer, ok, body, code, run_ms))
+        self._fill_slots()
+
+    def _finish(self, entry: Entry, result: TaskResult) -> None:
+        ledger = entry.ledger
+        entry.state = DONE
+        entry.result = result
+        self._keep(entry)
+        ledger.close_task(entry.task)
+        ledger.done.append(result)
+        if self._is_wanted_now(ledger, entry.task, result):
+            self._flush(ledger)
+        elif ledger.hold is None:
+            release = self._result_hold_ms
+            ledger.hold = self._clock.after(release, lambda: self._flush(ledger))
+
+    def _is_wanted_now(self, ledger: Ledger, task: OfferedTask, result: TaskResult) -> bool:
+        if ledger.home == self._messenger.me or not result.ok:
+            return True
+        if ledger.open_tasks[task.job] <= 0:
+            return True
+        return ledger.more and ledger.queued <= self.slots * LOW_WATER_SHARE
+
+    def _keep(self, entry: Entry) -> None:
+        self._kept[id(entry)] = entry
+        self._kept_bytes += len(entry.result.body)
+        while self._kept_bytes > KEPT_RESULT_BYTES and self._kept:
+            _, oldest = self._kept.popitem(last=False)
+            self._lose(oldest)
+
+    def _lose(self, entry: Entry) -> None:
+        offer = entry.task.offer
+        if entry.ledger.entries.get(offer) is entry and entry.result is not None:
+            self._kept_bytes -= len(entry.result.body)
+            entry.state = LOST
+            entry.result = None
+
+    def _give_back(self, entry: Entry, code: str) -> None:
+        if entry.state == QUEUED:
+            self._dequeue(entry, REFUSED)
+        entry.state = REFUSED
+        entry.ledger.close_task(entry.task)
+        entry.ledger.refused.append(Refusal(entry.task.offer, code))
+        self._counters.add("offers_refused", code=code)
+
+    def _dequeue(self, entry: Entry, state: str) -> None:
+        entry.state = state
+        entry.ledger.queued -= 1
+        self._queued -= 1
+        self._queued_ms = max(0.0, self._queued_ms - entry.task.run_ms)
+
+    def _revoke_one(self, ledger: Ledger, offer: int, stop: bool) -> str:
+        if offer < ledger.floor:
+            return ""
+        entry = ledger.entries.get(offer)
+        if entry is None:
+            ledger.entries[offer] = Entry(ledger, None, REFUSED)
+            return REFUSED
+        if entry.state == QUEUED:
+            self._dequeue(entry, REFUSED)
+            ledger.close_task(entry.task)
+        elif entry.state == RUNNING and stop:
+            eventlet.spawn_n(self._client.stop, self.minion, name_task(entry.task))
+        elif entry.state == DONE and entry.result not in ledger.done:
+            ledger.done.append(entry.result)
+        return entry.state
+
+    def _flush(self, ledger: Ledger) -> None:
+        if ledger.hold is not None:
+            ledger.hold.cancel()
+            ledger.hold = None
+        if not ledger.done and not ledger.refused:
+            return
+        results = Results(tuple(ledger.done), tuple(ledger.refused), self.load())
+        ledger.done.clear()
+        ledger.refused.clear()
+        ledger.more = False
+        self._messenger.send(ledger.home, results)
+
+
+def name_task(task: OfferedTask) -> str:
+    """Return the task's id, the same however often it is offered."""
+    return f"{task.job:x}.{task.index}"
--- /dev/null
+++ b/geraniumspool/submission.py
@@ -0,0 +1,205 @@
+"""Callers' request bodies, checked with all findings at once."""
+
+import hashlib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import NamedTuple
+
+import msgspec
+
+from geraniumspool.documents import ServiceDocument
+from geraniumspool.errors import Finding, InvalidInput
+from geraniumspool.messages import Task
+
+MAX_TASKS = 340
+MAX_TICKETS = 100
+MAX_NAME_CHARS = 100
+MAX_DEADLINE_MS = 600_000.0
+DIGEST_BYTES = 16
+MAX_FINDINGS = 50
+
+_TASK_FIELDS = frozenset({"payload", "size", "run_ms"})
+_JOB_FIELDS = frozenset({"service", "team", "deadline_ms", "tasks"})
+_TICKET_FIELDS = frozenset({"service", "team", "count"})
+_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+class Submission(NamedTuple):
+    """A job as its caller sent it.
+
+    :param deadline_ms: time the caller will wait, or 0 for the service's default
+    :param digest: hash of everything but the deadline
+    """
+
+    service: str
+    team: str
+    deadline_ms: float
+    tasks: tuple[Task, ...]
+    digest: bytes
+
+
+class TicketOrder(NamedTuple):
+    """A request for tickets."""
+
+    service: str
+    team: str
+    count: int
+
+
+class Findings:
+    """Faults found in one document."""
+
+    def __init__(self, place: str):
+        """Start with none.
+
+        :param place: name of the document
+        """
+        self._place = place
+        self.all: list[Finding] = []
+
+    def add(self, path: str, text: str) -> None:
+        """Record one fault."""
+        if len(self.all) < MAX_FINDINGS:
+            self.all.append(Finding(self._place, 0, path, text))
+
+
+@contextmanager
+def collect(place: str) -> Iterator[Findings]:
+    """Collect findings and raise them together at the end.
+
+    :param place: name of the document
+    :raises InvalidInput: if there was any
+    """
+    findings = Findings(place)
+    yield findings
+    if findings.all:
+        raise InvalidInput(findings.all)
+
+
+def parse_submission(body: bytes) -> Submission:
+    """Return the job in a request body.
+
+    :param body: JSON text
+    :raises InvalidInput: with all findings
+    """
+    with collect("job") as findings:
+        fields = _read_object(body, "", findings, _JOB_FIELDS)
+        service = _read_name(fields, "service", findings)
+        team = _read_name(fields, "team", findings)
+        deadline_ms = _read_number(fields, "deadline_ms", "deadline_ms", findings)
+        if deadline_ms > MAX_DEADLINE_MS:
+            findings.add("deadline_ms", f"must be at most {MAX_DEADLINE_MS:.0f}")
+        tasks = _read_tasks(fields, findings)
+    return Submission(service, team, deadline_ms, tasks, digest_job(service, team, tasks))
+
+
+def parse_ticket_order(body: bytes) -> TicketOrder:
+    """Return the request for tickets in a request body.
+
+    :raises InvalidInput: with all findings
+    """
+    with collect("tickets") as findings:
+        fields = _read_object(body, "", findings, _TICKET_FIELDS)
+        service = _read_name(fields, "service", findings)
+        team = _read_name(fields, "team", findings)
+        count = _read_number(fields, "count", "count", findings, default=1)
+        if count != int(count) or not 1 <= count <= MAX_TICKETS:
+            findings.add("count", f"must be a whole number from 1 to {MAX_TICKETS}")
+    return TicketOrder(service, team, int(count))
+
+
+def check_limits(submission: Submission, service: ServiceDocument) -> None:
+    """Check a job against its service's limits.
+
+    :raises InvalidInput: with all findings
+    """
+    with collect("job") as findings:
+        if len(submission.tasks) > service.max_tasks:
+            findings.add("tasks", f"the service takes at most {service.max_tasks} tasks a job")
+        for index, task in enumerate(submission.tasks):
+            if len(task.payload) > service.max_task_bytes:
+                limit = f"longer than {service.max_task_bytes} bytes"
+                findings.add(f"tasks[{index}].payload", limit)
+
+
+def digest_job(service: str, team: str, tasks: tuple[Task, ...]) -> bytes:
+    """Return a hash by which another body under the same ticket is noticed."""
+    data = msgspec.msgpack.encode((service, team, tasks))
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def _read_object(
+    body: bytes, path: str, findings: Findings, known: frozenset[str]
+) -> dict[str, msgspec.Raw]:
+    try:
+        fields = _OBJECT.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        findings.add(path, f"is not a JSON object: {error}")
+        raise InvalidInput(findings.all) from error
+    for name in fields:
+        if name not in known:
+            findings.add(f"{path}{name}", "is not a known field")
+    return fields
+
+
+def _read_name(fields: dict[str, msgspec.Raw], name: str, findings: Findings) -> str:
+    if name not in fields:
+        findings.add(name, "is missing")
+        return ""
+    try:
+        value = msgspec.json.decode(fields[name], type=str)
+    except msgspec.MsgspecError:
+        findings.add(name, "must be text")
+        return ""
+    if not 1 <= len(value) <= MAX_NAME_CHARS:
+        findings.add(name, f"must have 1 to {MAX_NAME_CHARS} characters")
+    return value
+
+
+def _read_number(
+    fields: dict[str, msgspec.Raw], name: str, path: str, findings: Findings, default: float = 0.0
+) -> float:
+    if name not in fields:
+        return default
+    try:
+        value = msgspec.json.decode(fields[name], type=float)
+    except msgspec.MsgspecError:
+        findings.add(path, "must be a number")
+        return default
+    if value < 0:
+        findings.add(path, "must not be negative")
+        return default
+    return value
+
+
+def _read_tasks(fields: dict[str, msgspec.Raw], findings: Findings) -> tuple[Task, ...]:
+    if "tasks" not in fields:
+        findings.add("tasks", "is missing")
+        return ()
+    try:
+        items = msgspec.json.decode(fields["tasks"], type=list[msgspec.Raw])
+    except msgspec.MsgspecError:
+        findings.add("tasks", "must be a list")
+        return ()
+    if not 1 <= len(items) <= MAX_TASKS:
+        findings.add("tasks", f"must have 1 to {MAX_TASKS} tasks, not {len(items)}")
+        return ()
+    return tuple(_read_task(item, index, findings) for index, item in enumerate(items))
+
+
+def _read_task(item: msgspec.Raw, index: int, findings: Findings) -> Task:
+    path = f"tasks[{index}]."
+    try:
+        fields = _OBJECT.decode(item)
+    except msgspec.MsgspecError:
+        findings.add(path[:-1], "must be an object")
+        return Task(b"")
+    for name in fields:
+        if name not in _TASK_FIELDS:
+            findings.add(path + name, "is not a known field")
+    if "payload" not in fields:
+        findings.add(path + "payload", "is missing")
+        return Task(b"")
+    size = _read_number(fields, "size", path + "size", findings)
+    run_ms = _read_number(fields, "run_ms", path + "run_ms", findings)
+    return Task(bytes(fields["payload"]), size, run_ms)
--- a/geraniumspool/ticket.py
+++ b/geraniumspool/ticket.py
@@ -96,3 +96,16 @@
     if len(data) <= SIGNATURE_BYTES:
         raise MalformedTicket("a ticket is longer than its signature")
     return data
+
+
+def read_ticket(text: str) -> Ticket:
+    """Return what a ticket says without checking who signed it.
+
+    For processes behind the entries, which have checked it.
+
+    :raises MalformedTicket: if it is no ticket at all
+    """
+    try:
+        return _DECODER.decode(_unwrap(text)[SIGNATURE_BYTES:])
+    except msgspec.MsgspecError as error:
+        raise MalformedTicket(str(error)) from error
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -2,7 +2,7 @@
 
 import warnings
 
-warnings.filterwarnings("ignore", category=DeprecationWarning, module="eventlet")
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet  # noqa: E402
 
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,200 @@
+"""Real processes of the dispatcher on loopback, for tests and benchmarks."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+
+import urllib3
+import yaml
+
+TOKEN = "operators-token-for-tests"
+TICKET_KEY = "ticket-key-for-tests-0001"
+SERVICE = "fitting"
+TEAM = "opticians"
+READY_LIMIT_S = 20
+STOP_LIMIT_S = 20
+
+
+class Program:
+    """One process, started and ended by its id.
+
+    :ivar ready: the ready line that it printed
+    """
+
+    def __init__(self, *arguments: str, log: str = os.devnull):
+        """Start ``geraniumspool`` with these arguments and wait until it is ready."""
+        self._log = open(log, "ab")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "geraniumspool", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+        )
+        line = self.process.stdout.readline()
+        if not line:
+            self.process.wait(READY_LIMIT_S)
+            raise RuntimeError(f"{arguments} ended with {self.process.returncode}")
+        self.ready = json.loads(line)
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process."""
+        os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(STOP_LIMIT_S)
+        self.process.stdout.close()
+        self._log.close()
+
+    def terminate(self) -> int:
+        """Ask the process to leave gracefully and return its exit code."""
+        self.send(signal.SIGTERM)
+        code = self.process.wait(STOP_LIMIT_S)
+        self.process.stdout.close()
+        self._log.close()
+        return code
+
+
+class Fleet:
+    """A whole system of real processes.
+
+    :ivar entries: programs by start order
+    :ivar agents: programs by start order
+    :ivar minions: programs by start order, one per agent
+    """
+
+    def __init__(
+        self,
+        domains: list[str],
+        agents_per_domain: list[int],
+        entries_per_domain: int = 1,
+        slots: int = 8,
+        agent_settings: dict | None = None,
+        log_folder: str | None = None,
+    ):
+        """Start everything.
+
+        :param agents_per_domain: number of agents in each domain
+        :param agent_settings: further settings of every agent
+        :param log_folder: where the processes' logs go, else nowhere
+        """
+        self._folder = tempfile.TemporaryDirectory()
+        self._logs = log_folder
+        self._count = 0
+        self._agent_settings = agent_settings or {}
+        self.slots = slots
+        self.http = urllib3.PoolManager(retries=False, maxsize=64)
+        self.store = self._start("standin", "store")
+        self.store_url = self.store.ready["store"]
+        self.entries: list[Program] = []
+        self.agents: list[Program] = []
+        self.minions: list[Program] = []
+        try:
+            self._populate(domains, agents_per_domain, entries_per_domain)
+        except BaseException:
+            self.stop()
+            raise
+
+    def _populate(self, domains: list[str], agents: list[int], entries: int) -> None:
+        for domain in domains:
+            for _ in range(entries):
+                self.add_entry(domain)
+        for domain, count in zip(domains, agents, strict=True):
+            for _ in range(count):
+                self.add_agent(domain)
+
+    def add_entry(self, domain: str) -> Program:
+        """Start one more entry."""
+        settings = {
+            "role": "entry",
+            "domain": domain,
+            "operators_token": TOKEN,
+            "ticket_keys": [TICKET_KEY],
+            "store_urls": [self.store_url],
+            "heartbeat_period_ms": 500,
+            "heartbeat_timeout_ms": 2000,
+            "registration_ttl_ms": 3000,
+        }
+        entry = self._start("entry", self._write(settings))
+        self.entries.append(entry)
+        return entry
+
+    def add_agent(self, domain: str, with_minion: bool = True) -> Program:
+        """Start one more agent, with a minion beside it."""
+        settings = {
+            "role": "agent",
+            "domain": domain,
+            "store_urls": [self.store_url],
+            "heartbeat_period_ms": 500,
+            **self._agent_settings,
+        }
+        agent = self._start("agent", self._write(settings))
+        self.agents.append(agent)
+        if with_minion:
+            self.minions.append(self.add_minion(agent))
+        return agent
+
+    def add_minion(self, agent: Program) -> Program:
+        """Start a minion that announces itself to an agent."""
+        return self._start(
+            "standin",
+            "minion",
+            f"--agent={agent.ready['minion']}",
+            f"--service={SERVICE}",
+            f"--slots={self.slots}",
+            "--connections=64",
+        )
+
+    def callers(self) -> list[str]:
+        """Return the callers' addresses of all entries."""
+        return [entry.ready["callers"] for entry in self.entries]
+
+    def ask(self, entry: Program, path: str, method: str = "GET", body=None):
+        """Call an entry's operators' interface and return status and document."""
+        reply = self.http.request(
+            method,
+            f"http://{entry.ready['operators']}{path}",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            json=body,
+            timeout=10,
+        )
+        return reply.status, reply.json()
+
+    def ready_agents(self, entry: Program) -> int:
+        """Return how many agents an entry knows to be ready."""
+        _, status = self.ask(entry, "/v1/status")
+        return sum(domain["ready"] for domain in status["domains"])
+
+    def starts(self) -> dict[str, int]:
+        """Return the minions' counts of starts, added up."""
+        total: dict[str, int] = {}
+        for minion in self.minions:
+            if minion.process.poll() is not None:
+                continue
+            reply = self.http.request("GET", f"{minion.ready['minion']}/starts", timeout=10)
+            for name, value in reply.json().items():
+                total[name] = total.get(name, 0) + value
+        return total
+
+    def stop(self) -> None:
+        """End every process that is left."""
+        for program in [*self.entries, *self.minions, *self.agents, self.store]:
+            program.kill()
+        self._folder.cleanup()
+
+    def _start(self, *arguments: str) -> Program:
+        self._count += 1
+        log = os.devnull
+        if self._logs:
+            log = os.path.join(self._logs, f"{self._count}-{arguments[0]}.log")
+        return Program(*arguments, log=log)
+
+    def _write(self, settings: dict) -> str:
+        path = os.path.join(self._folder.name, f"{self._count}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            yaml.safe_dump(settings, file)
+        return path
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,68 @@
+"""Tests of the whole system as real separate processes."""
+
+import json
+import time
+import unittest
+
+import eventlet
+
+from geraniumspool.client import Client, TaskRequest
+from tests.processes import SERVICE, TEAM, Fleet
+
+WAIT_S = 20.0
+
+
+def wait_until(condition, limit_s=WAIT_S):
+    """Wait for a condition; return whether it came true in time."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if condition():
+            return True
+        eventlet.sleep(0.05)
+    return False
+
+
+class FleetTest(unittest.TestCase):
+    """Jobs through real processes, killed at the wrong moment."""
+
+    def setUp(self):
+        self.fleet = Fleet(["north", "south"], [1, 1])
+        self.addCleanup(self.fleet.stop)
+        for entry in self.fleet.entries:
+            self.assertTrue(wait_until(lambda entry=entry: self.fleet.ready_agents(entry) == 2))
+
+    def put(self, entry, ticket, tasks, deadline_ms=15000):
+        body = {"service": SERVICE, "team": TEAM, "deadline_ms": deadline_ms, "tasks": tasks}
+        url = f"http://{entry.ready['callers']}/v1/jobs/{ticket}"
+        reply = self.fleet.http.request("PUT", url, json=body, timeout=20)
+        return reply.status, reply.json()
+
+    def issue(self, entry):
+        url = f"http://{entry.ready['callers']}/v1/tickets"
+        body = {"service": SERVICE, "team": TEAM, "count": 1}
+        return self.fleet.http.request("POST", url, json=body).json()["tickets"][0]
+
+    def test_job_runs_whole(self):
+        """A wide job comes back whole, in task order, one start a task."""
+        client = Client(self.fleet.callers(), SERVICE, TEAM)
+        tasks = [TaskRequest({"run_ms": 30, "value": number}) for number in range(40)]
+        result = client.run(tasks, deadline_ms=15000)
+        self.assertEqual([row["value"] for row in result.results], list(range(40)))
+        starts = self.fleet.starts()
+        self.assertEqual((starts["starts"], starts["started_more_than_once"]), (40, 0))
+
+    def test_entry_killed_in_mid_job(self):
+        """The whole answer comes through another entry; nothing runs twice."""
+        first, second = self.fleet.entries
+        ticket = self.issue(first)
+        tasks = [{"payload": {"run_ms": 600, "value": number}} for number in range(24)]
+        lost = eventlet.spawn(self.put, first, ticket, tasks)
+        self.assertTrue(wait_until(lambda: self.fleet.starts().get("starts", 0) > 0))
+        first.kill()
+        with self.assertRaises(Exception):  # noqa: B017
+            lost.wait()
+        status, answer = self.put(second, ticket, tasks)
+        self.assertEqual(status, 200, json.dumps(answer))
+        self.assertEqual([row["value"] for row in answer["results"]], list(range(24)))
+        starts = self.fleet.starts()
+        self.assertEqual((starts["starts"], starts["started_more_than_once"]), (24, 0))
