Membership: a member's own version orders its states; a bad address cannot end an inbox

Cause: states only moved forward, so an agent whose minion left and came back stayed leaving for everybody else. Its own version now orders what it says of itself; final states stay final. test_newer_version_of_a_living_ member_may_move_back failed before (2 cases), passes now. Cause: a message with an unusable sender address made dial raise inside the inbox's reader, which ended it. It is dropped and counted now; a handler's fault is logged and does not end the inbox either. Agents that find no entry look again after a random pause.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -1,6 +1,7 @@
 """The agent: a process beside each minion, home of jobs and runner of tasks."""
 
 import logging
+import random
 
 import msgspec
 
@@ -81,6 +82,7 @@
         self._messenger = messenger
         self._store = store
         self.metrics = metrics
+        self._random = random.Random(messenger.me.incarnation)
         self._version = 0
         self._left = False
         self._draining = False
@@ -261,11 +263,10 @@
                 for member in discover_entries(self._store):
                     self.roster.observe(member)
                 if self.roster.entries():
-                    self.heartbeater.beat()
                     return
             except StoreError as error:
                 _LOG.warning("entries not read: %s", error)
-            self._clock.sleep(DISCOVERY_MS if not self.roster.entries() else DISCOVERY_MS * 5)
+            self._clock.sleep(self._random.uniform(0.5, 1.5) * DISCOVERY_MS)
 
     def _keep_house(self) -> None:
         while True:
--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -152,14 +152,18 @@
             self._configuration.apply(reply.documents)
 
     def take_rejection(self, sender: Peer) -> None:
-        """Take that an entry's address now belongs to another incarnation.
+        """Take that an address now belongs to another incarnation.
+
+        Addresses that are not known as an entry's are passed over.
 
         :param sender: the process that has the address now
         """
-        for entry in self._roster.entries():
-            if entry.address == sender.address and entry.incarnation != sender.incarnation:
+        known = [e for e in self._roster.entries() if e.address == sender.address]
+        for entry in known:
+            if entry.incarnation != sender.incarnation:
                 self._roster.observe(entry._replace(state=MEMBER_DEAD))
-        self.add_entries([sender.address])
+        if known:
+            self.add_entries([sender.address])
 
     def _make(self, entry: int, version: int) -> Heartbeat:
         return Heartbeat(self._describe(), entry, version, self._configuration.revision)
--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -1,5 +1,6 @@
 """Inbox and links between the processes: pynng for real, memory for tests."""
 
+import logging
 import random
 import socket
 from collections import deque
@@ -23,6 +24,8 @@
     name_kind,
 )
 
+_LOG = logging.getLogger(__name__)
+
 INBOX_MESSAGES = 4096
 LINK_MESSAGES = 1024
 LINK_IDLE_MS = 60_000.0
@@ -59,7 +62,12 @@
             self._refuse(delivery)
             return
         self._counters.add("messages_received", kind=name_kind(delivery.kind))
-        self.receive(delivery)
+        try:
+            self.receive(delivery)
+        except Exception:
+            # One handler's fault must not end the inbox of the whole process.
+            self._counters.add("messages_rejected", reason="handler_failed")
+            _LOG.exception("a message was not handled")
 
     def _refuse(self, delivery: Delivery) -> None:
         self._counters.add("messages_rejected", reason="wrong_incarnation")
@@ -77,7 +85,11 @@
         self._counters = counters
         self._clock = clock
         self._socket = pynng.Push0(send_buffer_size=LINK_MESSAGES)
-        self._socket.dial(address, block=False)
+        try:
+            self._socket.dial(address, block=False)
+        except pynng.NNGException:
+            self._socket.close()
+            raise
         self._waiting: deque[bytes] = deque()
         self._flusher = None
         self.used_ms = clock.now()
@@ -178,7 +190,12 @@
         scope = self.scope(peer)
         self._counters.add("messages_sent", kind=kind, scope=scope)
         self._counters.add("message_bytes_sent", len(data), kind=kind)
-        return self._link(peer.address).send(data)
+        try:
+            link = self._link(peer.address)
+        except pynng.NNGException:
+            self._counters.add("messages_dropped", reason="unusable_address")
+            return False
+        return link.send(data)
 
     def stop(self) -> None:
         """Close inbox and links, after queued messages had time to leave."""
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -21,11 +21,13 @@
 import logging
 import math
 import random
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import msgspec
 
+from geraniumspool.clock import Timer
 from geraniumspool.contracts import Clock, Messenger, Store
 from geraniumspool.errors import LeaseExpired, StoreError
 from geraniumspool.heartbeat import is_foreign_news, weigh
@@ -154,6 +156,7 @@
         self._rings: dict[str, _Ring] = {}
         self._best: dict[tuple[str, str], tuple[float, list[Member]]] = {}
         self._rounds = 0
+        self._push_timer = Timer(lambda: None)
         roster.observe(me(), revive=True)
 
     @property
@@ -243,24 +246,26 @@
         return afar | lowest
 
     def push_configuration(self) -> None:
-        """Send new configuration to entries and agents now, in small batches.
+        """Send new configuration to entries now and to agents in small batches.
 
-        It suspends the calling green task between batches.
+        It does not block: a timer sends the batches after the first.
         """
         self._send_digests()
-        batches: dict[int, tuple[Document, ...]] = {}
+        self._push_timer.cancel()
+        self._push(deque(self._agents))
+
+    def _push(self, waiting: deque[Peer]) -> None:
         pushed = 0
-        for peer in list(self._agents):
+        while waiting and pushed < PUSHES_AT_ONCE:
+            peer = waiting.popleft()
             view = self._agents.get(peer)
             if view is None or view.config_revision >= self._configuration.revision:
                 continue
-            if view.config_revision not in batches:
-                batches[view.config_revision] = self._documents(view.config_revision)
-            documents = batches[view.config_revision]
+            documents = self._documents(view.config_revision)
             self._messenger.send(peer, self._make_reply(documents=documents))
             pushed += 1
-            if pushed % PUSHES_AT_ONCE == 0:
-                self._clock.sleep(PUSH_PAUSE_MS)
+        if waiting:
+            self._push_timer = self._clock.after(PUSH_PAUSE_MS, lambda: self._push(waiting))
 
     # Heartbeats
 
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -2,8 +2,9 @@
 
 How news about one incarnation takes precedence:
 
-* States only move forward: starting, then ready or ejected (either way), then
-  leaving, then left or dead.
+* Of two states that a member told of itself, the one of its higher version is
+  newer. At one version, states only move forward: starting, then ready or
+  ejected (either way), then leaving, then left or dead.
 * ``left`` is final. ``dead`` may still become ``left``, which adds where the
   records went; it becomes anything else only by news that may revive: the
   process itself was heard, or news came down from the entry that hears it.
@@ -385,6 +386,8 @@
             return member.state == MEMBER_LEFT and bool(member.archive) and not old.archive
         if old.state == MEMBER_DEAD and not is_final(member):
             return revive and (prevail or not self._is_succeeded(record.peer))
+        if not is_final(member) and member.version != old.version:
+            return member.version > old.version
         return _RANKS[member.state] >= _RANKS[old.state]
 
     def _is_succeeded(self, peer: Peer) -> bool:
--- a/geraniumspool/standin_minion.py
+++ b/geraniumspool/standin_minion.py
@@ -34,6 +34,9 @@
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
+# epoll waits in whole milliseconds, rounded up, so a timer fires this much late.
+TIMER_LATENESS_MS = 1.2
+
 
 class Faults(NamedTuple):
     """Faults in force; see :class:`FaultsDocument` for the keys."""
@@ -248,7 +251,8 @@
         self.peak_running = max(self.peak_running, self.running)
         runs = self._runs.setdefault(task_id, [])
         runs.append(done)
-        timer = self._clock.after(run_ms, lambda: _send_once(done, False)) if run_ms else None
+        wait_ms = max(0.0, run_ms - TIMER_LATENESS_MS)
+        timer = self._clock.after(wait_ms, lambda: _send_once(done, False)) if run_ms else None
         try:
             return done.wait() if timer else False
         finally:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -62,6 +62,22 @@
         }
         self.check_transitions(allowed, lambda member: self.roster.hear(member))
 
+    def test_newer_version_of_a_living_member_may_move_back(self):
+        """An agent whose minion left and came back is ready again."""
+        cases = [
+            ("leaving", 2, "ready", 3, "ready"),
+            ("leaving", 3, "ready", 2, "leaving"),
+            ("ready", 3, "leaving", 2, "ready"),
+            ("left", 2, "ready", 3, "left"),
+            ("dead", 2, "ready", 3, "dead"),
+        ]
+        for old, old_version, new, new_version, expected in cases:
+            with self.subTest(old=old, new=new, versions=(old_version, new_version)):
+                self.setUp()
+                self.roster.observe(make_agent(old)._replace(version=old_version))
+                self.roster.observe(make_agent(new)._replace(version=new_version))
+                self.assertEqual(self.state(), expected)
+
     def test_new_incarnation_replaces_the_old_one(self):
         for old, expected in (("ready", "dead"), ("leaving", "dead"), ("left", "left")):
             with self.subTest(old=old):
