Placement by price: late binding with cheap places first, a slot kept for narrow jobs

Change: each place has a price (predicted wait, message, crossing); narrow jobs may use one slot a worker that others may not, and more places ahead; an overloaded home lifts that. The home is split into backlog, offers and jobs. Workers that take four times longer than expected get one probe at a time.

--- a/geraniumspool/admission.py
+++ b/geraniumspool/admission.py
@@ -31,7 +31,7 @@
     wait_ms: float
 
 
-class Backlog(NamedTuple):
+class Ahead(NamedTuple):
     """What waits at the home ahead of a new job.
 
     :param tasks: tasks without a slot
@@ -45,7 +45,7 @@
 
 
 def judge(
-    job: Job, size_bytes: int, workers: list[Worker], own_slots: int, backlog: Backlog
+    job: Job, size_bytes: int, workers: list[Worker], own_slots: int, ahead: Ahead
 ) -> Verdict:
     """Decide whether a home takes a job.
 
@@ -60,9 +60,9 @@
         retry = 0.0 if workers else NO_CAPACITY_RETRY_MS
         return Verdict(JOB_REFUSED_NO_CAPACITY, "no known minion fits every task", retry, 0.0)
     slots = max(1, own_slots + sum(worker.free for worker in workers))
-    wait_ms = backlog.work_ms / slots
-    tasks = backlog.tasks + len(job.tasks)
-    if tasks > MAX_PENDING_TASKS or backlog.size_bytes + size_bytes > MAX_PENDING_BYTES:
+    wait_ms = ahead.work_ms / slots
+    tasks = ahead.tasks + len(job.tasks)
+    if tasks > MAX_PENDING_TASKS or ahead.size_bytes + size_bytes > MAX_PENDING_BYTES:
         retry = max(MIN_RETRY_MS, wait_ms)
         return Verdict(JOB_REFUSED_OVERLOAD, "too many tasks wait here", retry, wait_ms)
     return _judge_deadline(job, slots, wait_ms)
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -14,7 +14,7 @@
 from geraniumspool.handover import Handing
 from geraniumspool.health import Health
 from geraniumspool.heartbeat import Heartbeater
-from geraniumspool.home import Home
+from geraniumspool.home import REVOKE_WAIT_MS, Home
 from geraniumspool.link import NngMessenger
 from geraniumspool.messages import (
     MEMBER_EJECTED,
@@ -42,7 +42,7 @@
 )
 from geraniumspool.metrics import Metrics
 from geraniumspool.minion import HttpMinionClient
-from geraniumspool.placement import Placement, choose_placement
+from geraniumspool.placement import choose_placement
 from geraniumspool.records import Records
 from geraniumspool.registry import discover_entries
 from geraniumspool.roster import ROLE_AGENT, Roster
@@ -60,6 +60,7 @@
 HOUSEKEEPING_MS = 500.0
 DISCOVERY_MS = 2_000.0
 STOP_GRACE_MS = 300.0
+ABANDON_LIMIT_MS = 2 * REVOKE_WAIT_MS
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
 
 
@@ -74,7 +75,6 @@
         client: MinionClient,
         clock: Clock,
         metrics: Metrics,
-        placement: Placement | None = None,
     ):
         """Connect the parts; nothing runs before :meth:`start`."""
         super().__init__(clock)
@@ -98,7 +98,13 @@
             lambda: self.configuration.service(self.home.service).ejection_failure_share,
         )
         self.runner = Runner(
-            messenger, clock, client, metrics, self.health, settings.queue_per_slot
+            messenger,
+            clock,
+            client,
+            metrics,
+            self.health,
+            settings.queue_per_slot,
+            settings.result_hold_ms,
         )
         self.home = Home(
             messenger,
@@ -109,7 +115,7 @@
             self.configuration,
             self.runner,
             Records(clock, settings.max_record_bytes, settings.max_record_age_ms),
-            placement or choose_placement("late"),
+            choose_placement(settings.placement, settings.ahead_per_slot),
             settings.domain,
             settings.peer_timeout_ms,
         )
@@ -174,7 +180,8 @@
         finished = self._wait_until(self._is_idle, self._settings.drain_limit_ms)
         if not finished:
             self.home.abandon()
-            self._clock.sleep(STOP_GRACE_MS)
+            self._wait_until(lambda: self.home.is_idle, ABANDON_LIMIT_MS)
+        self.runner.repeat_results()
         handed = self._handing.hand_over()
         self._left = True
         self._changed()
@@ -343,17 +350,16 @@
     return announcement
 
 
-def build_agent(settings: AgentSettings, placement: str = "late") -> Agent:
+def build_agent(settings: AgentSettings) -> Agent:
     """Return an agent with real parts.
 
     :param settings: checked settings
-    :param placement: name of a placement, see :mod:`geraniumspool.placement`
     """
     clock = SystemClock()
     metrics = Metrics(ROLE_AGENT, settings.domain)
     messenger = NngMessenger(settings.inbox, draw_incarnation(), clock, metrics)
     store = EtcdStore(list(settings.store_urls), clock, metrics, settings.store_timeout_ms)
     client = HttpMinionClient(metrics)
-    agent = Agent(settings, messenger, store, client, clock, metrics, choose_placement(placement))
+    agent = Agent(settings, messenger, store, client, clock, metrics)
     messenger.scope = scope_by(agent.roster, settings.domain)
     return agent
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -5,16 +5,15 @@
 """
 
 import contextlib
-import heapq
-import itertools
+import random
 from collections import Counter
-from typing import NamedTuple
 
 import eventlet
 
 from geraniumspool import decisions as codes
-from geraniumspool.admission import Backlog, judge
+from geraniumspool.admission import Ahead, Verdict, judge
 from geraniumspool.archive import Archives
+from geraniumspool.backlog import Backlog
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock, Counters, Messenger
 from geraniumspool.decisions import DecisionLog, encode_decisions
@@ -38,49 +37,37 @@
     Inquire,
     Load,
     Member,
-    Offer,
-    OfferedTask,
     Peer,
     Record,
     Results,
-    Revoke,
     Revoked,
     Submit,
     TaskResult,
     WrongIncarnation,
 )
-from geraniumspool.placement import Placement
+from geraniumspool.offers import Offers, PlacedTask
+from geraniumspool.placement import Allotment, Demand, Placement
 from geraniumspool.records import Records
 from geraniumspool.roster import Roster
 from geraniumspool.runner import Runner
 from geraniumspool.ticket import Ticket, read_ticket
-from geraniumspool.worker import OpenOffer, Worker, expect
+from geraniumspool.worker import OpenOffer, Worker
 
 STRETCH = 2.0
-WATCH_MS = 100.0
-PROBE_MS = 250.0
-PEER_TIMEOUT_MS = 4_000.0
 REVOKE_WAIT_MS = 1_000.0
 LEFT_GRACE_MS = 500.0
-SUSPECT_MS = 2_000.0
-MIN_PROBES = 2
+OVERLOAD_WAIT_MS = 3_000.0
+MAX_NEAR = 48
+MAX_FAR = 16
+NEGLIGIBLE_MS = 0.001
 
 CODE_TASK_FAILED = "task_failed"
-CODE_WORKER_LOST = "worker_lost"
-CODE_RESULT_LOST = "result_lost"
 CODE_CANCELLED = "job_cancelled"
 CODE_EXPIRED = "job_expired"
 CODE_STOPPED = "home_stopped"
 CODE_EVICTED = "record_evicted"
 
 
-class _Pending(NamedTuple):
-    due: float
-    order: int
-    job: Job
-    index: int
-
-
 class Home:
     """Jobs of this process: admission, placement, answers, records."""
 
@@ -96,7 +83,7 @@
         records: Records,
         placement: Placement,
         domain: str,
-        peer_timeout_ms: float = PEER_TIMEOUT_MS,
+        peer_timeout_ms: float,
     ):
         """Start with no job.
 
@@ -113,18 +100,12 @@
         self._records = records
         self._placement = placement
         self._domain = domain
-        self._peer_timeout_ms = peer_timeout_ms
         self._jobs: dict[int, Job] = {}
-        self._workers: dict[Peer, Worker] = {}
-        self._pending: list[_Pending] = []
-        self._waiting = 0
-        self._waiting_ms = 0.0
+        self._backlog = Backlog()
         self._held_bytes = 0
         self._team_work: Counter[str] = Counter()
-        self._order = itertools.count()
-        self._next_offer = 1
         self._place_scheduled = False
-        self._revokes: dict[Peer, tuple[set[int], bool]] = {}
+        self._offers = Offers(messenger, clock, counters, decisions, runner, self, peer_timeout_ms)
         self._times = RunTimes()
         self.archives = Archives()
         self.service = ""
@@ -145,7 +126,7 @@
         """Return the runner's load, with the home's own backlog in the wait."""
         load = self._runner.load()
         slots = max(1, load.slots)
-        return load._replace(wait_ms=load.wait_ms + self._waiting_ms / slots)
+        return load._replace(wait_ms=load.wait_ms + self._backlog.work_ms / slots)
 
     def take_submit(self, sender: Peer, submit: Submit) -> None:
         """Run a job, join it, or refuse it."""
@@ -167,10 +148,10 @@
     def take_decline(self, sender: Peer, decline: Decline) -> None:
         """Refuse a job for good on an entry's word, unless it is known."""
         waiter = Waiter(sender, decline.request)
-        ticket = self._find(waiter, decline.ticket, None)
+        ticket = self._find(waiter, decline.ticket, decline.digest)
         if ticket is None:
             return
-        job = Job(ticket, Submit(decline.request, decline.ticket, "", "", 0.0, b"", ()))
+        job = Job(ticket, Submit(decline.request, decline.ticket, "", "", 0.0, decline.digest, ()))
         self._refuse(waiter, job, decline.code, decline.detail, decline.retry_after_ms)
 
     def take_inquire(self, sender: Peer, inquire: Inquire) -> None:
@@ -194,42 +175,62 @@
 
     def take_results(self, sender: Peer, results: Results) -> None:
         """Take what became of offered tasks."""
-        worker = self._workers.get(sender)
+        worker = self._offers.find(sender)
         if worker is None:
             self._counters.add("answers_dropped", len(results.done) + len(results.refused))
             return
         worker.hear(results.load, self._clock.now())
         for result in results.done:
-            offer = self._settle(worker, result.offer)
+            offer = self._offers.settle(worker, result.offer)
             if offer is not None:
                 self._take_result(worker, offer, result)
         for refusal in results.refused:
-            offer = self._settle(worker, refusal.offer)
+            offer = self._offers.settle(worker, refusal.offer)
             if offer is not None:
-                self._take_back(offer, refusal.code)
+                self.take_back(offer, refusal.code)
         self._schedule_place()
 
     def take_revoked(self, sender: Peer, revoked: Revoked) -> None:
         """Take a worker's word on revoked offers."""
-        worker = self._workers.get(sender)
-        if worker is None:
-            return
-        worker.hear(revoked.load, self._clock.now())
-        for number in revoked.not_started:
-            offer = self._settle(worker, number)
-            if offer is not None:
-                self._take_back(offer, codes.TASK_REVOKED)
-        for number in revoked.started:
-            self._note_started(worker, number)
-        for number in revoked.lost:
-            offer = self._settle(worker, number)
-            if offer is not None:
-                self._lose(offer, CODE_RESULT_LOST)
-        self._schedule_place()
+        worker = self._offers.find(sender)
+        if worker is not None:
+            self._offers.take_revoked(worker, revoked)
+            self._schedule_place()
 
     def take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
         """Learn that another process has taken over a worker's address."""
-        self._drop_worker(Peer(sender.address, rejection.meant))
+        self._offers.drop(Peer(sender.address, rejection.meant))
+
+    def take_back(self, offer: OpenOffer, code: str) -> None:
+        """Take a task back that has not started; see :class:`~offers.OfferOwner`."""
+        job = offer.job
+        self._counters.add("tasks_taken_back", code=code)
+        self._decisions.record(codes.TASK_REFUSED, job.subject, task=offer.index, reason=code)
+        if job.is_final:
+            return
+        if job.ending:
+            self._check_ending(job)
+        else:
+            self._backlog.push(job, offer.index)
+            self._schedule_place()
+
+    def note_started(self, offer: OpenOffer) -> None:
+        """Learn that a task has started; see :class:`~offers.OfferOwner`."""
+        offer.job.started = True
+        if offer.job.ending:
+            self._check_ending(offer.job)
+
+    def lose(self, offer: OpenOffer, code: str) -> None:
+        """Fail a job whose task may have run; see :class:`~offers.OfferOwner`."""
+        job = offer.job
+        job.started = True
+        if job.is_final:
+            return
+        self._decisions.record(
+            codes.TASK_OUTCOME_UNKNOWN, job.subject, task=offer.index, reason=code
+        )
+        self._end(job, code, f"task {offer.index} may have run; its result is lost")
+        self._check_ending(job)
 
     def expire_records(self) -> None:
         """Let go of records that are too old."""
@@ -250,9 +251,7 @@
 
     def hint(self, peer: Peer, load: Load) -> None:
         """Take a worker's load that the membership passed on."""
-        worker = self._workers.get(peer)
-        if worker is not None and not worker.open:
-            worker.hint(load)
+        self._offers.hint(peer, load)
 
     def schedule_place(self) -> None:
         """Place waiting tasks soon, since something may have changed."""
@@ -332,12 +331,19 @@
         job.work_ms = sum(job.estimates)
 
     def _usable(self) -> list[Worker]:
-        members = self._roster.agents(self.service)
-        workers = [self._worker(member) for member in members if not self._is_own(member)]
+        """Return workers to offer to; a sample where there are many."""
+        near = _sample(self._roster.agents(self.service, self._domain), MAX_NEAR)
+        far = [
+            member
+            for member in _sample(self._roster.agents(self.service), MAX_NEAR + MAX_FAR)
+            if member.domain != self._domain
+        ]
+        members = near + far[: max(MAX_FAR, MAX_NEAR - len(near))]
+        workers = [self._offers.worker(member) for member in members if not self._is_own(member)]
         if self._runner.accepts:
             workers.append(self._own_worker())
         now = self._clock.now()
-        return [worker for worker in workers if worker.suspect_until <= now]
+        return [worker for worker in workers if worker.look(now)]
 
     def _is_own(self, member: Member) -> bool:
         return (member.address, member.incarnation) == self.me
@@ -346,27 +352,23 @@
         max_size = self._runner.minion.max_size
         load = self._runner.load()
         member = Member(*self.me, self._domain, "agent", MEMBER_READY, self.service, max_size, load)
-        worker = self._worker(member)
+        worker = self._offers.worker(member)
         worker.member = member
         worker.hear(load, self._clock.now())
         return worker
 
-    def _worker(self, member: Member) -> Worker:
-        peer = Peer(member.address, member.incarnation)
-        worker = self._workers.get(peer)
-        if worker is None:
-            worker = self._workers[peer] = Worker(member, self._clock.now())
-        return worker
-
-    def _judge(self, job: Job):
-        ahead = Backlog(self._waiting, self._waiting_ms, self._held_bytes)
+    def _judge(self, job: Job) -> Verdict:
+        ahead = Ahead(self._backlog.count, self._backlog.work_ms, self._held_bytes)
         return judge(job, job.size_bytes, self._usable(), self._runner.slots, ahead)
 
     def _refuse(self, waiter: Waiter, job: Job, code: str, detail: str, retry_ms: float) -> None:
         self._counters.add("jobs_refused", code=code)
-        self._decisions.record(code, job.subject, detail=detail, retry_after_ms=round(retry_ms))
+        decision = self._decisions.record(
+            code, job.subject, detail=detail, retry_after_ms=round(retry_ms)
+        )
         job.waiters.add(waiter)
-        self._finish(job, Answer(0, job.text, STATE_NOT_RUN, code, detail, retry_ms))
+        answer = Answer(0, job.text, STATE_NOT_RUN, code, detail, retry_ms, decision=decision)
+        self._finish(job, answer)
 
     def _accept(self, waiter: Waiter, job: Job, wait_ms: float) -> None:
         self._counters.add("jobs_accepted")
@@ -375,6 +377,8 @@
         self._team_work[job.team] += job.work_ms
         job.waiters.add(waiter)
         job.due = self._due(job)
+        narrow_tasks = self._configuration.service(self.service).narrow_tasks
+        job.is_narrow = len(job.tasks) <= narrow_tasks
         self._decisions.record(
             codes.JOB_ACCEPTED,
             job.subject,
@@ -387,7 +391,7 @@
         expire = self._clock.after(job.deadline_ms, lambda: self._end(job, CODE_EXPIRED, detail))
         job.timers.append(expire)
         for index in range(len(job.tasks)):
-            self._push(job, index)
+            self._backlog.push(job, index)
         self._schedule_place()
 
     def _due(self, job: Job) -> float:
@@ -407,34 +411,6 @@
             return 1.0
         return max(1.0, shares[team] * len(shares) / sum(shares.values()))
 
-    def _push(self, job: Job, index: int) -> None:
-        estimate = job.estimates[index]
-        self._waiting += 1
-        self._waiting_ms += estimate
-        heapq.heappush(self._pending, _Pending(job.due - estimate, next(self._order), job, index))
-
-    def _pop(self) -> _Pending | None:
-        while self._pending:
-            pending = heapq.heappop(self._pending)
-            if not pending.job.is_final and not pending.job.ending:
-                self._uncount(pending)
-                return pending
-        return None
-
-    def _uncount(self, pending: _Pending) -> None:
-        self._waiting -= 1
-        self._waiting_ms = max(0.0, self._waiting_ms - pending.job.estimates[pending.index])
-
-    def _drop_pending(self, job: Job) -> None:
-        """Forget a job's waiting tasks, at once."""
-        mine = [pending for pending in self._pending if pending.job is job]
-        if not mine:
-            return
-        for pending in mine:
-            self._uncount(pending)
-        self._pending = [pending for pending in self._pending if pending.job is not job]
-        heapq.heapify(self._pending)
-
     def _schedule_place(self) -> None:
         if not self._place_scheduled:
             self._place_scheduled = True
@@ -442,85 +418,60 @@
 
     def _place(self) -> None:
         self._place_scheduled = False
-        if not self._waiting:
+        if not self._backlog.count:
             return
+        batches: dict[Peer, list[PlacedTask]] = {}
+        slots = max(1, self._runner.slots)
+        is_overloaded = self._backlog.work_ms / slots > OVERLOAD_WAIT_MS
+        for narrow in (True, False):
+            if self._backlog.size(narrow):
+                self._place_queue(narrow, narrow or is_overloaded, batches)
+        limit_ms = self._configuration.service(self.service).run_limit_ms
+        for peer, batch in batches.items():
+            if not batch:
+                continue
+            worker = self._offers.find(peer)
+            worker.planned = 0
+            self._offers.send(worker, batch, self.service, limit_ms, self._backlog.count > 0)
+
+    def _place_queue(
+        self, narrow: bool, any_slot: bool, batches: dict[Peer, list[PlacedTask]]
+    ) -> None:
+        """Draw tasks of one queue into batches by worker."""
         workers = self._usable()
         if not workers:
             return
-        allotments = self._placement.allot(self._waiting, workers, self.me, self._domain)
-        batches: dict[Peer, list[_Pending]] = {}
+        run_ms = self._backlog.work_ms / self._backlog.count
+        demand = Demand(self._backlog.size(narrow), run_ms, any_slot)
         unplaced = []
-        for allotment in allotments:
+        for allotment in self._placement.allot(demand, workers, self.me, self._domain):
             batch = batches.setdefault(allotment.worker.peer, [])
-            self._draw(allotment.worker, allotment.count, batch, unplaced)
-        for pending in unplaced:
-            self._push(pending.job, pending.index)
-        for peer, batch in batches.items():
-            if batch:
-                self._offer(self._workers[peer], batch)
-
-    def _draw(self, worker: Worker, count: int, batch: list, unplaced: list) -> None:
-        while count > 0:
-            pending = self._pop()
-            if pending is None:
-                return
-            if worker.fits(pending.job.tasks[pending.index].size):
-                batch.append(pending)
-                count -= 1
+            unplaced.extend(self._draw(allotment, narrow, any_slot, batch))
+        for job, index in unplaced:
+            self._backlog.push(job, index)
+
+    def _draw(
+        self, allotment: Allotment, narrow: bool, any_slot: bool, batch: list[PlacedTask]
+    ) -> list[tuple[Job, int]]:
+        """Fill a batch from the backlog; return tasks that do not fit there."""
+        unfit = []
+        left = allotment.count
+        while left > 0 and (waiting := self._backlog.pop(narrow)) is not None:
+            job, index = waiting.job, waiting.index
+            if allotment.worker.fits(job.tasks[index].size):
+                batch.append(PlacedTask(job, index, waiting.due, any_slot))
+                allotment.worker.planned += 1
+                left -= 1
             else:
-                unplaced.append(pending)
-
-    def _offer(self, worker: Worker, batch: list[_Pending]) -> None:
-        now = self._clock.now()
-        limit_ms = self._configuration.service(self.service).run_limit_ms
-        tasks = []
-        for pending in batch:
-            job, index = pending.job, pending.index
-            number = self._next_offer
-            self._next_offer += 1
-            run_ms = job.estimates[index]
-            offer = OpenOffer(
-                number, job, index, now, run_ms, expect(now, worker.load.wait_ms, run_ms)
-            )
-            worker.add(offer)
-            job.open_offers[number] = worker.peer
-            payload = job.tasks[index].payload
-            rank = pending.due - now
-            tasks.append(
-                OfferedTask(
-                    number, job.ticket.job, index, self.service, payload, run_ms, rank, limit_ms
-                )
-            )
-            self._decisions.record(
-                codes.TASK_PLACED,
-                job.subject,
-                task=index,
-                worker=worker.peer.address,
-                free=worker.free,
-                wait_ms=round(worker.load.wait_ms, 1),
-            )
-        floor = worker.floor(tasks[0].offer)
-        message = Offer(floor, tuple(tasks), self._waiting > 0)
-        if worker.peer == self.me:
-            self._runner.take_offer(self.me, message)
-            return
-        self._messenger.send(worker.peer, message)
-        self._watch(worker)
-
-    def _settle(self, worker: Worker, number: int) -> OpenOffer | None:
-        offer = worker.open.pop(number, None)
-        worker.revoking.discard(number)
-        if offer is None:
-            self._counters.add("answers_dropped")
-            return None
-        offer.job.open_offers.pop(number, None)
-        return offer
+                unfit.append((job, index))
+        return unfit
 
     def _take_result(self, worker: Worker, offer: OpenOffer, result: TaskResult) -> None:
         job, index = offer.job, offer.index
         job.started = True
         declared = job.tasks[index].run_ms
         if result.ok:
+            worker.note_pace(result.run_ms, offer.run_ms, self._clock.now())
             self._times.learn(declared, result.run_ms)
         if job.is_final:
             return
@@ -537,38 +488,6 @@
         elif job.ending:
             self._check_ending(job)
 
-    def _take_back(self, offer: OpenOffer, code: str) -> None:
-        job = offer.job
-        self._counters.add("tasks_taken_back", code=code)
-        self._decisions.record(codes.TASK_REFUSED, job.subject, task=offer.index, reason=code)
-        if job.is_final:
-            return
-        if job.ending:
-            self._check_ending(job)
-        else:
-            self._push(job, offer.index)
-
-    def _note_started(self, worker: Worker, number: int) -> None:
-        offer = worker.open.get(number)
-        if offer is None:
-            return
-        offer.job.started = True
-        worker.revoking.discard(number)
-        now = self._clock.now()
-        worker.open[number] = offer._replace(expected_ms=expect(now, 0.0, offer.run_ms))
-        if offer.job.ending:
-            self._check_ending(offer.job)
-
-    def _lose(self, offer: OpenOffer, code: str) -> None:
-        job = offer.job
-        job.started = True
-        if job.is_final:
-            return
-        self._decisions.record(
-            codes.TASK_OUTCOME_UNKNOWN, job.subject, task=offer.index, reason=code
-        )
-        self._end(job, code, f"task {offer.index} may have run; its result is lost")
-
     def _complete(self, job: Job) -> None:
         self._counters.add("jobs_complete")
         self._decisions.record(codes.JOB_COMPLETE, job.subject)
@@ -582,8 +501,8 @@
         job.ending = code
         job.detail = detail
         self._counters.add("jobs_failed", code=code)
-        self._drop_pending(job)
-        self._revoke(job)
+        self._backlog.drop(job)
+        self._offers.revoke(job)
         job.timers.append(self._clock.after(REVOKE_WAIT_MS, lambda: self._give_up(job)))
         self._check_ending(job)
 
@@ -604,9 +523,10 @@
             CODE_CANCELLED: codes.JOB_CANCELLED,
             CODE_EXPIRED: codes.JOB_EXPIRED,
         }.get(job.ending, codes.JOB_FAILED)
-        self._decisions.record(code, job.subject, outcome=state, reason=job.ending)
+        decision = self._decisions.record(code, job.subject, outcome=state, reason=job.ending)
         retry_ms = self._runner.load().wait_ms if state == STATE_NOT_RUN else 0.0
-        self._finish(job, Answer(0, job.text, state, job.ending, job.detail, retry_ms))
+        answer = Answer(0, job.text, state, job.ending, job.detail, retry_ms, decision=decision)
+        self._finish(job, answer)
 
     def _finish(self, job: Job, answer: Answer) -> None:
         job.is_final = True
@@ -614,7 +534,7 @@
         if self._jobs.pop(job.ticket.job, None) is not None:
             self._held_bytes -= job.size_bytes
             self._team_work[job.team] -= job.work_ms
-            if self._team_work[job.team] <= 0.001:
+            if self._team_work[job.team] <= NEGLIGIBLE_MS:
                 del self._team_work[job.team]
         self._records.keep(job.ticket, Record(job.text, job.digest, answer))
         for waiter in job.waiters:
@@ -625,104 +545,30 @@
         message = answer._replace(request=waiter.request, load=self.load())
         self._messenger.send(waiter.entry, message)
 
-    def _revoke(self, job: Job) -> None:
-        """Ask for all open offers of a job back, batched with other jobs'."""
-        for number, peer in job.open_offers.items():
-            if not self._revokes:
-                eventlet.spawn_n(self._send_revokes)
-            offers, _ = self._revokes.setdefault(peer, (set(), True))
-            offers.add(number)
-
-    def _send_revokes(self) -> None:
-        revokes, self._revokes = self._revokes, {}
-        for peer, (offers, stop) in revokes.items():
-            worker = self._workers.get(peer)
-            if worker is not None:
-                self._ask_back(worker, tuple(sorted(offers)), stop)
-
-    def _ask_back(self, worker: Worker, offers: tuple[int, ...], stop: bool) -> None:
-        worker.revoking.update(offers)
-        message = Revoke(worker.floor(self._next_offer), offers, stop)
-        self._counters.add("offers_revoked", len(offers))
-        if worker.peer == self.me:
-            self._runner.take_revoke(self.me, message)
-            return
-        self._messenger.send(worker.peer, message)
-        self._watch(worker)
-
-    def _watch(self, worker: Worker) -> None:
-        if not worker.is_watched:
-            worker.is_watched = True
-            eventlet.spawn_n(self._watch_worker, worker)
-
-    def _watch_worker(self, worker: Worker) -> None:
-        """Probe a worker whose results are overdue, until nothing is open."""
-        while worker.open:
-            self._clock.sleep(WATCH_MS)
-            now = self._clock.now()
-            overdue = worker.overdue(now)
-            unanswered = [offer for offer in worker.revoking if offer in worker.open]
-            asked = sorted(set(overdue) | set(unanswered))
-            if not asked:
-                continue
-            self._probe(worker, asked, now)
-        worker.is_watched = False
-
-    def _probe(self, worker: Worker, asked: list[int], now: float) -> None:
-        silent_ms = now - max(worker.heard_ms, worker.open[asked[0]].sent_ms)
-        if silent_ms > self._peer_timeout_ms and worker.probes >= MIN_PROBES:
-            self._decisions.record(
-                codes.WORKER_SILENT, worker.peer.address, silent_ms=round(silent_ms)
-            )
-            self._drop_worker(worker.peer)
-            return
-        pause = PROBE_MS * 2**worker.probes
-        if now - worker.probed_ms < pause:
-            return
-        worker.probed_ms = now
-        worker.probes += 1
-        if worker.probes >= MIN_PROBES:
-            worker.suspect_until = now + SUSPECT_MS
-        self._counters.add("probes_sent")
-        self._ask_back(worker, tuple(asked), False)
-
-    def _drop_worker(self, peer: Peer) -> None:
-        worker = self._workers.pop(peer, None)
-        if worker is None:
-            return
-        offers = list(worker.open.values())
-        worker.open.clear()
-        for offer in offers:
-            offer.job.open_offers.pop(offer.offer, None)
-            self._lose(offer, CODE_WORKER_LOST)
-
     def _member_changed(self, member: Member) -> None:
         peer = Peer(member.address, member.incarnation)
-        worker = self._workers.get(peer)
+        worker = self._offers.find(peer)
         if worker is not None:
             worker.member = member
-        if member.state == MEMBER_DEAD and worker is not None:
-            self._suspect(worker)
+        if member.state == MEMBER_DEAD:
+            self._offers.suspect(peer)
         if member.state in (MEMBER_DEAD, MEMBER_LEFT):
             self._clock.after(LEFT_GRACE_MS, lambda: self._member_gone(peer))
         if member.state in (MEMBER_READY, MEMBER_EJECTED):
             self._schedule_place()
 
-    def _suspect(self, worker: Worker) -> None:
-        worker.suspect_until = self._clock.now() + SUSPECT_MS
-        if worker.open and worker.peer != self.me:
-            self._ask_back(worker, tuple(sorted(worker.open)), False)
-
     def _member_gone(self, peer: Peer) -> None:
-        """Give up a member that left; ask one that only fell silent."""
+        """Give up a member that left; one that only fell silent is probed."""
         member = self._roster.get(peer)
         if member is None or member.state == MEMBER_LEFT:
-            self._drop_worker(peer)
+            self._offers.drop(peer)
             self._runner.forget_home(peer)
         elif member.state == MEMBER_DEAD:
-            worker = self._workers.get(peer)
-            if worker is not None and not worker.open:
-                del self._workers[peer]
+            self._offers.forget_idle(peer)
+
+
+def _sample(members: list[Member], most: int) -> list[Member]:
+    return members if len(members) <= most else random.sample(members, most)
 
 
 def _conflict_or(answer: Answer, kept: bytes, digest: bytes | None) -> Answer:
--- a/geraniumspool/job.py
+++ b/geraniumspool/job.py
@@ -27,6 +27,7 @@
     :ivar started: whether a task is known to have started
     :ivar ending: reason code once the job can no longer complete
     :ivar is_final: whether the answer was given
+    :ivar is_narrow: whether it has few tasks
     """
 
     def __init__(self, ticket: Ticket, submit: Submit):
@@ -46,6 +47,7 @@
         self.ending = ""
         self.detail = ""
         self.is_final = False
+        self.is_narrow = False
         self.due = 0.0
         self.work_ms = 0.0
         self.timers: list[Timer] = []
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -78,6 +78,7 @@
 
     request: int
     ticket: str
+    digest: bytes
     code: str
     detail: str
     retry_after_ms: float
@@ -109,6 +110,7 @@
     :param retry_after_ms: when another try may help, or 0
     :param results: JSON texts in task order, for a complete job
     :param decisions: JSON text of the decisions, where asked for
+    :param decision: id of the decision behind a failure, else empty
     """
 
     request: int
@@ -120,6 +122,7 @@
     results: tuple[bytes, ...] = ()
     load: Load = Load()
     decisions: bytes = b""
+    decision: str = ""
 
 
 STATE_UNKNOWN = "unknown"
@@ -139,6 +142,7 @@
     :param index: the task's place in its job
     :param rank: lower runs first among the tasks that wait at a worker
     :param limit_ms: longest run before the outcome counts as unknown
+    :param any_slot: whether it may use the slots kept for narrow jobs
     """
 
     offer: int
@@ -149,6 +153,7 @@
     run_ms: float
     rank: float
     limit_ms: float
+    any_slot: bool = True
 
 
 class Offer(NamedTuple):
--- a/geraniumspool/placement.py
+++ b/geraniumspool/placement.py
@@ -1,14 +1,34 @@
 """Placement: which workers the waiting tasks are offered to."""
 
+import heapq
 import random
 from typing import NamedTuple, Protocol
 
 from geraniumspool.messages import Peer
 from geraniumspool.worker import Worker
 
-AHEAD_PER_SLOT = 0.5
-MIN_REFILL = 2
-BASELINE_QUEUE_PER_SLOT = 50.0
+AHEAD_PER_SLOT = 1.0
+NARROW_AHEAD = 2.0
+MIN_REFILL = 4
+LOCAL_MS = 20.0
+CROSS_MS = 60.0
+SLOW_MS = 200.0
+FREE_BONUS_MS = 0.5
+RESERVED_SLOTS = 1
+MIN_SLOTS_TO_RESERVE = 4
+
+
+class Demand(NamedTuple):
+    """Tasks that wait for a place.
+
+    :param count: how many
+    :param run_ms: estimated mean run time
+    :param any_slot: whether they may use the slots reserved for narrow jobs
+    """
+
+    count: int
+    run_ms: float
+    any_slot: bool
 
 
 class Allotment(NamedTuple):
@@ -21,60 +41,109 @@
 class Placement(Protocol):
     """Chooses workers for waiting tasks."""
 
-    def allot(self, count: int, workers: list[Worker], own: Peer, domain: str) -> list[Allotment]:
-        """Return where to offer up to ``count`` tasks, best place first.
+    def allot(
+        self, demand: Demand, workers: list[Worker], own: Peer, domain: str
+    ) -> list[Allotment]:
+        """Return where to offer how many tasks, best place first.
 
+        :param demand: the tasks; what gets no place waits at the home
         :param workers: workers that take offers
         :param own: the home's own process, whose offers cost no message
         :param domain: the home's failure domain
         """
 
 
+def count_reserved(slots: int) -> int:
+    """Return how many slots of a worker are kept for narrow jobs."""
+    return RESERVED_SLOTS if slots >= MIN_SLOTS_TO_RESERVE else 0
+
+
 class LateBinding:
     """Offers a task only where a slot is free or about to be.
 
-    Free slots come first: the home's own, then those of its failure domain,
-    then the others. When none is free, a few tasks are offered ahead so
-    that slots need not idle for a round trip; the rest wait at the home.
+    Each place at a worker has a cost in milliseconds: its predicted wait,
+    and for the first place what a message is worth, more if it crosses
+    between failure domains. The cheapest places are taken first, so tasks
+    go out in few batches. What has no place waits at the home.
     """
 
     def __init__(self, seed: int | None = None, ahead_per_slot: float = AHEAD_PER_SLOT):
-        """Take the lookahead.
+        """Take a seed to break ties with, and the lookahead.
 
         :param ahead_per_slot: tasks offered ahead for each slot of a worker
         """
-        self._random = random.Random(seed)
         self._ahead_per_slot = ahead_per_slot
+        self._random = random.Random(seed)
 
-    def allot(self, count: int, workers: list[Worker], own: Peer, domain: str) -> list[Allotment]:
-        """Return free slots by distance, then places ahead."""
-        ordered = self._order(workers, own, domain)
-        allotments = _fill(count, ((worker, worker.free) for worker in ordered))
-        left = count - sum(allotment.count for allotment in allotments)
-        if left <= 0:
-            return allotments
-        taken = {allotment.worker.peer: allotment.count for allotment in allotments}
-        return allotments + self._ahead(left, ordered, own, taken)
-
-    def _order(self, workers: list[Worker], own: Peer, domain: str) -> list[Worker]:
-        def distance(worker: Worker) -> tuple[int, float]:
-            if worker.peer == own:
-                return 0, 0.0
-            far = 2 if worker.member.domain != domain else 1
-            return far, -worker.free - self._random.random()
-
-        return sorted(workers, key=distance)
-
-    def _ahead(
-        self, left: int, workers: list[Worker], own: Peer, taken: dict[Peer, int]
+    def allot(
+        self, demand: Demand, workers: list[Worker], own: Peer, domain: str
     ) -> list[Allotment]:
-        rooms = []
-        for worker in workers:
-            used = max(0, taken.get(worker.peer, 0) - worker.free)
-            room = worker.room(self._ahead_per_slot) - used
-            if worker.peer == own or room >= MIN_REFILL:
-                rooms.append((worker, room))
-        return _fill(left, rooms)
+        """Return the cheapest places, grouped by worker."""
+        surveys = [self._survey(worker, demand, own, domain) for worker in workers]
+        places = [survey for survey in surveys if survey.has_next]
+        heapq.heapify(places)
+        for _ in range(demand.count):
+            if not places:
+                break
+            place = places[0]
+            place.take()
+            if place.has_next:
+                heapq.heapreplace(places, place)
+            else:
+                heapq.heappop(places)
+        return [Allotment(survey.worker, survey.taken) for survey in surveys if survey.taken]
+
+    def _survey(self, worker: Worker, demand: Demand, own: Peer, domain: str) -> "_Places":
+        free = worker.free
+        per_slot = self._ahead_per_slot
+        if demand.any_slot:
+            per_slot *= NARROW_AHEAD
+        else:
+            free = max(0, free - count_reserved(worker.load.slots))
+        ahead = 0 if worker.is_slow else worker.room(per_slot)
+        is_own = worker.peer == own
+        if free == 0 and not is_own and ahead < min(MIN_REFILL, worker.load.slots):
+            ahead = 0
+        opening_ms = 0.0 if is_own else _price_message(worker, domain)
+        opening_ms -= FREE_BONUS_MS * min(free, demand.count) * self._random.uniform(0.9, 1.0)
+        return _Places(worker, free, ahead, opening_ms, demand.run_ms)
+
+
+def _price_message(worker: Worker, domain: str) -> float:
+    price = LOCAL_MS if worker.member.domain == domain else CROSS_MS
+    return price + SLOW_MS if worker.is_slow else price
+
+
+class _Places:
+    """The places at one worker, cheapest first."""
+
+    __slots__ = ("worker", "taken", "cost_ms", "_free", "_ahead", "_waiting", "_step_ms")
+
+    def __init__(self, worker: Worker, free: int, ahead: int, opening_ms: float, run_ms: float):
+        self.worker = worker
+        self.taken = 0
+        self._free = free
+        self._ahead = ahead
+        self._waiting = max(0, worker.busy - worker.load.slots)
+        self._step_ms = run_ms / max(1, worker.load.slots)
+        self.cost_ms = opening_ms + self._next_wait()
+
+    def __lt__(self, other: "_Places") -> bool:
+        return self.cost_ms < other.cost_ms
+
+    @property
+    def has_next(self) -> bool:
+        return self.taken < self._free + self._ahead
+
+    def take(self) -> None:
+        self.taken += 1
+        self.cost_ms = self._next_wait()
+
+    def _next_wait(self) -> float:
+        beyond = self.taken - self._free
+        if beyond < 0:
+            return 0.0
+        return (self._waiting + beyond + 1) * self._step_ms
 
 
 class RandomChoice:
@@ -84,9 +153,11 @@
         """Take a seed for the draws."""
         self._random = random.Random(seed)
 
-    def allot(self, count: int, workers: list[Worker], own: Peer, domain: str) -> list[Allotment]:
+    def allot(
+        self, demand: Demand, workers: list[Worker], own: Peer, domain: str
+    ) -> list[Allotment]:
         """Return one random worker per task, grouped."""
-        return _group([self._random.choice(workers) for _ in range(count)])
+        return _group([self._random.choice(workers) for _ in range(demand.count)])
 
 
 class LeastLoad:
@@ -96,9 +167,11 @@
         """Take a seed to break ties with."""
         self._random = random.Random(seed)
 
-    def allot(self, count: int, workers: list[Worker], own: Peer, domain: str) -> list[Allotment]:
+    def allot(
+        self, demand: Demand, workers: list[Worker], own: Peer, domain: str
+    ) -> list[Allotment]:
         """Return the least loaded worker per task, grouped."""
-        return _pick_least(count, lambda: workers, self._random)
+        return _pick_least(demand.count, lambda: workers, self._random)
 
 
 class TwoChoices:
@@ -108,10 +181,12 @@
         """Take a seed for the draws."""
         self._random = random.Random(seed)
 
-    def allot(self, count: int, workers: list[Worker], own: Peer, domain: str) -> list[Allotment]:
+    def allot(
+        self, demand: Demand, workers: list[Worker], own: Peer, domain: str
+    ) -> list[Allotment]:
         """Return the better of two random workers per task, grouped."""
         drawn = min(2, len(workers))
-        return _pick_least(count, lambda: self._random.sample(workers, drawn), self._random)
+        return _pick_least(demand.count, lambda: self._random.sample(workers, drawn), self._random)
 
 
 def _pick_least(count: int, draw, source: random.Random) -> list[Allotment]:
@@ -139,29 +214,20 @@
     return [Allotment(by_peer[peer], count) for peer, count in counts.items()]
 
 
-def _fill(count: int, rooms) -> list[Allotment]:
-    allotments = []
-    for worker, room in rooms:
-        if count <= 0:
-            break
-        take = min(count, room)
-        if take > 0:
-            allotments.append(Allotment(worker, take))
-            count -= take
-    return allotments
-
-
-def choose_placement(name: str, seed: int | None = None) -> Placement:
+def choose_placement(name: str, ahead_per_slot: float = AHEAD_PER_SLOT) -> Placement:
     """Return the placement of that name.
 
     :param name: ``late``, ``random``, ``least`` or ``two``
+    :param ahead_per_slot: tasks offered ahead for each slot, with ``late``
     :raises KeyError: if there is none of that name
     """
-    return PLACEMENTS[name](seed)
+    if name == LATE:
+        return LateBinding(ahead_per_slot=ahead_per_slot)
+    return BASELINES[name]()
 
 
-PLACEMENTS = {
-    "late": LateBinding,
+LATE = "late"
+BASELINES = {
     "random": RandomChoice,
     "least": LeastLoad,
     "two": TwoChoices,
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -22,6 +22,7 @@
     Revoked,
     TaskResult,
 )
+from geraniumspool.placement import count_reserved
 
 REFUSED_STALE = "offer_stale"
 REFUSED_NO_MINION = "minion_absent"
@@ -64,7 +65,7 @@
         self._result_hold_ms = result_hold_ms
         self._ledgers: dict[Peer, Ledger] = {}
         self._closed: OrderedDict[Peer, None] = OrderedDict()
-        self._queue: list[tuple[float, int, Entry]] = []
+        self._queues: dict[bool, list[tuple[float, int, Entry]]] = {True: [], False: []}
         self._order = itertools.count()
         self._queued = 0
         self._queued_ms = 0.0
@@ -125,14 +126,22 @@
         if self.leaving:
             return
         self.leaving = True
-        for _, _, entry in self._queue:
-            if entry.state == QUEUED:
-                self._give_back(entry, REFUSED_LEAVING)
-        self._queue.clear()
+        for queue in self._queues.values():
+            for _, _, entry in queue:
+                if entry.state == QUEUED:
+                    self._give_back(entry, REFUSED_LEAVING)
+            queue.clear()
         for ledger in self._ledgers.values():
             self._flush(ledger)
         self.on_change()
 
+    def repeat_results(self) -> None:
+        """Send every result again that its home has not settled, before leaving."""
+        for ledger in self._ledgers.values():
+            done = [entry.result for entry in ledger.entries.values() if entry.state == DONE]
+            ledger.done = [result for result in done if result is not None]
+            self._flush(ledger)
+
     def take_offer(self, sender: Peer, offer: Offer) -> None:
         """Take, queue or refuse each task of an offer."""
         ledger = self._ledger(sender)
@@ -208,7 +217,7 @@
         self._queued += 1
         self._queued_ms += task.run_ms
         due = self._clock.now() + task.rank
-        heapq.heappush(self._queue, (due, next(self._order), entry))
+        heapq.heappush(self._queues[task.any_slot], (due, next(self._order), entry))
 
     def _reason_to_refuse(self, ledger: Ledger, task: OfferedTask) -> str:
         if task.offer < ledger.floor or ledger.home in self._closed:
@@ -225,16 +234,26 @@
         return ""
 
     def _fill_slots(self) -> None:
-        while self._queue and len(self._running) < self.slots:
-            _, _, entry = heapq.heappop(self._queue)
-            if entry.state != QUEUED:
-                continue
-            if self._health.is_ejected and self._running:
-                heapq.heappush(self._queue, (0.0, next(self._order), entry))
-                return
+        while (entry := self._next_to_start()) is not None:
             self._dequeue(entry, RUNNING)
             self._start(entry)
 
+    def _next_to_start(self) -> Entry | None:
+        """Remove and return the queued task that may start now and is due first."""
+        running = len(self._running)
+        if running >= (1 if self._health.is_ejected else self.slots):
+            return None
+        heads = [self._queues[True]]
+        if running < self.slots - count_reserved(self.slots):
+            heads.append(self._queues[False])
+        for queue in heads:
+            while queue and queue[0][2].state != QUEUED:
+                heapq.heappop(queue)
+        ready = [queue for queue in heads if queue]
+        if not ready:
+            return None
+        return heapq.heappop(min(ready, key=lambda queue: queue[0][:2]))[2]
+
     def _start(self, entry: Entry) -> None:
         task_id = name_task(entry.task)
         self._running[task_id] = self._clock.now() + entry.task.run_ms
--- a/geraniumspool/settings.py
+++ b/geraniumspool/settings.py
@@ -86,6 +86,9 @@
     :param max_record_age_ms: longest time a record of a finished job is kept
     :param drain_limit_ms: longest graceful shutdown
     :param queue_per_slot: most tasks waiting for each slot
+    :param placement: how its home chooses workers: late, random, least or two
+    :param ahead_per_slot: tasks its home offers ahead for each slot, with late
+    :param result_hold_ms: longest time a result waits for company
     :param log_level: lowest level that is logged
     :param minion: its minion, where it does not announce itself
     """
@@ -104,6 +107,9 @@
     max_record_age_ms: float = 600_000
     drain_limit_ms: float = 30_000
     queue_per_slot: int = 2
+    placement: str = "late"
+    ahead_per_slot: float = 0.5
+    result_hold_ms: float = 100
     log_level: str = "info"
     minion: Announcement | None = None
 
@@ -171,6 +177,9 @@
     "max_record_bytes": {"type": "integer", "minimum": 1 << 10, "maximum": 1 << 40},
     "max_record_age_ms": DURATION,
     "queue_per_slot": {"type": "integer", "minimum": 0, "maximum": 1_000},
+    "placement": {"enum": ["late", "random", "least", "two"]},
+    "ahead_per_slot": {"type": "number", "minimum": 0, "maximum": 1_000},
+    "result_hold_ms": {"type": "number", "minimum": 0, "maximum": 10_000},
     "minion": _MINION_SCHEMA,
 }
 
--- a/geraniumspool/worker.py
+++ b/geraniumspool/worker.py
@@ -7,6 +7,9 @@
 
 EXPECTED_FACTOR = 3.0
 EXPECTED_MARGIN_MS = 200.0
+PACE_WEIGHT = 0.1
+SLOW_PACE = 4.0
+SLOW_PROBE_MS = 2_000.0
 
 
 class OpenOffer(NamedTuple):
@@ -30,11 +33,14 @@
 
     :ivar load: its load as last heard of
     :ivar since: tasks offered since that load was heard of
+    :ivar planned: tasks about to be offered
     :ivar open: open offers by number
     :ivar heard_ms: when it last sent something
     :ivar probes: probes sent since then
     :ivar revoking: open offers that were asked back
     :ivar suspect_until: time until which it is offered nothing
+    :ivar pace: mean of actual by estimated run times there
+    :ivar is_probe_due: whether a slow worker may have one task to be judged by
     """
 
     def __init__(self, member: Member, now: float):
@@ -43,6 +49,7 @@
         self.peer = Peer(member.address, member.incarnation)
         self.load = member.load
         self.since = 0
+        self.planned = 0
         self.open: dict[int, OpenOffer] = {}
         self.heard_ms = now
         self.probes = 0
@@ -50,16 +57,28 @@
         self.revoking: set[int] = set()
         self.is_watched = False
         self.suspect_until = 0.0
+        self.pace = 1.0
+        self._paced_ms = now
+        self.is_probe_due = False
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether its tasks take far longer than they should."""
+        return self.pace > SLOW_PACE
 
     @property
     def busy(self) -> int:
         """Return the tasks that run or wait there, as far as known."""
-        return self.load.slots - self.load.free + self.load.queued + self.since
+        known = self.load.slots - self.load.free + self.load.queued
+        return known + self.since + self.planned
 
     @property
     def free(self) -> int:
-        """Return the slots that seem idle."""
-        return max(0, self.load.slots - self.busy)
+        """Return the slots that seem idle; none of a slow worker but to probe it."""
+        free = max(0, self.load.slots - self.busy)
+        if self.is_slow:
+            return min(1, free) if self.is_probe_due else 0
+        return free
 
     def room(self, per_slot: float) -> int:
         """Return how many tasks may be offered beyond the free slots.
@@ -93,6 +112,17 @@
         self.open[offer.offer] = offer
         self.since += 1
 
+    def look(self, now: float) -> bool:
+        """Bring what depends on time up to date; return whether to offer it tasks."""
+        waited = now - self._paced_ms > SLOW_PROBE_MS
+        self.is_probe_due = waited and not self.open
+        return self.suspect_until <= now
+
+    def note_pace(self, actual_ms: float, estimated_ms: float, now: float) -> None:
+        """Take how long a task took there against what was expected."""
+        self.pace += PACE_WEIGHT * (actual_ms / max(1.0, estimated_ms) - self.pace)
+        self._paced_ms = now
+
     def floor(self, next_offer: int) -> int:
         """Return the number below which no offer is open there.
 
