--- a/geraniumspool/binding.py
+++ b/geraniumspool/binding.py
@@ -4,7 +4,7 @@
 import hashlib
 
 from geraniumspool.contracts import Clock, Store
-from geraniumspool.errors import DispatchError, StoreError, StoreUnknown
+from geraniumspool.errors import DispatchError, LeaseExpired, StoreError, StoreUnknown
 
 PREFIX = "idempotency/"
 LEASE_MS = 900_000.0
@@ -50,7 +50,12 @@
             raise BindingUnavailable(error.detail, RETRY_MS) from error
 
     def _swap(self, name: str, ticket: str) -> str:
-        outcome = self._store.swap(name, 0, ticket.encode(), self._find_lease())
+        try:
+            outcome = self._store.swap(name, 0, ticket.encode(), self._find_lease())
+        except LeaseExpired:
+            # Nothing was written; the store let the lease lapse early.
+            self._lease_until = 0.0
+            outcome = self._store.swap(name, 0, ticket.encode(), self._find_lease())
         if outcome.swapped:
             return ticket
         return outcome.current.value.decode()
--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from geraniumspool.binding import Bindings, BindingUnavailable
+from geraniumspool.binding import MAX_KEY_CHARS, Bindings, BindingUnavailable
 from geraniumspool.calls import Calls, NoAnswer
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock
@@ -17,7 +17,7 @@
     DecisionLog,
     describe,
 )
-from geraniumspool.errors import ForeignService
+from geraniumspool.errors import Finding, ForeignService, InvalidInput
 from geraniumspool.homes import Homes, NoHome
 from geraniumspool.messages import (
     STATE_COMPLETE,
@@ -139,29 +139,26 @@
     def _put_job(self, request: Request) -> Reply:
         text, ticket = self._read_ticket(request)
         submission = self._read_submission(request)
-        if submission.service != ticket.service:
-            raise ForeignService(f"the ticket is for service {ticket.service!r}")
         return self._submit(text, ticket, submission)
 
     def _post_job(self, request: Request) -> Reply:
+        key = _read_key(request)
         submission = self._read_submission(request)
         try:
             text = self._homes.issue(submission.service)
         except NoHome as error:
             return self._reply_no_home(request, error)
-        key = request.header("Idempotency-Key")
         if key:
             try:
                 text = self._bindings.bind(submission.team, key, text)
             except BindingUnavailable as error:
                 return _reply_unbound(error)
-            ticket = self._keyring.verify(text)
-            return self._submit(text, ticket, submission)
+            return self._submit(text, self._keyring.verify(text), submission)
         return self._submit_unknown(text, submission)
 
     def _reply_no_home(self, request: Request, error: NoHome) -> Reply:
         """Refuse: not run, unless an idempotency key may have run before."""
-        outcome = STATE_MAY_HAVE_RUN if request.header("Idempotency-Key") else STATE_NOT_RUN
+        outcome = STATE_MAY_HAVE_RUN if _read_key(request) else STATE_NOT_RUN
         return reply_problem(
             error.status,
             error.code,
@@ -176,8 +173,8 @@
         ticket = self._keyring.verify(text)
         if shortage is not None:
             code, detail, retry_ms = shortage
-            answer = Answer(0, text, STATE_NOT_RUN, code, detail, retry_ms)
-            self._note_refusal(ticket, code, detail, retry_ms)
+            decision = self._note_refusal(ticket, code, detail, retry_ms)
+            answer = Answer(0, text, STATE_NOT_RUN, code, detail, retry_ms, decision=decision)
             return self._reply(text, ticket, ticket.home, answer)
         try:
             return self._send(text, ticket, ticket.home, submission)
@@ -190,6 +187,8 @@
         A refusal goes to the home first: only the home can tell that the
         job has not run, and keep it so.
         """
+        if submission.service != ticket.service:
+            raise ForeignService(f"the ticket is for service {ticket.service!r}")
         peer, is_archive = self._homes.find(ticket)
         if peer is None:
             return self._reply_gone(text, ticket)
@@ -199,7 +198,8 @@
         if shortage is not None:
             code, detail, retry_ms = shortage
             self._note_refusal(ticket, code, detail, retry_ms)
-            decline = Decline(self._calls.next_number(), text, code, detail, retry_ms)
+            number = self._calls.next_number()
+            decline = Decline(number, text, submission.digest, code, detail, retry_ms)
             limit_ms = self._deadline(submission)
             return self._reply(text, ticket, peer, self._calls.submit(peer, decline, limit_ms))
         try:
@@ -231,16 +231,18 @@
             return JOB_REFUSED_QUOTA, shortage.detail, shortage.retry_after_ms
         return None
 
-    def _note_refusal(self, ticket: Ticket, code: str, detail: str, retry_ms: float) -> None:
+    def _note_refusal(self, ticket: Ticket, code: str, detail: str, retry_ms: float) -> str:
         self._metrics.add("jobs_refused", code=code)
         subject = f"{ticket.job:x}"
-        self._decisions.record(code, subject, detail=detail, retry_after_ms=round(retry_ms))
+        retry_after_ms = round(retry_ms)
+        return self._decisions.record(code, subject, detail=detail, retry_after_ms=retry_after_ms)
 
     def _deadline(self, submission: Submission) -> float:
         if submission.deadline_ms > 0:
             return submission.deadline_ms
-        document = self._configuration.service(submission.service)
-        return document.deadline_ms or self._default_deadline_ms
+        if self._configuration.held(f"service/{submission.service}") is None:
+            return self._default_deadline_ms
+        return self._configuration.service(submission.service).deadline_ms
 
     def _read_submission(self, request: Request) -> Submission:
         submission = parse_submission(request.body)
@@ -287,7 +289,7 @@
             answer.code,
             answer.detail,
             outcome=answer.state,
-            decision=f"{ticket.job:x}",
+            decision=answer.decision or None,
             retry_after_ms=answer.retry_after_ms or None,
             next_ticket=self._next_ticket(ticket.service) if is_new_try else None,
         )
@@ -321,6 +323,14 @@
         return Reply(200, self._metrics.render(), PROMETHEUS_TEXT)
 
 
+def _read_key(request: Request) -> str:
+    key = request.header("Idempotency-Key")
+    if len(key) > MAX_KEY_CHARS:
+        text = f"must have at most {MAX_KEY_CHARS} characters"
+        raise InvalidInput([Finding("headers", 0, "Idempotency-Key", text)])
+    return key
+
+
 def _reply_unbound(error: BindingUnavailable) -> Reply:
     """Refuse a job whose key could not be looked up.
 
--- a/geraniumspool/cli.py
+++ b/geraniumspool/cli.py
@@ -87,6 +87,7 @@
 FLAG_WITHOUT_VALUE = "True"
 HELP_NOTICE = "INFO: Showing help"
 STANDARD_INPUT = "/dev/stdin"
+DEFAULT_RATE = "10"
 MAX_CELL_CHARS = 60
 
 # Fire keeps what a decorator says in an attribute; a leading underscore hides it in help texts.
@@ -244,25 +245,50 @@
         self._plan.run = partial(operations.run_agent, _file(settings))
 
     @_as_text
-    def demo(self, *, seconds="10"):
+    def demo(self, *, seconds="24", progress="False"):
         """Run the whole system in one process and print a summary."""
-        self._plan.run = partial(operations.run_demo, _number(seconds, "--seconds"))
+        if progress not in ("True", "False"):
+            raise _UsageFault("--progress takes no value")
+        shown = True if progress == "True" else None
+        self._plan.run = partial(operations.run_demo, _number(seconds, "--seconds"), shown)
 
     @_as_text
-    def load(self, entries, *, service, team, seconds="10", rate="10", mix="default", seed="1"):
+    def load(
+        self,
+        entries,
+        *,
+        service,
+        team,
+        seconds="10",
+        rate="",
+        load_share="",
+        slots="88",
+        mix="brief",
+        seed="1",
+        resubmit_share="",
+    ):
         """Put load on a running system and print a report.
 
         :param entries: callers' addresses, host:port, with commas in between
+        :param rate: jobs a second, 10 by default; or give --load-share
+        :param load_share: share of the time of all slots that is offered
+        :param mix: light, brief, narrow or wide
+        :param resubmit_share: share of jobs submitted through two entries at once
         """
+        if rate and load_share:
+            raise _UsageFault("give --rate or --load-share, not both")
         self._plan.run = partial(
             operations.run_load,
             entries.split(","),
             service,
             team,
             _number(seconds, "--seconds"),
-            _number(rate, "--rate"),
+            0.0 if load_share else _number(rate or DEFAULT_RATE, "--rate"),
             mix,
             _whole(seed, "--seed"),
+            _number(load_share, "--load-share") if load_share else 0.0,
+            _whole(slots, "--slots"),
+            _number(resubmit_share, "--resubmit-share") if resubmit_share else 0.0,
         )
 
     @_as_text
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -228,6 +228,7 @@
 
     def _take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
         self.calls.take_rejection(sender, rejection.meant)
+        self.registry.take_rejection(sender, rejection.meant)
 
     def _take_drain(self, _sender: Peer, drain: Drain) -> None:
         self.decisions.record(
--- a/geraniumspool/operations.py
+++ b/geraniumspool/operations.py
@@ -395,11 +395,11 @@
     return run_application(build_agent(settings))
 
 
-def run_demo(seconds: float) -> int:
+def run_demo(seconds: float, progress: bool | None = None) -> int:
     """Run the whole system in this process for a while, and return the exit code."""
     from geraniumspool.demo import run_demo as run
 
-    return run(seconds)
+    return run(seconds, progress)
 
 
 def run_load(
@@ -410,18 +410,27 @@
     rate: float,
     mix: str,
     seed: int,
+    load_share: float = 0.0,
+    slots: int = 0,
+    resubmit_share: float = 0.0,
 ) -> int:
-    """Put load on a running system, and return the exit code.
+    """Put load on a running system, print the report and return the exit code.
 
     :param entries: callers' addresses of the entries
+    :param team: team of the jobs, or several with commas between
     :param seconds: how long
-    :param rate: jobs a second
+    :param rate: jobs a second, or 0 where ``load_share`` says it
     :param mix: name of the mix of jobs
     :param seed: seed of the random numbers
+    :param load_share: share of all slots' time that is offered
+    :param slots: slots of the whole system, 0 for the load tool's default
+    :param resubmit_share: share of jobs that are submitted through two entries at once
+    :returns: ``FAILED`` if a job got no answer or a wrong one
     """
+    from geraniumspool.load import DEFAULT_SLOTS
     from geraniumspool.load import run_load as run
 
-    return run(
+    report = run(
         entries=entries,
         service=service,
         team=team,
@@ -429,7 +438,12 @@
         rate=rate,
         mix=mix,
         seed=seed,
+        load_share=load_share,
+        slots=slots or DEFAULT_SLOTS,
+        resubmit_share=resubmit_share,
     )
+    print(json.dumps(report.as_json()), flush=True)
+    return FAILED if report.unanswered or report.wrong_answers else OK
 
 
 class StandinStoreApplication:
--- a/geraniumspool/quota.py
+++ b/geraniumspool/quota.py
@@ -99,7 +99,7 @@
         usage = self._teams.get(team)
         if usage is None:
             if len(self._teams) >= MAX_TEAMS:
-                self._teams.pop(next(iter(self._teams)))
+                self._teams.pop(self._find_idle())
             usage = self._teams[team] = _Usage(now)
         passed = now - usage.updated_ms
         usage.rate *= math.exp(-passed / DEMAND_WINDOW_MS)
@@ -111,6 +111,11 @@
             usage.tokens = min(full, usage.tokens + allowed * passed / 1000.0)
         return usage
 
+    def _find_idle(self) -> str:
+        """Return the oldest team without running tasks, else the oldest."""
+        idle = (name for name, usage in self._teams.items() if usage.running == 0)
+        return next(idle, next(iter(self._teams)))
+
     def _share(self, team: str, usage: _Usage) -> float:
         others = sum(
             rate
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -66,9 +66,11 @@
 RENEWALS_PER_TTL = 3
 
 Demand = tuple[tuple[str, float, float], ...]
+_Bare = tuple
 
 _LOG = logging.getLogger(__name__)
 _NO_LOAD = Load()
+_LOAD_FIELD = Member._fields.index("load")
 
 
 class PeerDemand(NamedTuple):
@@ -103,14 +105,22 @@
     direct: bool
 
 
+class _View(NamedTuple):
+    """What a digest tells receivers of one kind, made once a round."""
+
+    members: dict[Peer, Member]
+    bare: dict[Peer, _Bare]
+    demand: Demand
+    in_force: tuple[tuple[str, int], ...]
+
+
 class _Link:
     def __init__(self) -> None:
-        self.sent: dict[Peer, Member] | None = None
+        self.sent: dict[Peer, _Bare] | None = None
         self.turn = 0
 
 
 class _Ring(NamedTuple):
-    version: int
     places: list[tuple[bytes, str]]
     entries: int
 
@@ -157,6 +167,7 @@
         self._best: dict[tuple[str, str], tuple[float, list[Member]]] = {}
         self._rounds = 0
         self._push_timer = Timer(lambda: None)
+        roster.subscribe(self._drop_rings)
         roster.observe(me(), revive=True)
 
     @property
@@ -182,7 +193,7 @@
         self._watch_unheard()
         for member in self._roster.expire(self.timeout_ms, self._learnt_timeout_ms()):
             _LOG.info("%s %s is silent", member.role, member.address)
-        self._roster.forget()
+        self._forget()
         self._prune()
         self._send_digests()
         if self._rounds % PROBE_ROUNDS == 0:
@@ -221,7 +232,21 @@
         if digest.documents:
             self._configuration.apply(digest.documents)
         if digest.reply:
-            self._send_digest(digest.sender, answer=True)
+            near = digest.sender.domain == self._roster.domain
+            self._send_digest(digest.sender, self._make_view(near), answer=True)
+
+    def take_rejection(self, sender: Peer, meant: int) -> None:
+        """Learn that another process took over an entry's address, and greet it.
+
+        It may know nobody, where it started while the store was out.
+        """
+        replaced = self._roster.get(Peer(sender.address, meant))
+        if (
+            replaced is not None
+            and replaced.role == ROLE_ENTRY
+            and self._roster.get(sender) is None
+        ):
+            self._greet(sender)
 
     def peers_demand(self) -> list[PeerDemand]:
         """Return the demand that other entries reported lately."""
@@ -350,15 +375,20 @@
 
     def _ring(self, domain: str) -> _Ring:
         ring = self._rings.get(domain)
-        if ring and ring.version == self._roster.version:
+        if ring:
             return ring
         foreign = [m for m in self._roster.members() if m.domain != domain]
         addresses = {member.address for member in foreign if member.role == ROLE_AGENT}
         entries = sum(m.role == ROLE_ENTRY and not is_final(m) for m in foreign)
         places = sorted((_place(address), address) for address in addresses)
-        self._rings[domain] = _Ring(self._roster.version, places, entries)
+        self._rings[domain] = _Ring(places, entries)
         return self._rings[domain]
 
+    def _drop_rings(self, member: Member) -> None:
+        """Drop the rings that a changed member belongs to."""
+        for domain in [domain for domain in self._rings if domain != member.domain]:
+            del self._rings[domain]
+
     def _choose_hints(
         self, agent: Member, window: frozenset[str]
     ) -> tuple[tuple[str, int, Load], ...]:
@@ -406,6 +436,12 @@
         turns = 1 + math.ceil(len(self._roster.members()) / REFRESH_PER_DIGEST)
         return self.timeout_ms + REFRESH_TURNS * turns * self._floor_ms
 
+    def _forget(self) -> None:
+        known = len(self._roster.members())
+        self._roster.forget()
+        if len(self._roster.members()) != known:
+            self._rings.clear()
+
     def _prune(self) -> None:
         for peer in list(self._agents):
             if self._roster.is_gone(peer) or not self._roster.sighting(peer).direct:
@@ -420,13 +456,19 @@
         for member in self._roster.members():
             silent = member.role == ROLE_ENTRY and member.state == MEMBER_DEAD
             if silent and member.domain == self._roster.domain and member.address not in living:
-                revision = self._configuration.revision
-                probe = Digest(self._me(), False, (), (), (), revision, (), reply=True)
-                self._messenger.send(peer_of(member), probe)
+                self._greet(peer_of(member))
+
+    def _greet(self, peer: Peer) -> None:
+        revision = self._configuration.revision
+        self._messenger.send(peer, Digest(self._me(), False, (), (), (), revision, (), reply=True))
 
     def _send_digests(self) -> None:
-        for entry in self._receivers():
-            self._send_digest(entry)
+        views: dict[bool, _View] = {}
+        for entry in list(self._receivers()):
+            near = entry.domain == self._roster.domain
+            if near not in views:
+                views[near] = self._make_view(near)
+            self._send_digest(entry, views[near])
 
     def _receivers(self) -> Iterator[Member]:
         own = self._messenger.me
@@ -450,13 +492,19 @@
         members = map(self._roster.get, self._agents)
         return any(member and member.domain != self._roster.domain for member in members)
 
-    def _send_digest(self, receiver: Member, answer: bool = False) -> None:
+    def _make_view(self, near: bool) -> _View:
+        members = self._near_view() if near else self._far_view()
+        return _View(
+            members,
+            {peer: _without_load(member) for peer, member in members.items()},
+            self._near_demand() if near else self._far_demand(),
+            tuple((self._near_revisions() if near else self._far_revisions()).items()),
+        )
+
+    def _send_digest(self, receiver: Member, view: _View, answer: bool = False) -> None:
         peer = peer_of(receiver)
         link = self._links.setdefault(peer, _Link())
-        near = receiver.domain == self._roster.domain
-        view = self._near_view() if near else self._far_view()
-        bare = {key: member._replace(load=_NO_LOAD) for key, member in view.items()}
-        changed = self._choose_changed(link, view, bare)
+        changed = self._choose_changed(link, view)
         report = self._reports.get(peer)
         told = report.config_revision if report else None
         behind = told is None or told < self._configuration.revision
@@ -464,26 +512,26 @@
             sender=self._me(),
             whole=link.sent is None,
             members=tuple(changed),
-            demand=self._near_demand() if near else self._far_demand(),
-            in_force=tuple((self._near_revisions() if near else self._far_revisions()).items()),
+            demand=view.demand,
+            in_force=view.in_force,
             config_revision=self._configuration.revision,
             documents=() if told is None else self._documents(told),
             reply=behind and not answer,
         )
         if self._messenger.send(peer, digest):
-            link.sent = bare
+            link.sent = view.bare
             link.turn += REFRESH_PER_DIGEST
 
-    def _choose_changed(
-        self, link: _Link, view: dict[Peer, Member], bare: dict[Peer, Member]
-    ) -> list[Member]:
+    def _choose_changed(self, link: _Link, view: _View) -> list[Member]:
+        members = view.members
         if link.sent is None:
-            return list(view.values())
-        chosen = {key: view[key] for key, member in bare.items() if link.sent.get(key) != member}
-        order = list(view)
+            return list(members.values())
+        sent = link.sent
+        chosen = {key: members[key] for key, bare in view.bare.items() if sent.get(key) != bare}
+        order = list(members)
         for step in range(min(REFRESH_PER_DIGEST, len(order))):
             key = order[(link.turn + step) % len(order)]
-            chosen[key] = view[key]
+            chosen[key] = members[key]
         return list(chosen.values())
 
     def _near_view(self) -> dict[Peer, Member]:
@@ -574,6 +622,10 @@
         return served
 
 
+def _without_load(member: Member) -> _Bare:
+    return member[:_LOAD_FIELD] + member[_LOAD_FIELD + 1 :]
+
+
 def _place(address: str) -> bytes:
     return hashlib.blake2b(address.encode(), digest_size=8).digest()
 
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -325,7 +325,8 @@
         if member.role != ROLE_ENTRY:
             claimed = record.sighting._replace(claimant=source, claimed_ms=self._clock.now())
             record.sighting = claimed
-        if _RANKS[member.state] <= _RANKS[record.member.state]:
+        is_newer = member.version > record.member.version
+        if not is_newer and _RANKS[member.state] <= _RANKS[record.member.state]:
             return False
         return self._advance(record, member)
 
--- a/geraniumspool/submission.py
+++ b/geraniumspool/submission.py
@@ -132,6 +132,7 @@
     body: bytes, path: str, findings: Findings, known: frozenset[str]
 ) -> dict[str, msgspec.Raw]:
     try:
+        str(body, "utf-8")
         fields = _OBJECT.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         findings.add(path, f"is not a JSON object: {error}")
--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,798 @@
+"""Proofs that what must always hold does hold under failure.
+
+Every case ends all faults, delivers what is late, waits a minute of clock
+time, and then holds all answers against the starts that the minions counted.
+"""
+
+import json
+import logging
+import random
+import unittest
+
+import eventlet
+
+from geraniumspool import messages as m
+from geraniumspool.errors import ChangeUnknown, StaleRevision
+from tests.world import SERVICE, TEAM, Job, World
+
+WIDE = (300.0,) * 6
+LATE_MS = 20_000.0
+AFTER_MS = 15_000.0
+
+
+def setUpModule():  # noqa: N802
+    logging.disable(logging.CRITICAL)
+
+
+def tearDownModule():  # noqa: N802
+    logging.disable(logging.NOTSET)
+
+
+class ProofTest(unittest.TestCase):
+    """Base of the proofs."""
+
+    def make(self, **settings) -> World:
+        world = World(**settings)
+        self.addCleanup(world.stop)
+        return world
+
+    def hold(self, world: World):
+        """End all faults and hold the answers against the starts."""
+        world.quiet()
+        self.assertEqual(world.find_violations(), [])
+
+
+def resubmit(world: World, job: Job, entries, pauses=(250.0, 1_000.0, 4_000.0)):
+    """Submit a job, and again after each pause through the next entry."""
+    calls = [world.submit(entries[0], job)]
+    for turn, pause in enumerate(pauses, 1):
+        world.run(pause)
+        living = [entry for entry in entries if not entry.clock.dead] or world.entries
+        calls.append(world.submit(living[turn % len(living)], job))
+    return calls
+
+
+def lose(kind, number):
+    return lambda network: network.lose_first.update({kind.__name__: number})
+
+
+def double(kind, late_ms):
+    def switch(network):
+        network.double_delay_ms = late_ms
+        network.double_kinds.add(kind.__name__)
+
+    return switch
+
+
+def delay(kind, late_ms):
+    return lambda network: network.delay_kinds.update({kind.__name__: late_ms})
+
+
+KINDS = (m.Submit, m.Answer, m.Offer, m.Results, m.Revoke, m.Revoked, m.Inquire)
+MESSAGE_FAULTS = [
+    (f"{kind.__name__} {name}", make(kind, amount))
+    for kind in KINDS
+    for name, make, amount in (
+        ("lost once", lose, 1),
+        ("lost three times", lose, 3),
+        ("lost for good", lose, 10_000),
+        ("doubled", double, 40.0),
+        ("doubled much later", double, LATE_MS),
+        ("late", delay, 700.0),
+        ("very late", delay, 6_000.0),
+    )
+]
+
+
+class MessageFaultTest(ProofTest):
+    """Points 1 to 4 while messages are lost, doubled or late."""
+
+    def run_table(self, play):
+        """Play every fault in one world, so that late copies hit later cases too."""
+        world = self.make()
+        entries = list(world.entries)
+        for name, switch in MESSAGE_FAULTS:
+            switch(world.network)
+            job = world.job(world.agents[0], WIDE)._replace(name=name)
+            play(world, job, entries)
+            world.run(AFTER_MS)
+            world.network.clear()
+            world.submit(entries[1], job)
+            world.run(500.0)
+        world.quiet()
+        wrong = world.find_violations()
+        for name, _ in MESSAGE_FAULTS:
+            with self.subTest(fault=name):
+                self.assertEqual([text for text in wrong if text.startswith(name)], [])
+        self.assertEqual(wrong, [])
+        return world
+
+    def test_resubmission(self):
+        """Starts stay at most one; answers are whole, true and in time."""
+        world = self.run_table(resubmit)
+        self.assertGreater(world.network.count(m.Revoke), 0)
+        complete = {call.job.name for call in world.calls if call.outcome == "complete"}
+        mendable = [name for name, _ in MESSAGE_FAULTS if "once" in name or "doubled" in name]
+        self.assertEqual([name for name in mendable if name not in complete], [])
+
+    def test_cancellation(self):
+        """A cancelled job's answer is true whatever is lost on the way."""
+
+        def play(world, job, entries):
+            world.submit(entries[0], job)
+            world.run(1.5)
+            world.cancel(entries[1], job)
+            world.run(100.0)
+            world.submit(entries[1], job)
+
+        self.run_table(play)
+
+    def test_deadline(self):
+        """A job whose deadline passes while tasks wait is answered truly."""
+
+        def play(world, job, entries):
+            blocker = world.job(world.agents[0], (900.0,) * 8)._replace(name=job.name + " blocker")
+            world.submit(entries[0], blocker)
+            resubmit(world, job._replace(deadline_ms=500.0), entries, (50.0, 300.0, 400.0))
+
+        self.run_table(play)
+
+
+def cut(one, other):
+    def strike(world, actors):
+        world.network.part(actors[one].peer.address, actors[other].peer.address)
+
+    return strike
+
+
+def act(name, who):
+    return lambda world, actors: getattr(world, name)(actors[who])
+
+
+PROCESS_FAULTS = [
+    ("entry killed", act("kill", "entry")),
+    ("entry replaced", act("replace", "entry")),
+    ("home killed", act("kill", "home")),
+    ("home replaced", act("replace", "home")),
+    ("home frozen and back", act("freeze", "home")),
+    ("runner killed", act("kill", "runner")),
+    ("runner replaced", act("replace", "runner")),
+    ("runner frozen and back", act("freeze", "runner")),
+    ("home cut off from runner", cut("home", "runner")),
+    ("entry cut off from home", cut("entry", "home")),
+]
+MOMENTS = {"before it arrives": 0.5, "while offered": 2.5, "while running": 150.0}
+
+
+class ProcessFaultTest(ProofTest):
+    """Points 1 to 4 while processes die, are replaced, pause or are cut off."""
+
+    def play(self, strike, moment_ms, second=None):
+        world = self.make()
+        home, runner = world.agents
+        entry, other = world.entries
+        actors = {"entry": entry, "home": home, "runner": runner}
+        job = world.job(home, WIDE)
+        world.submit(entry, job)
+        world.run(moment_ms)
+        strike(world, actors)
+        living = [one for one in (other, entry) if not one.clock.dead]
+        resubmit(world, job, living, (300.0, 1_500.0, 5_000.0))
+        if second is not None:
+            second(world, actors)
+        for process in list(world.processes):
+            world.thaw(process)
+        world.network.heal()
+        world.run(AFTER_MS)
+        fresh = world.job(world.agents[-1], WIDE)
+        world.submit(other, job)
+        world.submit(other, fresh)
+        self.hold(world)
+        return world
+
+    def test_one_fault(self):
+        for name, strike in PROCESS_FAULTS:
+            for moment, moment_ms in MOMENTS.items():
+                with self.subTest(fault=name, moment=moment):
+                    world = self.play(strike, moment_ms)
+                    last = world.calls[-1]
+                    self.assertEqual(last.outcome, "complete", last.document)
+
+    def test_two_faults(self):
+        """A runner pauses or is cut off, and then the home or an entry dies too."""
+        pairs = (
+            ("runner frozen, home killed", act("freeze", "runner"), act("kill", "home")),
+            ("runner cut off, entry killed", cut("home", "runner"), act("kill", "entry")),
+            ("home frozen, runner replaced", act("freeze", "home"), act("replace", "runner")),
+            ("runner frozen, home replaced", act("freeze", "runner"), act("replace", "home")),
+        )
+        for name, first, second in pairs:
+            with self.subTest(fault=name):
+                self.play(first, 2.5, second)
+
+
+class OwnAnswerTest(ProofTest):
+    """Point 3: callers get the whole answer to their own request."""
+
+    def test_crossed_answers(self):
+        cases = (
+            ("answers doubled", double(m.Answer, 35.0), False),
+            ("answers doubled much later", double(m.Answer, 900.0), False),
+            ("answers late", delay(m.Answer, 900.0), False),
+            ("late answers meet an entry replaced", delay(m.Answer, 900.0), True),
+            ("doubled answers meet an entry replaced", double(m.Answer, 900.0), True),
+        )
+        for name, switch, is_replaced in cases:
+            with self.subTest(fault=name):
+                world = self.make()
+                entry = world.entries[0]
+                switch(world.network)
+                homes = [*world.agents, *world.agents]
+                for home in homes:
+                    world.submit(entry, world.job(home, (60.0, 20.0)))
+                    world.run(10.0)
+                world.run(150.0)
+                if is_replaced:
+                    entry = world.replace(entry)
+                again = [world.submit(entry, world.job(home, (400.0, 90.0))) for home in homes]
+                world.run(2_000.0)
+                self.assertEqual({call.outcome for call in again}, {"complete"})
+                self.hold(world)
+
+    def test_other_body_under_one_ticket(self):
+        """The second body is a conflict; the first one's answer is untouched."""
+        world = self.make()
+        job = world.job(world.agents[0])
+        first = world.submit(world.entries[0], job)
+        second = world.submit(world.entries[1], job._replace(name="other"))
+        world.run(1_000.0)
+        late = world.submit(world.entries[1], job._replace(name="other"))
+        world.run(100.0)
+        self.assertEqual((first.status, second.status, late.status), (200, 409, 409))
+        self.assertEqual(world.starts["other.0"], 0)
+        self.hold(world)
+
+
+class NotRunTest(ProofTest):
+    """Point 4: "not run" is true, and stays true."""
+
+    def set_team(self, world, **limits):
+        body = json.dumps(limits).encode()
+        entry = world.entries[0].application
+        entry.desk.propose(f"team/{TEAM}", body, 0, "change-1", "nomin", "limits")
+        world.run(4_000.0)
+
+    def refuse_all(self, world, entry):
+        entry.application.callers._max_running_jobs = 0
+
+    def test_refusal_of_a_resubmission(self):
+        """An entry that refuses says "not run" of no job that runs elsewhere."""
+        for name in ("overload", "quota"):
+            for moment_ms in (0.0, 1.5, 100.0, 2_000.0):
+                with self.subTest(refusal=name, moment_ms=moment_ms):
+                    world = self.make()
+                    first, second = world.entries
+                    job = world.job(world.agents[0], WIDE)
+                    if name == "quota":
+                        self.set_team(world, running_tasks=6)
+                        blocker = world.job(world.agents[1], (3_000.0,))
+                        world.submit(second, blocker)
+                    else:
+                        self.refuse_all(world, second)
+                    world.submit(first, job)
+                    world.run(moment_ms)
+                    world.submit(second, job)
+                    self.hold(world)
+
+    def test_refusal_stays(self):
+        """What was refused never runs, also when its late submission arrives."""
+        world = self.make()
+        first, second = world.entries
+        job = world.job(world.agents[0])
+        world.network.delay_kinds["Submit"] = 3_000.0
+        world.submit(first, job)
+        self.refuse_all(world, second)
+        refused = world.submit(second, job)
+        world.run(100.0)
+        self.assertEqual((refused.outcome, refused.status), ("not_run", 503))
+        self.hold(world)
+        self.assertEqual(world.started(job), 0)
+
+    def test_cancellation(self):
+        """Before submission, while queued, while offered, while running, after."""
+        for moment_ms in (None, 0.0, 1.1, 2.1, 3.1, 50.0, 299.0, 5_000.0):
+            for fault in ("none", "runner cut off", "runner frozen", "revokes lost"):
+                with self.subTest(moment_ms=moment_ms, fault=fault):
+                    world = self.make()
+                    home, runner = world.agents
+                    job = world.job(home, WIDE)
+                    if moment_ms is not None:
+                        world.submit(world.entries[0], job)
+                        world.run(moment_ms)
+                    if fault == "runner cut off":
+                        world.network.part(home.peer.address, runner.peer.address)
+                    elif fault == "runner frozen":
+                        world.freeze(runner)
+                    elif fault == "revokes lost":
+                        world.network.lose_kinds.add("Revoke")
+                    world.cancel(world.entries[1], job)
+                    world.run(3_000.0)
+                    world.submit(world.entries[1], job)
+                    self.hold(world)
+
+    def test_drain_that_gives_up(self):
+        """A home that leaves with jobs unfinished leaves no false archive."""
+        for fault in ("none", "cut off", "revokes lost"):
+            with self.subTest(fault=fault):
+                world = self.make(agents=2, drain_limit_ms=1_000.0)
+                home = world.agents[0]
+                others = world.agents[1:]
+                blocker = world.job(home, (20_000.0,) * 2, 60_000.0)
+                world.submit(world.entries[0], blocker)
+                world.run(50.0)
+                job = world.job(home, (20_000.0,) * 2, 60_000.0)
+                world.submit(world.entries[0], job)
+                world.run(50.0)
+                self.assertEqual(world.started(job), 2)
+                if fault == "cut off":
+                    holders = [one for one in others if one.minion.starts]
+                    for holder in holders:
+                        world.network.part(home.peer.address, holder.peer.address)
+                elif fault == "revokes lost":
+                    world.network.lose_kinds.add("Revoke")
+                leaving = eventlet.spawn(home.application.drain)
+                world.run(6_000.0)
+                self.assertTrue(leaving.dead)
+                world.kill(home)
+                world.run(2_000.0)
+                for entry in world.entries:
+                    world.submit(entry, job)
+                    world.submit(entry, blocker)
+                self.hold(world)
+
+    def test_archive(self):
+        """An archive says "not run" of a ticket never submitted, and runs nothing."""
+        world = self.make()
+        home = world.agents[0]
+        done, unused = world.job(home), world.job(home)
+        world.submit(world.entries[0], done)
+        world.run(1_000.0)
+        self.leave(world, home)
+        calls = [world.submit(world.entries[1], job) for job in (done, unused)]
+        world.run(500.0)
+        self.assertEqual([call.outcome for call in calls], ["complete", "not_run"])
+        self.hold(world)
+        self.assertEqual((world.started(done), world.started(unused)), (3, 0))
+
+    def leave(self, world, home):
+        leaving = eventlet.spawn(home.application.drain)
+        world.run(5_000.0)
+        self.assertTrue(leaving.wait())
+        world.kill(home)
+
+    def test_evicted_record(self):
+        """A ticket whose record may be gone may have run."""
+        world = self.make(max_record_bytes=2_000)
+        jobs = [world.job(world.agents[0]) for _ in range(6)]
+        for job in jobs:
+            world.submit(world.entries[0], job)
+            world.run(1_000.0)
+        again = [world.submit(world.entries[1], job) for job in jobs]
+        world.run(100.0)
+        outcomes = {call.outcome for call in again}
+        self.assertEqual(outcomes, {"complete", "may_have_run"})
+        self.hold(world)
+
+
+class IdempotencyKeyTest(ProofTest):
+    """Point 5: a request under an idempotency key runs at most once."""
+
+    def play(self, world, prepare, between=None):
+        """Post one request through both entries, again and again."""
+        job = world.job(None, (200.0, 200.0))
+        prepare(world)
+        first = world.submit(world.entries[0], job, "order-1")
+        world.submit(world.entries[1], job, "order-1")
+        world.run(150.0)
+        if between is not None:
+            between(world)
+        world.submit(world.entries[1], job, "order-1")
+        world.run(3_000.0)
+        world.store.down = False
+        world.store.slow_ms = 0.0
+        for entry in world.entries:
+            world.submit(entry, job, "order-1")
+            world.run(1_000.0)
+        self.hold(world)
+        self.assertLessEqual(max(world.starts.values(), default=0), 1)
+        return first, world.calls[-1]
+
+    def test_faults(self):
+        def nothing(_world):
+            pass
+
+        def set_store(**values):
+            def switch(world):
+                for name, value in values.items():
+                    setattr(world.store, name, value)
+
+            return switch
+
+        def kill_entry(world):
+            world.replace(world.entries[0])
+
+        cases = (
+            ("two entries race", nothing, nothing),
+            ("first answer lost", set_store(lose_answers=1), nothing),
+            ("all answers lost", set_store(lose_answers=100), nothing),
+            ("store slow", set_store(slow_ms=120.0), nothing),
+            ("store slow, answers lost", set_store(slow_ms=120.0, lose_answers=2), nothing),
+            ("store down", set_store(down=True), nothing),
+            ("store down in between", nothing, set_store(down=True)),
+            ("store down after slow write", set_store(slow_ms=120.0), set_store(down=True)),
+            ("leases refused", set_store(refuse_leases=True), set_store(refuse_leases=False)),
+            ("entry replaced", nothing, kill_entry),
+            ("entry replaced, answer lost", set_store(lose_answers=1), kill_entry),
+        )
+        for name, prepare, between in cases:
+            with self.subTest(fault=name):
+                world = self.make()
+                _, last = self.play(world, prepare, between)
+                self.assertEqual(last.outcome, "complete", last.document)
+
+    def test_refusals_are_not_promises(self):
+        """While the store cannot tell, "not run" is not said of a key."""
+        world = self.make()
+        job = world.job(None, (200.0,))
+        first = world.submit(world.entries[0], job, "order-1")
+        world.run(50.0)
+        world.store.down = True
+        second = world.submit(world.entries[1], job, "order-1")
+        world.run(1_000.0)
+        self.assertEqual((first.outcome, second.outcome), ("complete", "may_have_run"))
+        self.hold(world)
+
+    def test_no_home_left(self):
+        """A key whose job ran is not said to be "not run" when all agents are gone."""
+        world = self.make()
+        job = world.job(None, (200.0,))
+        world.submit(world.entries[0], job, "order-1")
+        world.run(1_000.0)
+        for process in list(world.agents):
+            world.kill(process)
+        world.run(8_000.0)
+        again = world.submit(world.entries[1], job, "order-1")
+        world.run(8_000.0)
+        self.assertEqual(again.outcome, "may_have_run", again.document)
+        self.hold(world)
+
+    def test_lease_lapsed_before_the_write(self):
+        """A binding is never written without its lease; the next try gets a new one."""
+        world = self.make()
+        world.submit(world.entries[0], world.job(None, (50.0,)), "order-1")
+        world.run(500.0)
+        world.store.lapse_leases()
+        job = world.job(None, (50.0,))
+        for _ in range(3):
+            last = world.submit(world.entries[0], job, "order-2")
+            world.run(1_000.0)
+        self.assertEqual(last.outcome, "complete", last.document)
+        self.hold(world)
+
+
+class LeavingTest(ProofTest):
+    """Point 6: what leaves gets no new work after a few seconds."""
+
+    def load(self, world, rounds=6, pause_ms=400.0):
+        for _ in range(rounds):
+            for entry in world.entries:
+                world.submit(entry, world.job(None, (150.0,) * 4))
+            world.run(pause_ms)
+
+    def test_no_new_work(self):
+        for way in ("minion leaves", "agent drains"):
+            for fault in ("none", "heartbeats lost", "heartbeats doubled late"):
+                with self.subTest(way=way, fault=fault):
+                    world = self.make(domains=2, agents=2)
+                    gone = world.agents[0]
+                    self.load(world)
+                    if fault == "heartbeats lost":
+                        world.network.lose_first["Heartbeat"] = 6
+                    elif fault == "heartbeats doubled late":
+                        world.network.double_delay_ms = 900.0
+                        world.network.double_kinds.add("Heartbeat")
+                    self.assertGreater(sum(gone.minion.starts.values()), 0)
+                    if way == "minion leaves":
+                        gone.application.runner.leave()
+                    else:
+                        eventlet.spawn(gone.application.drain)
+                    begun = sum(gone.minion.starts.values())
+                    self.load(world, 10)
+                    world.network.clear()
+                    marks = (world.network.count(m.Offer, gone.peer), len(world.calls))
+                    self.load(world)
+                    self.assertEqual(sum(gone.minion.starts.values()), begun)
+                    self.assertEqual(world.network.count(m.Offer, gone.peer), marks[0])
+                    homes = [row[1] for row in world.network.sent if isinstance(row[2], m.Submit)]
+                    self.assertNotIn(gone.peer, homes[-12:])
+                    self.hold(world)
+                    ended = {call.outcome for call in world.calls[marks[1] :]}
+                    self.assertEqual(ended, {"complete"})
+
+
+class ShutdownTest(ProofTest):
+    """Point 7: a shutdown cuts off nothing that is in flight."""
+
+    FAULTS = (
+        ("none", lambda network: None),
+        ("answers lost", lose(m.Answer, 1)),
+        ("results lost", lose(m.Results, 2)),
+        ("results late", delay(m.Results, 600.0)),
+        ("offers lost", lose(m.Offer, 1)),
+        ("handover lost", lose(m.Handover, 1)),
+        ("receipts lost", lose(m.HandoverReceipt, 1)),
+        ("heartbeats lost", lose(m.Heartbeat, 2)),
+    )
+
+    def test_agent_drains(self):
+        """Jobs of a leaving home, and tasks at a leaving runner, are finished."""
+        for role in ("home", "runner"):
+            for name, switch in self.FAULTS:
+                with self.subTest(role=role, fault=name):
+                    world = self.make(agents=2)
+                    home = world.agents[0]
+                    jobs = [world.job(home, (600.0,) * 4) for _ in range(2)]
+                    calls = [world.submit(world.entries[0], job) for job in jobs]
+                    world.run(100.0)
+                    holders = [one for one in world.agents[1:] if one.minion.starts]
+                    leaver = home if role == "home" else holders[0]
+                    switch(world.network)
+                    leaving = eventlet.spawn(leaver.application.drain)
+                    for _ in range(400):
+                        world.run(20.0)
+                        if leaving.dead:
+                            break
+                    self.assertTrue(leaving.wait())
+                    world.kill(leaver)
+                    world.run(8_000.0)
+                    self.assertEqual([call.outcome for call in calls], ["complete"] * 2)
+                    again = [world.submit(entry, job) for entry in world.entries for job in jobs]
+                    world.run(500.0)
+                    self.assertEqual({call.outcome for call in again}, {"complete"})
+                    self.hold(world)
+
+    def test_all_agents_in_turn(self):
+        """A planned restart of every agent, one after another, fails no job."""
+        world = self.make(agents=2)
+        kept = []
+        for leaver in list(world.agents):
+            for home in world.agents:
+                kept.append(world.job(home, (200.0,) * 3))
+                world.submit(world.entries[0], kept[-1])
+            world.run(60.0)
+            leaving = eventlet.spawn(leaver.application.drain)
+            world.run(3_000.0)
+            self.assertTrue(leaving.wait())
+            world.replace(leaver)
+            world.run(3_000.0)
+        again = [world.submit(world.entries[1], job) for job in kept]
+        world.run(1_000.0)
+        self.assertEqual([call.outcome for call in again], ["complete"] * len(kept))
+        self.hold(world)
+
+    def test_entry_drains(self):
+        """A request over a real connection is answered while its entry leaves."""
+        world = self.make()
+        entry = world.entries[0].application
+        job = world.job(world.agents[0], (500.0,) * 3)
+        request = self.wire(job)
+        host, port = entry.ready_line()["callers"].rsplit(":", 1)
+        connection = eventlet.connect((host, int(port)))
+        self.addCleanup(connection.close)
+        connection.sendall(request)
+        self.assertTrue(self.turn(world, lambda: world.started(job) > 0))
+        leaving = eventlet.spawn(entry.drain)
+        self.turn(world, lambda: not entry.callers.ready)
+        world.run(1_000.0)
+        self.assertTrue(self.turn(world, lambda: leaving.dead, 300.0))
+        self.assertTrue(leaving.wait())
+        reply = self.read(connection)
+        self.assertIn(b"200 OK", reply.split(b"\r\n", 1)[0])
+        results = json.loads(reply.split(b"\r\n\r\n", 1)[1])["results"]
+        self.assertEqual([row["value"] for row in results], job.values)
+        self.hold(world)
+
+    @staticmethod
+    def wire(job: Job) -> bytes:
+        tasks = [
+            {"payload": {"run_ms": run, "value": value}}
+            for run, value in zip(job.runs, job.values, strict=True)
+        ]
+        body = json.dumps({"service": SERVICE, "team": TEAM, "deadline_ms": 9e3, "tasks": tasks})
+        head = f"PUT /v1/jobs/{job.ticket} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+        return (head + "Connection: close\r\n\r\n" + body).encode()
+
+    @staticmethod
+    def turn(world: World, condition, step_ms=5.0) -> bool:
+        for _ in range(200):
+            if condition():
+                return True
+            eventlet.sleep(0.001)
+            world.run(step_ms)
+        return condition()
+
+    @staticmethod
+    def read(connection) -> bytes:
+        chunks = []
+        with eventlet.Timeout(5):
+            while chunk := connection.recv(65536):
+                chunks.append(chunk)
+        return b"".join(chunks)
+
+
+class ConfigurationTest(ProofTest):
+    """Point 8: accepted configuration is in force within seconds, for good."""
+
+    WITHIN_MS = 4_000.0
+
+    def change(self, world, entry, weight, expected, name):
+        body = json.dumps({"weight": weight}).encode()
+        desk = entry.application.desk
+        return desk.propose(f"team/{TEAM}", body, expected, name, "nomin", "weights").revision
+
+    def weights(self, world):
+        return {process.application.configuration.team(TEAM).weight for process in world.processes}
+
+    def settled(self, world, weight):
+        """Check that a weight is in force everywhere, and stays so."""
+        world.run(self.WITHIN_MS)
+        self.assertEqual(self.weights(world), {weight})
+        for _ in range(10):
+            world.run(1_000.0)
+            self.assertEqual(self.weights(world), {weight})
+
+    def accept_two(self, world):
+        first = self.change(world, world.entries[0], 2.0, 0, "change-1")
+        world.run(self.WITHIN_MS)
+        return self.change(world, world.entries[1], 3.0, first, "change-2")
+
+    def test_message_faults(self):
+        faults = (
+            ("none", lambda network: None),
+            ("replies lost", lose(m.HeartbeatReply, 6)),
+            ("replies doubled late", double(m.HeartbeatReply, 6_000.0)),
+            ("digests lost", lose(m.Digest, 6)),
+            ("digests doubled late", double(m.Digest, 6_000.0)),
+            ("replies late", delay(m.HeartbeatReply, 900.0)),
+            ("digests late", delay(m.Digest, 900.0)),
+        )
+        for name, switch in faults:
+            with self.subTest(fault=name):
+                world = self.make()
+                switch(world.network)
+                self.accept_two(world)
+                self.settled(world, 3.0)
+
+    def test_store_outage(self):
+        """In an outage all keep what was accepted, also processes that join."""
+        cases = (
+            ("nobody joins", lambda world: None),
+            ("an agent joins", lambda world: world.replace(world.agents[0])),
+            ("an entry is replaced", lambda world: world.replace(world.entries[0])),
+            ("a domain's entry and agent are replaced", self.replace_domain),
+        )
+        for name, strike in cases:
+            with self.subTest(case=name):
+                world = self.make()
+                self.accept_two(world)
+                world.run(self.WITHIN_MS)
+                world.store.down = True
+                world.run(3_000.0)
+                strike(world)
+                world.run(6_000.0)
+                self.settled(world, 3.0)
+
+    @staticmethod
+    def replace_domain(world):
+        world.replace(world.entries[0])
+        world.replace(world.agents[0])
+
+    def test_store_falls_silent_after_the_write(self):
+        """An accepted change reaches every domain though the store goes down at once."""
+        world = self.make()
+        self.accept_two(world)
+        world.store.down = True
+        self.settled(world, 3.0)
+
+    def test_stale_store(self):
+        """A store set back to an older state takes nothing out of force."""
+        world = self.make()
+        first = self.change(world, world.entries[0], 2.0, 0, "change-1")
+        world.run(self.WITHIN_MS)
+        saved = (dict(world.store._pairs), world.store._revision)
+        self.change(world, world.entries[1], 3.0, first, "change-2")
+        world.run(self.WITHIN_MS)
+        world.store.down = True
+        world.store._pairs, world.store._revision = saved
+        world.run(1_000.0)
+        world.store.down = False
+        world.replace(world.entries[0])
+        self.settled(world, 3.0)
+
+    def test_operators_race(self):
+        """Of two changes on one revision one is accepted, also with answers lost."""
+        for lost in (0, 1, 2):
+            with self.subTest(answers_lost=lost):
+                world = self.make()
+                world.store.slow_ms = 30.0
+                world.store.lose_answers = lost
+                outcomes = {}
+
+                def propose(number, world=world, outcomes=outcomes):
+                    entry, weight = world.entries[number], 5.0 + number
+                    try:
+                        self.change(world, entry, weight, 0, f"change-{number}")
+                    except (StaleRevision, ChangeUnknown) as error:
+                        outcomes[weight] = error.code
+                    else:
+                        outcomes[weight] = "accepted"
+
+                for number in range(2):
+                    eventlet.spawn(propose, number)
+                world.run(3_000.0)
+                accepted = [weight for weight, code in outcomes.items() if code == "accepted"]
+                self.assertEqual(len(outcomes), 2)
+                self.assertEqual(len(accepted), 1, outcomes)
+                self.settled(world, accepted[0])
+
+
+class StormTest(ProofTest):
+    """Points 1 to 5 while any message may be lost, doubled or late, and processes fail."""
+
+    STEPS = 60
+    SEEDS = range(6)
+
+    def strike(self, world, draw):
+        process = draw.choice(world.processes)
+        if process.clock.frozen:
+            world.thaw(process)
+            return
+        group = world.agents if process.minion else world.entries
+        awake = sum(not one.clock.frozen for one in group)
+        act = draw.choice([world.freeze, world.freeze, world.replace])
+        if awake > 1:
+            act(process)
+
+    def step(self, world, draw, jobs):
+        awake = [entry for entry in world.entries if not entry.clock.frozen]
+        entry = draw.choice(awake)
+        chance = draw.random()
+        if chance < 0.45 or not jobs:
+            runs = [draw.choice((20.0, 150.0, 700.0)) for _ in range(draw.randint(1, 8))]
+            home = draw.choice([*world.agents, None])
+            deadline_ms = draw.choice((400.0, 2_000.0, 8_000.0))
+            jobs.append(world.job(home, runs, deadline_ms))
+            world.submit(entry, jobs[-1], f"order-{len(jobs)}")
+        elif chance < 0.85:
+            number = draw.randint(max(0, len(jobs) - 10), len(jobs) - 1)
+            world.submit(entry, jobs[number], f"order-{number + 1}")
+        elif jobs[-1].ticket:
+            world.cancel(entry, jobs[-1])
+        world.store.lose_answers = draw.choice((0, 0, 0, 1))
+        if draw.random() < 0.12:
+            self.strike(world, draw)
+        world.run(draw.choice((1.0, 40.0, 300.0, 900.0)))
+
+    def test_storm(self):
+        outcomes = set()
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                draw = random.Random(seed)
+                world = self.make(agents=2, entries=2, seed=seed)
+                world.network.storm = random.Random(seed + 1_000)
+                jobs = []
+                for _ in range(self.STEPS):
+                    self.step(world, draw, jobs)
+                self.hold(world)
+                outcomes.update(call.outcome for call in world.calls)
+        self.assertGreaterEqual(outcomes, {"complete", "not_run", "may_have_run"})
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,438 @@
+"""A whole system in memory, on one clock, whose faults a test switches."""
+
+import io
+import itertools
+import json
+import logging
+import random
+from collections import Counter
+from typing import NamedTuple
+
+import eventlet
+from eventlet import hubs
+from eventlet.event import Event
+from greenlet import GreenletExit
+
+from geraniumspool.agent import Agent
+from geraniumspool.clock import BaseClock, ManualClock, Timer
+from geraniumspool.contracts import Announcement
+from geraniumspool.entry import Entry
+from geraniumspool.errors import NotStarted
+from geraniumspool.link import MemoryMessenger, MemoryNetwork
+from geraniumspool.messages import Peer, encode
+from geraniumspool.metrics import Metrics
+from geraniumspool.minion import MemoryMinionClient
+from geraniumspool.settings import AgentSettings, EntrySettings
+from geraniumspool.store import MemoryStore
+from geraniumspool.ticket import Keyring
+from geraniumspool.web import Application as WebApplication
+
+SERVICE = "fitting"
+TEAM = "opticians"
+TOKEN = "operators-token-for-tests"
+TICKET_KEY = "ticket-key-for-tests-0001"
+JOIN_MS = 3_500.0
+QUIET_MS = 60_000.0
+END_MS = 5_000.0
+
+
+class WorldClock(ManualClock):
+    """A clock that settles for as long as a green task is ready, and no longer."""
+
+    MAX_TURNS = 2_000
+
+    def settle(self) -> None:
+        hub = hubs.get_hub()
+        for _ in range(self.MAX_TURNS):
+            eventlet.sleep(0)
+            is_due = hub.timers and hub.timers[0][0] <= hub.clock()
+            if not hub.next_timers and not is_due:
+                return
+
+
+class ProcessClock(BaseClock):
+    """The world's clock as one process sees it; frozen or dead, nothing fires."""
+
+    def __init__(self, world: ManualClock):
+        self._world = world
+        self._held: list[Timer] = []
+        self._thawed = Event()
+        self._thawed.send()
+        self.frozen = False
+        self.dead = False
+        self.paused_ms = 0.0
+        self._frozen_ms = 0.0
+
+    def now(self) -> float:
+        return self._world.now()
+
+    def wall(self) -> int:
+        return self._world.wall()
+
+    def after(self, delay_ms, callback) -> Timer:
+        timer = Timer(callback)
+        self._world.after(delay_ms, lambda: self._fire(timer))
+        return timer
+
+    def freeze(self) -> None:
+        self.frozen = True
+        self._frozen_ms = self.now()
+        self._thawed = Event()
+
+    def thaw(self) -> None:
+        self.frozen = False
+        self.paused_ms += self.now() - self._frozen_ms
+        held, self._held = self._held, []
+        for timer in held:
+            timer.fire()
+        self._thawed.send()
+
+    def pass_gate(self) -> None:
+        """Hold the calling green task while the process is frozen; end it when dead."""
+        self._thawed.wait()
+        if self.dead:
+            raise GreenletExit
+
+    def _fire(self, timer: Timer) -> None:
+        if self.frozen:
+            self._held.append(timer)
+        elif not self.dead:
+            timer.fire()
+
+
+class ProcessMessenger(MemoryMessenger):
+    """A messenger that falls silent with its process."""
+
+    def __init__(self, network, me, counters, clock: ProcessClock):
+        super().__init__(network, me, counters)
+        self._clock = clock
+
+    def send(self, peer, message) -> bool:
+        return not self._clock.dead and super().send(peer, message)
+
+
+class ProcessMinion:
+    """The minion beside one agent, which outlives it; counts starts by value."""
+
+    def __init__(self, clock: ProcessClock, world: "World"):
+        self.inner = MemoryMinionClient(world.clock)
+        self.starts: Counter = Counter()
+        self._clock = clock
+        self._world = world
+
+    def run(self, minion, task_id, payload, limit_ms) -> bytes:
+        self._clock.pass_gate()
+        value = json.loads(payload)["value"]
+        self._count(value, 1)
+        try:
+            return self.inner.run(minion, task_id, payload, limit_ms)
+        except NotStarted:
+            self._count(value, -1)
+            raise
+        finally:
+            self._clock.pass_gate()
+
+    def stop(self, minion, task_id) -> bool:
+        return self.inner.stop(minion, task_id)
+
+    def _count(self, value: str, amount: int) -> None:
+        self.starts[value] += amount
+        self._world.starts[value] += amount
+
+
+class FaultyNetwork(MemoryNetwork):
+    """A network that also loses the first messages of a type, delays a type, or storms.
+
+    :ivar lose_first: how many of the next messages to lose, by type name
+    :ivar delay_kinds: extra delay in milliseconds, by type name
+    :ivar storm: source of draws by which any message is lost, doubled or late, or None
+    """
+
+    STORM_LOSS = 0.15
+    STORM_DOUBLE = 0.15
+    STORM_LATE = 0.15
+
+    def __init__(self, clock):
+        super().__init__(clock, delay_ms=1.0)
+        self.lose_first: Counter = Counter()
+        self.delay_kinds: dict[str, float] = {}
+        self.storm: random.Random | None = None
+
+    def carry(self, sender, receiver, message) -> None:
+        kind = type(message).__name__
+        if self.storm is not None:
+            self._carry_in_storm(sender, receiver, message)
+            return
+        if self.lose_first[kind] > 0:
+            self.lose_first[kind] -= 1
+            self.sent.append((sender, receiver, message))
+            return
+        if kind in self.delay_kinds and (sender.address, receiver.address) not in self.cut:
+            self.sent.append((sender, receiver, message))
+            data = encode(sender, receiver.incarnation, message)
+            late = self.delay_ms + self.delay_kinds[kind]
+            self._clock.after(late, lambda: self._deliver(receiver.address, data))
+            return
+        super().carry(sender, receiver, message)
+
+    def _carry_in_storm(self, sender, receiver, message) -> None:
+        self.sent.append((sender, receiver, message))
+        draw = self.storm.random()
+        if draw < self.STORM_LOSS or (sender.address, receiver.address) in self.cut:
+            return
+        data = encode(sender, receiver.incarnation, message)
+        copies = 2 if draw < self.STORM_LOSS + self.STORM_DOUBLE else 1
+        for _ in range(copies):
+            is_late = self.storm.random() < self.STORM_LATE
+            late = self.storm.expovariate(1 / 1_500.0) if is_late else self.storm.random()
+            self._clock.after(self.delay_ms + late, lambda: self._deliver(receiver.address, data))
+
+    def clear(self) -> None:
+        """Switch every fault off."""
+        self.storm = None
+        self.heal()
+        self.lose_kinds.clear()
+        self.double_kinds.clear()
+        self.lose_first.clear()
+        self.delay_kinds.clear()
+        for address in list(self.frozen):
+            self.thaw(address)
+
+    def count(self, kind: type, receiver: Peer | None = None) -> int:
+        """Return how many messages of a type were sent, also lost ones."""
+        rows = (row for row in self.sent if isinstance(row[2], kind))
+        return sum(receiver is None or row[1] == receiver for row in rows)
+
+
+class Process(NamedTuple):
+    """One process of the system."""
+
+    application: Agent | Entry
+    clock: ProcessClock
+    peer: Peer
+    domain: str
+    minion: ProcessMinion | None
+
+
+class Job(NamedTuple):
+    """What a caller wants run; its name makes its tasks' values."""
+
+    name: str
+    ticket: str
+    runs: tuple[float, ...]
+    deadline_ms: float
+
+    @property
+    def values(self) -> list[str]:
+        return [f"{self.name}.{index}" for index in range(len(self.runs))]
+
+
+class Call:
+    """One HTTP request in flight; without a status its connection broke."""
+
+    def __init__(self, job: Job, entry: Process, began_ms: float):
+        self.job = job
+        self.entry = entry
+        self.began_ms = began_ms
+        self.paused_ms = entry.clock.paused_ms
+        self.ended_ms: float | None = None
+        self.status = 0
+        self.document: dict = {}
+        self.task = None
+
+    @property
+    def outcome(self) -> str:
+        return self.document.get("outcome", self.document.get("state", ""))
+
+
+class World:
+    """Entries, agents, minions, store and network in one process.
+
+    :ivar starts: starts of tasks at all minions, by the value in the payload
+    """
+
+    def __init__(self, domains=2, agents=1, entries=1, slots=2, seed=1, **agent_settings):
+        self.clock = WorldClock()
+        self.network = FaultyNetwork(self.clock)
+        self.store = MemoryStore(self.clock)
+        self.keyring = Keyring([TICKET_KEY])
+        self.starts: Counter = Counter()
+        self.calls: list[Call] = []
+        self.processes: list[Process] = []
+        self.entries: list[Process] = []
+        self.agents: list[Process] = []
+        self._slots = slots
+        self._settings = agent_settings
+        self._random = random.Random(seed)
+        self._ports = itertools.count(7001)
+        self._names = itertools.count(1)
+        for number in range(domains):
+            for _ in range(entries):
+                self.add_entry(f"d{number}")
+        self.run(200.0)
+        for number in range(domains):
+            for _ in range(agents):
+                self.add_agent(f"d{number}")
+        self.run(JOIN_MS)
+
+    def add_entry(self, domain: str, address: str = "") -> Process:
+        clock, messenger, metrics = self._make_parts("entry", domain, address)
+        settings = EntrySettings(domain, TOKEN, (TICKET_KEY,), ("http://127.0.0.1:1",))
+        entry = Entry(settings, messenger, self.store, clock, metrics)
+        entry.callers._homes._random = random.Random(self._random.randrange(1 << 30))
+        process = Process(entry, clock, messenger.me, domain, None)
+        self.entries.append(process)
+        return self._start(process)
+
+    def add_agent(self, domain: str, address: str = "") -> Process:
+        clock, messenger, metrics = self._make_parts("agent", domain, address)
+        minion = ProcessMinion(clock, self)
+        announced = Announcement(SERVICE, "http://127.0.0.1:1", self._slots, 64)
+        settings = AgentSettings(
+            domain,
+            ("http://127.0.0.1:1",),
+            minion=announced,
+            entries=tuple(entry.peer.address for entry in self.entries),
+            **self._settings,
+        )
+        agent = Agent(settings, messenger, self.store, minion, clock, metrics)
+        agent.home._placement._random = random.Random(self._random.randrange(1 << 30))
+        process = Process(agent, clock, messenger.me, domain, minion)
+        self.agents.append(process)
+        return self._start(process)
+
+    def _make_parts(self, role: str, domain: str, address: str):
+        clock = ProcessClock(self.clock)
+        metrics = Metrics(role, domain)
+        peer = Peer(address or f"tcp://127.0.0.1:{next(self._ports)}", self._random.getrandbits(62))
+        return clock, ProcessMessenger(self.network, peer, metrics, clock), metrics
+
+    def _start(self, process: Process) -> Process:
+        self.processes.append(process)
+        process.application.start()
+        self.clock.settle()
+        return process
+
+    def run(self, delay_ms: float) -> None:
+        self.clock.advance(delay_ms)
+
+    def kill(self, process: Process) -> None:
+        """End a process at once; its connections break."""
+        process.clock.dead = True
+        for call in self.calls:
+            if call.entry is process and call.ended_ms is None:
+                call.task.kill()
+        process.application.stop()
+        for group in (self.entries, self.agents, self.processes):
+            if process in group:
+                group.remove(process)
+        self.clock.settle()
+
+    def replace(self, process: Process) -> Process:
+        """Kill a process and start another at its address."""
+        self.kill(process)
+        add = self.add_agent if process.minion else self.add_entry
+        return add(process.domain, process.peer.address)
+
+    def freeze(self, process: Process) -> None:
+        """Stop a process as SIGSTOP does."""
+        process.clock.freeze()
+        self.network.freeze(process.peer.address)
+
+    def thaw(self, process: Process) -> None:
+        """Let a frozen process go on: overdue timers first, then its messages."""
+        if process.clock.frozen:
+            process.clock.thaw()
+            self.network.thaw(process.peer.address)
+            self.clock.settle()
+
+    def job(self, home: Process | None, runs=(100.0, 100.0, 100.0), deadline_ms=8_000.0) -> Job:
+        """Return a job of one task per run time, with a ticket of that home."""
+        ticket = ""
+        if home is not None:
+            ticket = self.keyring.issue(home.peer, SERVICE, self.clock.wall())
+        return Job(f"job{next(self._names)}", ticket, tuple(runs), deadline_ms)
+
+    def submit(self, entry: Process, job: Job, key: str = "") -> Call:
+        """Submit a job: PUT under its ticket, or POST where it has none."""
+        tasks = [
+            {"payload": {"run_ms": run, "value": value}, "run_ms": run}
+            for run, value in zip(job.runs, job.values, strict=True)
+        ]
+        body = {"service": SERVICE, "team": TEAM, "deadline_ms": job.deadline_ms, "tasks": tasks}
+        method, path = ("PUT", f"/v1/jobs/{job.ticket}") if job.ticket else ("POST", "/v1/jobs")
+        return self.request(entry, job, method, path, json.dumps(body).encode(), key)
+
+    def cancel(self, entry: Process, job: Job) -> Call:
+        return self.request(entry, job, "DELETE", f"/v1/jobs/{job.ticket}")
+
+    def request(self, entry, job, method, path, body=b"", key="") -> Call:
+        call = Call(job, entry, self.clock.now())
+        self.calls.append(call)
+        call.task = eventlet.spawn(self._exchange, call, method, path, body, key)
+        self.clock.settle()
+        return call
+
+    def _exchange(self, call: Call, method: str, path: str, body: bytes, key: str) -> None:
+        application = call.entry.application
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "CONTENT_LENGTH": str(len(body)) if body else "",
+            "headers_raw": (),
+            "wsgi.input": io.BytesIO(body),
+        }
+        if key:
+            environ["HTTP_IDEMPOTENCY_KEY"] = key
+        statuses = []
+        routes = application.callers.routes()
+        web = WebApplication(routes, 1 << 22, application.metrics, logging.getLogger(__name__))
+        try:
+            chunks = web(environ, lambda status, _headers: statuses.append(int(status[:3])))
+            call.document = json.loads(b"".join(chunks))
+            call.status = statuses[0]
+        finally:
+            call.ended_ms = self.clock.now()
+
+    def quiet(self) -> None:
+        """End every fault, deliver what is late, and wait until nothing can follow."""
+        self.store.down = False
+        self.network.clear()
+        for process in list(self.processes):
+            self.thaw(process)
+        self.run(QUIET_MS)
+
+    def started(self, job: Job) -> int:
+        """Return how many starts the job's tasks had in all."""
+        return sum(self.starts[value] for value in job.values)
+
+    def find_violations(self) -> list[str]:
+        """Return what is wrong with the answers, after :meth:`quiet`."""
+        wrong = [f"{value} started {n} times" for value, n in self.starts.items() if n > 1]
+        for call in self.calls:
+            wrong += self._judge(call)
+        return wrong
+
+    def _judge(self, call: Call) -> list[str]:
+        job = call.job
+        if call.ended_ms is None:
+            return [f"{job.name} never ended"]
+        wrong = []
+        paused_ms = call.entry.clock.paused_ms - call.paused_ms
+        took_ms = call.ended_ms - call.began_ms - paused_ms
+        if took_ms > job.deadline_ms + END_MS:
+            wrong.append(f"{job.name} ended after {took_ms:.0f} ms")
+        if call.outcome == "not_run" and self.started(job):
+            wrong.append(f"{job.name} is said not to have run, with {self.started(job)} starts")
+        if call.outcome == "complete":
+            values = [row["value"] for row in call.document["results"]]
+            if values != job.values:
+                wrong.append(f"{job.name} got {values}")
+        if call.status == 500 or (call.status == 0 and not call.entry.clock.dead):
+            wrong.append(f"{job.name} got status {call.status}: {call.document}")
+        return wrong
+
+    def stop(self) -> None:
+        for process in list(self.processes):
+            self.kill(process)
+            process.application.metrics.close()
