--- a/geraniumspool/admission.py
+++ b/geraniumspool/admission.py
@@ -7,7 +7,7 @@
     JOB_REFUSED_NO_CAPACITY,
     JOB_REFUSED_OVERLOAD,
 )
-from geraniumspool.job import Job
+from geraniumspool.job import Job, Width
 from geraniumspool.worker import Worker
 
 MAX_PENDING_TASKS = 20_000
@@ -35,39 +35,52 @@
     """What waits at the home ahead of a new job.
 
     :param tasks: tasks without a slot
-    :param work_ms: estimated run time of those due before the new job
+    :param narrow_ms: estimated run time of those of narrow jobs
     :param size_bytes: payload bytes held
     """
 
     tasks: int
-    work_ms: float
+    narrow_ms: float
     size_bytes: int
 
 
-def judge(
-    job: Job, size_bytes: int, workers: list[Worker], own_slots: int, ahead: Ahead
-) -> Verdict:
+def judge(job: Job, workers: list[Worker], ahead: Ahead) -> Verdict:
     """Decide whether a home takes a job.
 
-    The wait is the work ahead divided by the slots this home can count on:
-    its own, and those of others that seem free.
+    A narrow job waits for those of its kind only. Another one waits for all
+    work that waits at any known home or worker, over all their slots.
 
-    :param size_bytes: payload bytes of the job
-    :param workers: workers that take offers
-    :param own_slots: slots of the home's own minion
+    :param workers: workers that take offers, the own one among them
     """
     if not workers or not _fits_all(job, workers):
         retry = 0.0 if workers else NO_CAPACITY_RETRY_MS
         return Verdict(JOB_REFUSED_NO_CAPACITY, "no known minion fits every task", retry, 0.0)
-    slots = max(1, own_slots + sum(worker.free for worker in workers))
-    wait_ms = ahead.work_ms / slots
+    slots = max(1, sum(worker.load.slots for worker in workers))
+    if job.width == Width.NARROW:
+        wait_ms = ahead.narrow_ms / slots + _next_slot_ms(workers)
+    else:
+        wait_ms = _measure_queues(workers) / slots
     tasks = ahead.tasks + len(job.tasks)
-    if tasks > MAX_PENDING_TASKS or ahead.size_bytes + size_bytes > MAX_PENDING_BYTES:
+    size_bytes = ahead.size_bytes + job.size_bytes
+    if tasks > MAX_PENDING_TASKS or size_bytes > MAX_PENDING_BYTES:
         retry = max(MIN_RETRY_MS, wait_ms)
         return Verdict(JOB_REFUSED_OVERLOAD, "too many tasks wait here", retry, wait_ms)
     return _judge_deadline(job, slots, wait_ms)
 
 
+def _next_slot_ms(workers: list[Worker]) -> float:
+    if any(worker.free for worker in workers):
+        return 0.0
+    known = [worker.load.next_ms for worker in workers if not worker.load.free]
+    return max(MIN_RETRY_MS, min(known, default=0.0))
+
+
+def _measure_queues(workers: list[Worker]) -> float:
+    return sum(
+        worker.load.backlog_ms + worker.load.wait_ms * worker.load.slots for worker in workers
+    )
+
+
 def _judge_deadline(job: Job, slots: int, wait_ms: float) -> Verdict:
     finish_ms = wait_ms + max(job.longest_ms, job.work_ms / slots)
     allowed_ms = job.deadline_ms * DEADLINE_SHARE
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -228,7 +228,7 @@
             Decline: self.home.take_decline,
             Inquire: self.home.take_inquire,
             Cancel: self.home.take_cancel,
-            Offer: self.runner.take_offer,
+            Offer: self._take_offer,
             Results: self.home.take_results,
             Revoke: self.runner.take_revoke,
             Revoked: self.home.take_revoked,
@@ -246,6 +246,10 @@
             return
         handler(delivery.sender, delivery.message)
 
+    def _take_offer(self, sender: Peer, offer: Offer) -> None:
+        self.home.hint(sender, offer.load)
+        self.runner.take_offer(sender, offer)
+
     def _take_reply(self, sender: Peer, reply: HeartbeatReply) -> None:
         self.heartbeater.take_reply(sender, reply)
         for address, incarnation, load in reply.loads:
--- a/geraniumspool/backlog.py
+++ b/geraniumspool/backlog.py
@@ -4,7 +4,7 @@
 import itertools
 from typing import NamedTuple
 
-from geraniumspool.job import Job
+from geraniumspool.job import Job, Width
 
 
 class Waiting(NamedTuple):
@@ -20,46 +20,52 @@
 
 
 class Backlog:
-    """Waiting tasks, those of narrow jobs apart from the others.
+    """Waiting tasks, in one queue for each width of job.
 
     :ivar count: number of waiting tasks
-    :ivar work_ms: their estimated run times, added up
     """
 
     def __init__(self):
         """Start empty."""
-        self._queues: dict[bool, list[Waiting]] = {True: [], False: []}
+        self._queues: dict[Width, list[Waiting]] = {width: [] for width in Width}
         self._order = itertools.count()
         self.count = 0
-        self.work_ms = 0.0
+        self._work_ms = dict.fromkeys(Width, 0.0)
+
+    @property
+    def work_ms(self) -> float:
+        """Return the estimated run times of all waiting tasks, added up."""
+        return sum(self._work_ms.values())
 
     def push(self, job: Job, index: int) -> None:
         """Add a task."""
         estimate = job.estimates[index]
         self.count += 1
-        self.work_ms += estimate
+        self._work_ms[job.width] += estimate
         waiting = Waiting(job.due - estimate, next(self._order), job, index)
-        heapq.heappush(self._queues[job.is_narrow], waiting)
-
-    def pop(self, narrow: bool) -> Waiting | None:
-        """Remove and return the task that is due first, or None.
+        heapq.heappush(self._queues[job.width], waiting)
 
-        :param narrow: whether to look among narrow jobs or the others
-        """
-        queue = self._queues[narrow]
+    def pop(self, width: Width) -> Waiting | None:
+        """Remove and return the task of jobs of a width that is due first, or None."""
+        queue = self._queues[width]
         if not queue:
             return None
         waiting = heapq.heappop(queue)
         self._uncount(waiting)
         return waiting
 
-    def size(self, narrow: bool) -> int:
-        """Return how many tasks wait among narrow jobs or the others."""
-        return len(self._queues[narrow])
+    def size(self, width: Width) -> int:
+        """Return how many tasks of jobs of a width wait."""
+        return len(self._queues[width])
+
+    @property
+    def narrow_work_ms(self) -> float:
+        """Return the estimated run times of narrow jobs' waiting tasks, added up."""
+        return self._work_ms[Width.NARROW]
 
     def drop(self, job: Job) -> None:
         """Remove all tasks of a job."""
-        queue = self._queues[job.is_narrow]
+        queue = self._queues[job.width]
         dropped = [waiting for waiting in queue if waiting.job is job]
         if not dropped:
             return
@@ -67,8 +73,10 @@
             self._uncount(waiting)
         kept = [waiting for waiting in queue if waiting.job is not job]
         heapq.heapify(kept)
-        self._queues[job.is_narrow] = kept
+        self._queues[job.width] = kept
 
     def _uncount(self, waiting: Waiting) -> None:
         self.count -= 1
-        self.work_ms = max(0.0, self.work_ms - waiting.job.estimates[waiting.index])
+        job = waiting.job
+        left = self._work_ms[job.width] - job.estimates[waiting.index]
+        self._work_ms[job.width] = max(0.0, left)
--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -13,6 +13,8 @@
     JOB_REFUSED_NO_CAPACITY,
     JOB_REFUSED_OVERLOAD,
     JOB_REFUSED_QUOTA,
+    KEY_UNBOUND,
+    SERVICE_UNSERVED,
     TICKET_HOME_GONE,
     DecisionLog,
     describe,
@@ -147,23 +149,40 @@
         try:
             text = self._homes.issue(submission.service)
         except NoHome as error:
-            return self._reply_no_home(request, error)
+            return self._reply_no_home(request, submission.service, error)
         if key:
             try:
                 text = self._bindings.bind(submission.team, key, text)
             except BindingUnavailable as error:
-                return _reply_unbound(error)
+                return self._reply_unbound(submission, error)
             return self._submit(text, self._keyring.verify(text), submission)
         return self._submit_unknown(text, submission)
 
-    def _reply_no_home(self, request: Request, error: NoHome) -> Reply:
+    def _reply_no_home(self, request: Request, service: str, error: NoHome) -> Reply:
         """Refuse: not run, unless an idempotency key may have run before."""
         outcome = STATE_MAY_HAVE_RUN if _read_key(request) else STATE_NOT_RUN
+        decision = self._decisions.record(SERVICE_UNSERVED, service, reason=error.code)
         return reply_problem(
             error.status,
             error.code,
             error.detail,
             outcome=outcome,
+            decision=decision,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    def _reply_unbound(self, submission: Submission, error: BindingUnavailable) -> Reply:
+        """Refuse a job whose key could not be looked up.
+
+        An earlier request under this key may have run, so "not run" is not said.
+        """
+        decision = self._decisions.record(KEY_UNBOUND, submission.service, team=submission.team)
+        return reply_problem(
+            error.status,
+            error.code,
+            f"{error.detail}; repeat the request with the same key",
+            outcome=STATE_MAY_HAVE_RUN,
+            decision=decision,
             retry_after_ms=error.retry_after_ms,
         )
 
@@ -221,8 +240,19 @@
         self._homes.note_routed(peer, len(submission.tasks))
         self._decisions.record(HOME_CHOSEN, f"{ticket.job:x}", home=peer.address)
         answer = self._calls.submit(peer, submit, deadline_ms)
+        if isinstance(answer, NoAnswer):
+            answer = self._ask_archive(ticket, peer, submit) or answer
         return self._reply(text, ticket, peer, answer)
 
+    def _ask_archive(self, ticket: Ticket, asked: Peer, submit: Submit) -> Answer | None:
+        """Ask who keeps the records of a home that left without its answer arriving."""
+        route = self._homes.find(ticket)
+        if not route.is_archive or route.peer in (None, asked):
+            return None
+        again = submit._replace(request=self._calls.next_number(), tasks=())
+        answer = self._calls.submit(route.peer, again, ASK_LIMIT_MS)
+        return None if isinstance(answer, NoAnswer) else answer
+
     def _find_shortage(self, submission: Submission) -> tuple[str, str, float] | None:
         if len(self._calls) >= self._max_running_jobs:
             return JOB_REFUSED_OVERLOAD, "too many jobs are in flight here", OVERLOAD_RETRY_MS
@@ -284,12 +314,15 @@
     def _reply_failed(self, ticket: Ticket, answer: Answer) -> Reply:
         status = STATUS_OF_CODE.get(answer.code, STATUS_OF_OUTCOME[answer.state])
         is_new_try = answer.state == STATE_NOT_RUN
+        decision = answer.decision or self._decisions.record(
+            TICKET_HOME_GONE, f"{ticket.job:x}", home=ticket.home.address, reason=answer.code
+        )
         return reply_problem(
             status,
             answer.code,
             answer.detail,
             outcome=answer.state,
-            decision=answer.decision or None,
+            decision=decision,
             retry_after_ms=answer.retry_after_ms or None,
             next_ticket=self._next_ticket(ticket.service) if is_new_try else None,
         )
@@ -329,18 +362,3 @@
         text = f"must have at most {MAX_KEY_CHARS} characters"
         raise InvalidInput([Finding("headers", 0, "Idempotency-Key", text)])
     return key
-
-
-def _reply_unbound(error: BindingUnavailable) -> Reply:
-    """Refuse a job whose key could not be looked up.
-
-    An earlier request under this key may have run, so "not run" is not said.
-    """
-    detail = f"{error.detail}; repeat the request with the same key"
-    return reply_problem(
-        error.status,
-        error.code,
-        detail,
-        outcome=STATE_MAY_HAVE_RUN,
-        retry_after_ms=error.retry_after_ms,
-    )
--- a/geraniumspool/calls.py
+++ b/geraniumspool/calls.py
@@ -17,8 +17,10 @@
     Peer,
 )
 
-PROBE_MS = 500.0
-MAX_PROBE_MS = 2_000.0
+MIN_PROBE_MS = 500.0
+MAX_PROBE_MS = 3_000.0
+PROBE_FACTOR = 4.0
+LEARNING_RATE = 0.1
 SILENCE_MS = 4_000.0
 SUSPECT_SILENCE_MS = 500.0
 GRACE_MS = 2_000.0
@@ -76,6 +78,7 @@
         self._is_suspect = is_suspect
         self._numbers = itertools.count(1)
         self._calls: dict[int, _Call] = {}
+        self._usual_ms = MIN_PROBE_MS
 
     def __len__(self) -> int:
         """Return the number of questions that wait."""
@@ -138,9 +141,9 @@
         return call
 
     def _await_final(self, call: _Call, message: Message, limit_ms: float) -> Answer | NoAnswer:
-        end = self._clock.now() + limit_ms + GRACE_MS
-        heard = self._clock.now()
-        pause = PROBE_MS
+        begin = heard = self._clock.now()
+        end = begin + limit_ms + GRACE_MS
+        pause = self._first_pause()
         while True:
             now = self._clock.now()
             self._clock.wait(call.event, min(pause, max(0.0, end - now)))
@@ -149,11 +152,19 @@
             if answer is not None:
                 heard = now
                 if answer.state in FINAL_STATES or answer.state == STATE_CONFLICT:
+                    self._learn(now - begin)
                     return answer
             if call.gone or now >= end or self._is_silent(call, now - heard):
                 return self._describe(call)
             pause = self._probe(call, message, answer, pause)
 
+    def _first_pause(self) -> float:
+        """Return how long to wait before asking, scaled to what jobs usually take."""
+        return min(MAX_PROBE_MS, max(MIN_PROBE_MS, PROBE_FACTOR * self._usual_ms))
+
+    def _learn(self, response_ms: float) -> None:
+        self._usual_ms += LEARNING_RATE * (response_ms - self._usual_ms)
+
     def _is_silent(self, call: _Call, silent_ms: float) -> bool:
         limit = SUSPECT_SILENCE_MS if self._is_suspect(call.peer) else SILENCE_MS
         return silent_ms > limit
@@ -162,7 +173,7 @@
         if answer is not None and answer.state == STATE_UNKNOWN:
             self._counters.add("submits_repeated")
             self._messenger.send(call.peer, message)
-            return PROBE_MS
+            return self._first_pause()
         if answer is not None:
             return min(MAX_PROBE_MS, pause * 2)
         self._counters.add("inquiries_sent")
--- a/geraniumspool/decisions.py
+++ b/geraniumspool/decisions.py
@@ -36,6 +36,8 @@
 HOME_CHOSEN = "home_chosen"
 TICKET_ISSUED = "ticket_issued"
 TICKET_HOME_GONE = "ticket_home_gone"
+KEY_UNBOUND = "key_unbound"
+SERVICE_UNSERVED = "service_unserved"
 RECORDS_HANDED_OVER = "records_handed_over"
 DRAIN_STARTED = "drain_started"
 DRAIN_FINISHED = "drain_finished"
@@ -66,6 +68,8 @@
     HOME_CHOSEN: "The entry chose the process that may run the job.",
     TICKET_ISSUED: "A ticket was issued for a job to come.",
     TICKET_HOME_GONE: "The ticket's home is gone: the job may have run and is not repeated.",
+    KEY_UNBOUND: "The store did not tell which ticket the idempotency key is bound to.",
+    SERVICE_UNSERVED: "No ready agent serves the service; nothing was submitted.",
     RECORDS_HANDED_OVER: "A leaving process handed its finished jobs to a peer.",
     DRAIN_STARTED: "The process began to leave; it takes no new work.",
     DRAIN_FINISHED: "The process finished what was running and can end.",
--- a/geraniumspool/estimate.py
+++ b/geraniumspool/estimate.py
@@ -1,35 +1,66 @@
 """Estimates of run times, learnt from what tasks took."""
 
-LEARNING_RATE = 0.1
+import math
+
+LEARNING_RATE = 0.05
 INITIAL_MS = 300.0
 MIN_MS = 1.0
-MAX_RATIO = 100.0
+MIN_LEARNT = 10
+MIN_VARIANCE = 0.01
+
+
+class _Mean:
+    """A running mean that forgets slowly."""
+
+    def __init__(self, initial: float = 0.0):
+        self.value = initial
+        self._count = 0
+
+    def add(self, sample: float) -> None:
+        self._count += 1
+        rate = max(LEARNING_RATE, 1.0 / self._count)
+        self.value += rate * (sample - self.value)
 
 
 class RunTimes:
     """Run-time estimates of one service.
 
-    Two predictors compete: the mean of what tasks took, and the declared
-    time scaled by the mean ratio of actual to declared. The one whose
-    recent error is smaller is used, so wrong declarations do little harm.
+    A regression of the logarithm of the actual time on that of the declared
+    one tells how far declared times are worth following: a slope of 1 where
+    they are right, near 0 where they say nothing.
     """
 
     def __init__(self, initial_ms: float = INITIAL_MS):
         """Start from ``initial_ms`` until something is learnt."""
-        self._mean = initial_ms
-        self._ratio = 1.0
-        self._mean_error = 0.0
-        self._declared_error = 0.0
-        self._learnt = False
+        self._mean_ms = _Mean(initial_ms)
+        self._learnt = 0
+        self._actual = _Mean()
+        self._declared = _Mean()
+        self._square = _Mean()
+        self._product = _Mean()
+        self._bias = _Mean(1.0)
+
+    @property
+    def slope(self) -> float:
+        """Return how far declared times are followed, from 0 to 1."""
+        if self._learnt < MIN_LEARNT:
+            return 0.5
+        variance = self._square.value - self._declared.value**2
+        covariance = self._product.value - self._declared.value * self._actual.value
+        if variance < MIN_VARIANCE:
+            return 0.0
+        return min(1.0, max(0.0, covariance / variance))
 
     def estimate(self, declared_ms: float = 0.0) -> float:
         """Return the expected run time of a task in milliseconds.
 
         :param declared_ms: what its caller declared, or 0
         """
-        if declared_ms > 0 and self._declared_error <= self._mean_error:
-            return max(MIN_MS, declared_ms * self._ratio)
-        return max(MIN_MS, self._mean)
+        if declared_ms <= 0:
+            return max(MIN_MS, self._mean_ms.value)
+        if self._learnt < MIN_LEARNT:
+            return max(MIN_MS, math.sqrt(declared_ms * self._mean_ms.value))
+        return max(MIN_MS, self._predict(declared_ms) * self._bias.value)
 
     def learn(self, declared_ms: float, actual_ms: float) -> None:
         """Take what one task took.
@@ -37,16 +68,22 @@
         :param declared_ms: what its caller declared, or 0
         :param actual_ms: what it took, in milliseconds
         """
-        if not self._learnt:
-            self._learnt = True
-            self._mean = actual_ms
-        self._mean_error += LEARNING_RATE * (abs(actual_ms - self._mean) - self._mean_error)
-        if declared_ms > 0:
-            self._learn_declared(declared_ms, actual_ms)
-        self._mean += LEARNING_RATE * (actual_ms - self._mean)
-
-    def _learn_declared(self, declared_ms: float, actual_ms: float) -> None:
-        error = abs(actual_ms - declared_ms * self._ratio)
-        self._declared_error += LEARNING_RATE * (error - self._declared_error)
-        ratio = min(MAX_RATIO, actual_ms / declared_ms)
-        self._ratio += LEARNING_RATE * (ratio - self._ratio)
+        self._mean_ms.add(actual_ms)
+        if declared_ms <= 0:
+            return
+        if self._learnt >= MIN_LEARNT:
+            self._bias.add(max(MIN_MS, actual_ms) / self._predict(declared_ms))
+        self._learnt += 1
+        declared, actual = _log(declared_ms), _log(actual_ms)
+        self._declared.add(declared)
+        self._actual.add(actual)
+        self._square.add(declared * declared)
+        self._product.add(declared * actual)
+
+    def _predict(self, declared_ms: float) -> float:
+        distance = _log(declared_ms) - self._declared.value
+        return math.exp(self._actual.value + self.slope * distance)
+
+
+def _log(time_ms: float) -> float:
+    return math.log(max(MIN_MS, time_ms))
--- a/geraniumspool/handover.py
+++ b/geraniumspool/handover.py
@@ -68,8 +68,7 @@
         return list(others)[:MAX_PEERS]
 
     def _make_batches(self) -> list[Handover]:
-        records = self._home.records()
-        batches = _split(self._messenger.me, records.all(), records.watermark)
+        batches = _split(self._messenger.me, self._home.records(), self._home.watermark)
         for archive in self._home.archives.all():
             if archive.is_whole:
                 kept = list(archive.records.values())
@@ -92,7 +91,11 @@
     groups: list[list[Record]] = [[]]
     size = 0
     for record in records:
-        weight = len(record.ticket) + sum(len(body) for body in record.answer.results)
+        weight = (
+            len(record.ticket)
+            + len(record.answer.decisions)
+            + sum(len(body) for body in record.answer.results)
+        )
         if size + weight > BATCH_BYTES and groups[-1]:
             groups.append([])
             size = 0
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -17,9 +17,9 @@
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock, Counters, Messenger
 from geraniumspool.decisions import DecisionLog, encode_decisions
-from geraniumspool.errors import MalformedTicket
+from geraniumspool.errors import MalformedTicket, NotStarted
 from geraniumspool.estimate import RunTimes
-from geraniumspool.job import Job, Waiter
+from geraniumspool.job import Job, Waiter, Width, classify
 from geraniumspool.messages import (
     MEMBER_DEAD,
     MEMBER_EJECTED,
@@ -47,20 +47,25 @@
 )
 from geraniumspool.offers import Offers, PlacedTask
 from geraniumspool.placement import Allotment, Demand, Placement
-from geraniumspool.records import Records
+from geraniumspool.records import Records, Watermark
 from geraniumspool.roster import Roster
 from geraniumspool.runner import Runner
 from geraniumspool.ticket import Ticket, read_ticket
 from geraniumspool.worker import OpenOffer, Worker
 
-STRETCH = 2.0
+DUE_SHARE = 0.7
 REVOKE_WAIT_MS = 1_000.0
 LEFT_GRACE_MS = 500.0
 OVERLOAD_WAIT_MS = 3_000.0
 MAX_NEAR = 48
 MAX_FAR = 16
+KEPT_DECISIONS = 20
+MIN_SLACK_MS = 50.0
 NEGLIGIBLE_MS = 0.001
 
+# How long a task may wait at a worker beyond what was expected, by its run time.
+SLACK_BY_WIDTH = {Width.NARROW: 0.2, Width.MEDIUM: 0.4, Width.WIDE: 2.0}
+
 CODE_TASK_FAILED = "task_failed"
 CODE_CANCELLED = "job_cancelled"
 CODE_EXPIRED = "job_expired"
@@ -110,6 +115,7 @@
         self.archives = Archives()
         self.service = ""
         self.leaving = False
+        runner.measure_backlog = lambda: self._backlog.work_ms
         roster.subscribe(self._member_changed)
 
     @property
@@ -123,10 +129,8 @@
         return self._messenger.me
 
     def load(self) -> Load:
-        """Return the runner's load, with the home's own backlog in the wait."""
-        load = self._runner.load()
-        slots = max(1, load.slots)
-        return load._replace(wait_ms=load.wait_ms + self._backlog.work_ms / slots)
+        """Return what this process has to offer, and the work that waits here."""
+        return self._runner.load()
 
     def take_submit(self, sender: Peer, submit: Submit) -> None:
         """Run a job, join it, or refuse it."""
@@ -186,6 +190,8 @@
                 self._take_result(worker, offer, result)
         for refusal in results.refused:
             offer = self._offers.settle(worker, refusal.offer)
+            if refusal.code == NotStarted.code:
+                worker.note_refused_connection(self._clock.now())
             if offer is not None:
                 self.take_back(offer, refusal.code)
         self._schedule_place()
@@ -245,9 +251,14 @@
         for job in list(self._jobs.values()):
             self._end(job, CODE_STOPPED, "the home stopped before the job was done")
 
-    def records(self) -> Records:
-        """Return the records of finished jobs."""
-        return self._records
+    @property
+    def watermark(self) -> Watermark:
+        """Return the point up to which records may be missing."""
+        return self._records.watermark
+
+    def records(self) -> list[Record]:
+        """Return the records of finished jobs, each with the latest decisions on it."""
+        return [self._with_decisions(record) for record in self._records.all()]
 
     def hint(self, peer: Peer, load: Load) -> None:
         """Take a worker's load that the membership passed on."""
@@ -315,9 +326,18 @@
         if decision is not None:
             return encode_decisions([decision])
         with contextlib.suppress(MalformedTicket):
-            subject = f"{read_ticket(subject).job:x}"
+            ticket = read_ticket(subject)
+            record = self.archives.find(ticket)
+            if record is not None:
+                return record.answer.decisions
+            subject = f"{ticket.job:x}"
         return encode_decisions(self._decisions.about(subject))
 
+    def _with_decisions(self, record: Record) -> Record:
+        subject = f"{read_ticket(record.ticket).job:x}"
+        rows = encode_decisions(self._decisions.about(subject)[-KEPT_DECISIONS:])
+        return record._replace(answer=record.answer._replace(decisions=rows))
+
     def _join(self, waiter: Waiter, job: Job, digest: bytes | None) -> None:
         if digest is not None and digest != job.digest:
             self._send(waiter, Answer(0, job.text, STATE_CONFLICT))
@@ -358,8 +378,10 @@
         return worker
 
     def _judge(self, job: Job) -> Verdict:
-        ahead = Ahead(self._backlog.count, self._backlog.work_ms, self._held_bytes)
-        return judge(job, job.size_bytes, self._usable(), self._runner.slots, ahead)
+        narrow_tasks = self._configuration.service(self.service).narrow_tasks
+        job.width = classify(len(job.tasks), narrow_tasks)
+        ahead = Ahead(self._backlog.count, self._backlog.narrow_work_ms, self._held_bytes)
+        return judge(job, self._usable(), ahead)
 
     def _refuse(self, waiter: Waiter, job: Job, code: str, detail: str, retry_ms: float) -> None:
         self._counters.add("jobs_refused", code=code)
@@ -377,8 +399,6 @@
         self._team_work[job.team] += job.work_ms
         job.waiters.add(waiter)
         job.due = self._due(job)
-        narrow_tasks = self._configuration.service(self.service).narrow_tasks
-        job.is_narrow = len(job.tasks) <= narrow_tasks
         self._decisions.record(
             codes.JOB_ACCEPTED,
             job.subject,
@@ -395,10 +415,13 @@
         self._schedule_place()
 
     def _due(self, job: Job) -> float:
-        slots = sum(worker.load.slots for worker in self._usable()) or 1
-        ideal = max(job.longest_ms, job.work_ms / slots)
-        stretched = STRETCH * ideal * self._crowding(job.team)
-        return self._clock.now() + min(stretched, job.deadline_ms)
+        """Return when a job is due: small ones soon, so that they overtake large ones.
+
+        A large job gains on new small ones as time passes.
+        """
+        patience_ms = job.work_ms / max(1, self._runner.slots) * self._crowding(job.team)
+        latest_ms = job.deadline_ms * DUE_SHARE
+        return self._clock.now() + min(patience_ms, latest_ms) + job.longest_ms
 
     def _crowding(self, team: str) -> float:
         """Return how far a team's work exceeds its fair share, at least 1."""
@@ -423,9 +446,10 @@
         batches: dict[Peer, list[PlacedTask]] = {}
         slots = max(1, self._runner.slots)
         is_overloaded = self._backlog.work_ms / slots > OVERLOAD_WAIT_MS
-        for narrow in (True, False):
-            if self._backlog.size(narrow):
-                self._place_queue(narrow, narrow or is_overloaded, batches)
+        for width in Width:
+            if self._backlog.size(width):
+                any_slot = width == Width.NARROW or is_overloaded
+                self._place_queue(width, any_slot, batches)
         limit_ms = self._configuration.service(self.service).run_limit_ms
         for peer, batch in batches.items():
             if not batch:
@@ -435,31 +459,40 @@
             self._offers.send(worker, batch, self.service, limit_ms, self._backlog.count > 0)
 
     def _place_queue(
-        self, narrow: bool, any_slot: bool, batches: dict[Peer, list[PlacedTask]]
+        self, width: Width, any_slot: bool, batches: dict[Peer, list[PlacedTask]]
     ) -> None:
         """Draw tasks of one queue into batches by worker."""
         workers = self._usable()
         if not workers:
             return
         run_ms = self._backlog.work_ms / self._backlog.count
-        demand = Demand(self._backlog.size(narrow), run_ms, any_slot)
+        demand = Demand(self._backlog.size(width), run_ms, width, any_slot)
         unplaced = []
         for allotment in self._placement.allot(demand, workers, self.me, self._domain):
             batch = batches.setdefault(allotment.worker.peer, [])
-            unplaced.extend(self._draw(allotment, narrow, any_slot, batch))
+            unplaced.extend(self._draw(allotment, width, any_slot, batch))
         for job, index in unplaced:
             self._backlog.push(job, index)
 
+    def _patience(self, worker: Worker, job: Job, index: int) -> float:
+        """Return the wait beyond which a worker should refuse a task."""
+        if worker.peer == self.me:
+            return 0.0
+        expected_ms = 0.0 if worker.free else worker.load.wait_ms
+        slack_ms = job.estimates[index] * SLACK_BY_WIDTH[job.width]
+        return expected_ms + max(MIN_SLACK_MS, slack_ms)
+
     def _draw(
-        self, allotment: Allotment, narrow: bool, any_slot: bool, batch: list[PlacedTask]
+        self, allotment: Allotment, width: Width, any_slot: bool, batch: list[PlacedTask]
     ) -> list[tuple[Job, int]]:
         """Fill a batch from the backlog; return tasks that do not fit there."""
         unfit = []
         left = allotment.count
-        while left > 0 and (waiting := self._backlog.pop(narrow)) is not None:
+        while left > 0 and (waiting := self._backlog.pop(width)) is not None:
             job, index = waiting.job, waiting.index
             if allotment.worker.fits(job.tasks[index].size):
-                batch.append(PlacedTask(job, index, waiting.due, any_slot))
+                patience_ms = self._patience(allotment.worker, job, index)
+                batch.append(PlacedTask(job, index, waiting.due, any_slot, patience_ms))
                 allotment.worker.planned += 1
                 left -= 1
             else:
@@ -524,7 +557,8 @@
             CODE_EXPIRED: codes.JOB_EXPIRED,
         }.get(job.ending, codes.JOB_FAILED)
         decision = self._decisions.record(code, job.subject, outcome=state, reason=job.ending)
-        retry_ms = self._runner.load().wait_ms if state == STATE_NOT_RUN else 0.0
+        may_retry = state == STATE_NOT_RUN and job.ending != CODE_CANCELLED
+        retry_ms = self._runner.load().wait_ms if may_retry else 0.0
         answer = Answer(0, job.text, state, job.ending, job.detail, retry_ms, decision=decision)
         self._finish(job, answer)
 
--- a/geraniumspool/homes.py
+++ b/geraniumspool/homes.py
@@ -12,6 +12,7 @@
 
 MAX_ARCHIVE_HOPS = 8
 RETRY_MS = 1_000.0
+ROUTED_TASK_MS = 100.0
 
 
 class NoHome(DispatchError):
@@ -100,7 +101,8 @@
         load = self._loads.get(peer, member.load)
         slots = max(1, load.slots)
         excess = max(0, self._routed[peer] - load.free)
-        return load.wait_ms + excess * 100.0 / slots, self._routed[peer] - load.free
+        wait_ms = load.wait_ms + load.backlog_ms / slots
+        return wait_ms + excess * ROUTED_TASK_MS / slots, self._routed[peer] - load.free
 
     def _member_changed(self, member: Member) -> None:
         peer = peer_of(member)
--- a/geraniumspool/job.py
+++ b/geraniumspool/job.py
@@ -1,5 +1,6 @@
 """A job at its home, while it runs."""
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from geraniumspool.clock import Timer
@@ -7,6 +8,28 @@
 from geraniumspool.ticket import Ticket
 
 
+class Width(IntEnum):
+    """How wide a job is; narrow ones go first and may use every slot."""
+
+    NARROW = 0
+    MEDIUM = 1
+    WIDE = 2
+
+
+MEDIUM_TASKS = 40
+
+
+def classify(tasks: int, narrow_tasks: int) -> Width:
+    """Return how wide a job is.
+
+    :param tasks: number of its tasks
+    :param narrow_tasks: most tasks of a narrow job of its service
+    """
+    if tasks <= narrow_tasks:
+        return Width.NARROW
+    return Width.MEDIUM if tasks <= MEDIUM_TASKS else Width.WIDE
+
+
 class Waiter(NamedTuple):
     """Who waits for the job's answer.
 
@@ -27,7 +50,7 @@
     :ivar started: whether a task is known to have started
     :ivar ending: reason code once the job can no longer complete
     :ivar is_final: whether the answer was given
-    :ivar is_narrow: whether it has few tasks
+    :ivar width: how wide it is
     """
 
     def __init__(self, ticket: Ticket, submit: Submit):
@@ -47,7 +70,7 @@
         self.ending = ""
         self.detail = ""
         self.is_final = False
-        self.is_narrow = False
+        self.width = Width.NARROW
         self.due = 0.0
         self.work_ms = 0.0
         self.timers: list[Timer] = []
--- a/geraniumspool/ledger.py
+++ b/geraniumspool/ledger.py
@@ -52,6 +52,13 @@
         self.refused: list[Refusal] = []
         self.hold = None
 
+    def queued_below(self, floor: int) -> list[Entry]:
+        """Return the offers below ``floor`` that wait for a slot; the home gave them up."""
+        if floor <= self.floor or not self.queued:
+            return []
+        rows = self.entries.items()
+        return [entry for offer, entry in rows if offer < floor and entry.state == QUEUED]
+
     def raise_floor(self, floor: int) -> list[Entry]:
         """Forget settled offers below ``floor`` and return them."""
         if floor <= self.floor:
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -33,12 +33,18 @@
     :param free: slots that are idle
     :param queued: tasks waiting for a slot
     :param wait_ms: predicted wait of a task that arrives now
+    :param urgent: those of the queued tasks that may use every slot
+    :param next_ms: predicted time until a slot comes free
+    :param backlog_ms: estimated run times of tasks that wait at the home there
     """
 
     slots: int = 0
     free: int = 0
     queued: int = 0
     wait_ms: float = 0.0
+    urgent: int = 0
+    next_ms: float = 0.0
+    backlog_ms: float = 0.0
 
 
 class Task(NamedTuple):
@@ -143,6 +149,7 @@
     :param rank: lower runs first among the tasks that wait at a worker
     :param limit_ms: longest run before the outcome counts as unknown
     :param any_slot: whether it may use the slots kept for narrow jobs
+    :param patience_ms: predicted wait beyond which to refuse it, 0 for none
     """
 
     offer: int
@@ -154,6 +161,7 @@
     rank: float
     limit_ms: float
     any_slot: bool = True
+    patience_ms: float = 0.0
 
 
 class Offer(NamedTuple):
@@ -161,11 +169,13 @@
 
     :param floor: offers below this number are settled; refuse and forget them
     :param more: whether tasks wait at the home for a free slot
+    :param load: what the home's own process has to offer
     """
 
     floor: int
     tasks: tuple[OfferedTask, ...]
     more: bool = False
+    load: Load = Load()
 
 
 class TaskResult(NamedTuple):
--- a/geraniumspool/offers.py
+++ b/geraniumspool/offers.py
@@ -1,5 +1,6 @@
 """Offers of one home that are open at workers, until each is settled."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -23,6 +24,8 @@
 WATCH_MS = 100.0
 PROBE_MS = 250.0
 SUSPECT_MS = 2_000.0
+HINT_AFTER_MS = 500.0
+MAX_SEEK_MS = 10_000.0
 MIN_PROBES = 2
 
 
@@ -30,12 +33,14 @@
     """A task on its way to a worker.
 
     :param any_slot: whether it may use the slots kept for narrow jobs
+    :param patience_ms: wait beyond which the worker is to refuse it, 0 for none
     """
 
     job: Job
     index: int
     due: float
     any_slot: bool
+    patience_ms: float = 0.0
 
 
 class OfferOwner(Protocol):
@@ -107,7 +112,7 @@
         :param more: whether further tasks wait at the home
         """
         offered = tuple(self._open(worker, task, service, limit_ms) for task in tasks)
-        message = Offer(worker.floor(self._next), offered, more)
+        message = Offer(worker.floor(self._next), offered, more, self._runner.load())
         if worker.peer == self._messenger.me:
             self._runner.take_offer(worker.peer, message)
             return
@@ -150,7 +155,7 @@
         worker = self._workers.get(peer)
         if worker is None:
             return
-        worker.suspect_until = self._clock.now() + SUSPECT_MS
+        worker.suspect_until = max(worker.suspect_until, self._clock.now() + SUSPECT_MS)
         if worker.open and peer != self._messenger.me:
             self._ask_back(worker, worker.open, False)
 
@@ -174,7 +179,9 @@
     def hint(self, peer: Peer, load: Load) -> None:
         """Take a worker's load that the membership passed on."""
         worker = self._workers.get(peer)
-        if worker is not None and not worker.open:
+        if worker is None:
+            return
+        if not worker.open or self._clock.now() - worker.heard_ms > HINT_AFTER_MS:
             worker.hint(load)
 
     def _open(self, worker: Worker, task: PlacedTask, service: str, limit_ms: float) -> OfferedTask:
@@ -204,6 +211,7 @@
             task.due - now,
             limit_ms,
             task.any_slot,
+            task.patience_ms,
         )
 
     def _note_started(self, worker: Worker, number: int) -> None:
@@ -211,7 +219,9 @@
         if offer is None:
             return
         worker.revoking.discard(number)
-        overdue = expect(self._clock.now(), 0.0, offer.run_ms)
+        # Each time it is asked, it is given as long again as it has taken so far.
+        now = self._clock.now()
+        overdue = now + max(offer.run_ms, now - offer.sent_ms)
         worker.open[number] = offer._replace(expected_ms=overdue)
         self._owner.note_started(offer)
 
@@ -249,12 +259,26 @@
                 self._probe(worker, asked, now)
         worker.is_watched = False
 
+    def _shun(self, member: Member) -> None:
+        """Offer nothing to a worker that was given up until it is heard again."""
+        worker = self.worker(member)
+        worker.suspect_until = math.inf
+        eventlet.spawn_n(self._seek, worker)
+
+    def _seek(self, worker: Worker) -> None:
+        pause = SUSPECT_MS
+        while self._workers.get(worker.peer) is worker and worker.suspect_until == math.inf:
+            self._messenger.send(worker.peer, Revoke(worker.floor(self._next), ()))
+            self._clock.sleep(pause)
+            pause = min(pause * 2, MAX_SEEK_MS)
+
     def _probe(self, worker: Worker, asked: set[int], now: float) -> None:
         oldest_sent = min(worker.open[number].sent_ms for number in asked)
         silent_ms = now - max(worker.heard_ms, oldest_sent)
         if silent_ms > self._peer_timeout_ms and worker.probes >= MIN_PROBES:
             self._decisions.record(WORKER_SILENT, worker.peer.address, silent_ms=round(silent_ms))
             self.drop(worker.peer)
+            self._shun(worker.member)
             return
         if now - worker.probed_ms < PROBE_MS * 2**worker.probes:
             return
--- a/geraniumspool/placement.py
+++ b/geraniumspool/placement.py
@@ -4,11 +4,11 @@
 import random
 from typing import NamedTuple, Protocol
 
+from geraniumspool.job import Width
 from geraniumspool.messages import Peer
 from geraniumspool.worker import Worker
 
 AHEAD_PER_SLOT = 1.0
-NARROW_AHEAD = 2.0
 MIN_REFILL = 4
 LOCAL_MS = 20.0
 CROSS_MS = 60.0
@@ -17,17 +17,22 @@
 RESERVED_SLOTS = 1
 MIN_SLOTS_TO_RESERVE = 4
 
+# The narrower a job, the further its tasks go ahead: they overtake there.
+AHEAD_BY_WIDTH = {Width.NARROW: 3.0, Width.MEDIUM: 2.0, Width.WIDE: 1.0}
+
 
 class Demand(NamedTuple):
     """Tasks that wait for a place.
 
     :param count: how many
     :param run_ms: estimated mean run time
+    :param width: how wide their jobs are
     :param any_slot: whether they may use the slots reserved for narrow jobs
     """
 
     count: int
     run_ms: float
+    width: Width
     any_slot: bool
 
 
@@ -95,10 +100,8 @@
 
     def _survey(self, worker: Worker, demand: Demand, own: Peer, domain: str) -> "_Places":
         free = worker.free
-        per_slot = self._ahead_per_slot
-        if demand.any_slot:
-            per_slot *= NARROW_AHEAD
-        else:
+        per_slot = self._ahead_per_slot * AHEAD_BY_WIDTH[demand.width]
+        if not demand.any_slot and not worker.is_slow:
             free = max(0, free - count_reserved(worker.load.slots))
         ahead = 0 if worker.is_slow else worker.room(per_slot)
         is_own = worker.peer == own
@@ -106,7 +109,8 @@
             ahead = 0
         opening_ms = 0.0 if is_own else _price_message(worker, domain)
         opening_ms -= FREE_BONUS_MS * min(free, demand.count) * self._random.uniform(0.9, 1.0)
-        return _Places(worker, free, ahead, opening_ms, demand.run_ms)
+        waiting = worker.urgent if demand.any_slot else worker.waiting
+        return _Places(worker, free, ahead, opening_ms, waiting, demand.run_ms)
 
 
 def _price_message(worker: Worker, domain: str) -> float:
@@ -119,12 +123,20 @@
 
     __slots__ = ("worker", "taken", "cost_ms", "_free", "_ahead", "_waiting", "_step_ms")
 
-    def __init__(self, worker: Worker, free: int, ahead: int, opening_ms: float, run_ms: float):
+    def __init__(
+        self,
+        worker: Worker,
+        free: int,
+        ahead: int,
+        opening_ms: float,
+        waiting: int,
+        run_ms: float,
+    ):
         self.worker = worker
         self.taken = 0
         self._free = free
         self._ahead = ahead
-        self._waiting = max(0, worker.busy - worker.load.slots)
+        self._waiting = waiting
         self._step_ms = run_ms / max(1, worker.load.slots)
         self.cost_ms = opening_ms + self._next_wait()
 
--- a/geraniumspool/quota.py
+++ b/geraniumspool/quota.py
@@ -5,7 +5,9 @@
 may overshoot for about one digest period after demand moves.
 """
 
+import itertools
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -23,7 +25,7 @@
 class Shortage(NamedTuple):
     """Why a quota refuses a job.
 
-    :param retry_after_ms: when another try may help
+    :param retry_after_ms: when another try may help, 0 where none can
     """
 
     detail: str
@@ -60,6 +62,8 @@
         self._peers_demand = peers_demand
         self._entries = entries
         self._teams: dict[str, _Usage] = {}
+        self._summed: list[Demand] = []
+        self._rates: Counter[str] = Counter()
 
     def take(self, team: str, tasks: int) -> Shortage | None:
         """Count a job in, or tell why it may not run now.
@@ -117,17 +121,25 @@
         return next(idle, next(iter(self._teams)))
 
     def _share(self, team: str, usage: _Usage) -> float:
-        others = sum(
-            rate
-            for report in self._peers_demand()
-            for name, rate, _running in report.demand
-            if name == team
-        )
+        others = self._others_rates().get(team, 0.0)
         equal = 1.0 / max(1, self._entries())
         if others <= 0:
             return 1.0
         return max(equal * 0.1, usage.rate / (usage.rate + others))
 
+    def _others_rates(self) -> dict[str, float]:
+        """Return the rates of all other entries per team, added up once a report."""
+        demands = [report.demand for report in self._peers_demand()]
+        known = self._summed
+        if len(demands) != len(known) or any(
+            a is not b for a, b in zip(demands, known, strict=True)
+        ):
+            self._summed = demands
+            self._rates = Counter()
+            for name, rate, _running in itertools.chain.from_iterable(demands):
+                self._rates[name] += rate
+        return self._rates
+
     def _check_running(
         self, limit: int | None, share: float, usage: _Usage, tasks: int
     ) -> Shortage | None:
@@ -136,6 +148,8 @@
         allowed = max(1.0, limit * share)
         if usage.running + tasks <= allowed or usage.running == 0 and tasks <= limit:
             return None
+        if tasks > limit:
+            return Shortage(f"the team may run {limit} tasks at once, never {tasks}", 0.0)
         detail = f"{usage.running} tasks of the team run here, {allowed:.0f} may"
         return Shortage(detail, 200.0)
 
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -592,7 +592,7 @@
         lowest = {self._roster.domain: self._configuration.revision}
         for peer, view in self._agents.items():
             member = self._roster.get(peer)
-            if member and not is_final(member):
+            if member and not is_final(member) and not self._roster.sighting(peer).claimed:
                 revision = lowest.get(member.domain, view.config_revision)
                 lowest[member.domain] = min(revision, view.config_revision)
         return lowest
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import NamedTuple
 
 import eventlet
 
@@ -31,13 +32,29 @@
 REFUSED_BUSY = "worker_busy"
 REFUSED_REVOKED = "offer_revoked"
 
-RESULT_HOLD_MS = 100.0
+RESULT_HOLD_MS = 1_000.0
 LOW_WATER_SHARE = 0.25
-DEFAULT_QUEUE_PER_SLOT = 2.0
+DEFAULT_QUEUE_PER_SLOT = 4.0
 KEPT_RESULT_BYTES = 16 * 1024 * 1024
 CLOSED_HOMES = 20_000
 
 
+class _Run(NamedTuple):
+    """A running task.
+
+    :param estimate_ms: its estimated run time
+    """
+
+    started_ms: float
+    estimate_ms: float
+
+    def left_ms(self, now: float) -> float:
+        """Return the predicted rest; one that is late may go on as long again."""
+        elapsed = now - self.started_ms
+        rest = self.estimate_ms - elapsed
+        return rest if rest > 0 else elapsed
+
+
 class Runner:
     """Runs tasks of any home on one minion, within its slots."""
 
@@ -69,12 +86,14 @@
         self._order = itertools.count()
         self._queued = 0
         self._queued_ms = 0.0
-        self._running: dict[str, float] = {}
+        self._urgent = 0
+        self._running: dict[str, _Run] = {}
         self._kept_bytes = 0
         self._kept: OrderedDict[int, Entry] = OrderedDict()
         self.minion: Announcement | None = None
         self.leaving = False
         self.on_change: Callable[[], None] = lambda: None
+        self.measure_backlog: Callable[[], float] = lambda: 0.0
 
     @property
     def slots(self) -> int:
@@ -99,7 +118,15 @@
         free = max(0, slots - len(self._running) - self._queued)
         if self._health.is_ejected:
             free = 0
-        return Load(slots, free, self._queued, self.predict_wait())
+        return Load(
+            slots,
+            free,
+            self._queued,
+            self.predict_wait(),
+            self._urgent,
+            self._predict_next_slot(),
+            self.measure_backlog(),
+        )
 
     def predict_wait(self) -> float:
         """Return the predicted wait of a task that arrives now, in ms."""
@@ -109,9 +136,15 @@
         if len(self._running) + self._queued < slots:
             return 0.0
         now = self._clock.now()
-        left = sum(max(0.0, due - now) for due in self._running.values())
+        left = sum(run.left_ms(now) for run in self._running.values())
         return (left + self._queued_ms) / slots
 
+    def _predict_next_slot(self) -> float:
+        if len(self._running) < self.slots or not self._running:
+            return 0.0
+        now = self._clock.now()
+        return min(run.left_ms(now) for run in self._running.values())
+
     def announce(self, minion: Announcement) -> None:
         """Take the minion's word on what it is."""
         changed = minion != self.minion or self.leaving
@@ -193,7 +226,25 @@
             self._ledgers[home] = ledger
         return ledger
 
+    def _predict_start(self, task: OfferedTask) -> float:
+        """Return the predicted wait of one task, behind those due before it."""
+        usable = self.slots if task.any_slot else self.slots - count_reserved(self.slots)
+        if len(self._running) + self._queued < usable:
+            return 0.0
+        due = self._clock.now() + task.rank
+        queues = self._queues.values()
+        ahead = [
+            entry.task.run_ms
+            for queue in queues
+            for entry_due, _, entry in queue
+            if entry_due <= due and entry.state == QUEUED
+        ]
+        return self._predict_next_slot() + sum(ahead) / self.slots
+
     def _settle(self, ledger: Ledger, floor: int) -> None:
+        for entry in ledger.queued_below(floor):
+            self._dequeue(entry, REFUSED)
+            ledger.close_task(entry.task)
         for entry in ledger.raise_floor(floor):
             self._kept.pop(id(entry), None)
             if entry.result is not None:
@@ -216,6 +267,7 @@
         ledger.queued += 1
         self._queued += 1
         self._queued_ms += task.run_ms
+        self._urgent += task.any_slot
         due = self._clock.now() + task.rank
         heapq.heappush(self._queues[task.any_slot], (due, next(self._order), entry))
 
@@ -231,6 +283,8 @@
         room = self.slots * (1 + self._queue_per_slot)
         if len(self._running) + self._queued >= room:
             return REFUSED_BUSY
+        if 0 < task.patience_ms < self._predict_start(task):
+            return REFUSED_BUSY
         return ""
 
     def _fill_slots(self) -> None:
@@ -256,7 +310,7 @@
 
     def _start(self, entry: Entry) -> None:
         task_id = name_task(entry.task)
-        self._running[task_id] = self._clock.now() + entry.task.run_ms
+        self._running[task_id] = _Run(self._clock.now(), entry.task.run_ms)
         self._counters.add("tasks_started")
         eventlet.spawn_n(self._run, entry, task_id)
 
@@ -329,12 +383,15 @@
         entry.state = state
         entry.ledger.queued -= 1
         self._queued -= 1
+        self._urgent -= entry.task.any_slot
         self._queued_ms = max(0.0, self._queued_ms - entry.task.run_ms)
 
     def _revoke_one(self, ledger: Ledger, offer: int, stop: bool) -> str:
         if offer < ledger.floor:
             return ""
         entry = ledger.entries.get(offer)
+        if entry is None and ledger.home in self._closed:
+            return LOST
         if entry is None:
             ledger.entries[offer] = Entry(ledger, None, REFUSED)
             return REFUSED
--- a/geraniumspool/worker.py
+++ b/geraniumspool/worker.py
@@ -6,9 +6,11 @@
 from geraniumspool.messages import Load, Member, Peer
 
 EXPECTED_FACTOR = 3.0
-EXPECTED_MARGIN_MS = 200.0
+EXPECTED_MARGIN_MS = 1_500.0
 PACE_WEIGHT = 0.1
+PACE_MARGIN_MS = 50.0
 SLOW_PACE = 4.0
+REFUSED_PAUSE_MS = 500.0
 SLOW_PROBE_MS = 2_000.0
 
 
@@ -57,6 +59,7 @@
         self.revoking: set[int] = set()
         self.is_watched = False
         self.suspect_until = 0.0
+        self._refused_until = 0.0
         self.pace = 1.0
         self._paced_ms = now
         self.is_probe_due = False
@@ -80,6 +83,16 @@
             return min(1, free) if self.is_probe_due else 0
         return free
 
+    @property
+    def waiting(self) -> int:
+        """Return the tasks that wait there, as far as known."""
+        return max(0, self.busy - self.load.slots)
+
+    @property
+    def urgent(self) -> int:
+        """Return those of them that may use every slot."""
+        return min(self.waiting, self.load.urgent + self.since + self.planned)
+
     def room(self, per_slot: float) -> int:
         """Return how many tasks may be offered beyond the free slots.
 
@@ -87,8 +100,7 @@
         """
         if self.load.slots == 0:
             return 0
-        waiting = max(0, self.busy - self.load.slots)
-        return max(0, int(self.load.slots * per_slot) - waiting)
+        return max(0, int(self.load.slots * per_slot) - self.waiting)
 
     def fits(self, size: float) -> bool:
         """Return whether a task of that declared size fits its minion."""
@@ -103,9 +115,9 @@
         self.suspect_until = 0.0
 
     def hint(self, load: Load) -> None:
-        """Take a load that somebody else passed on."""
+        """Take a load that somebody else passed on, which may be older than our offers."""
         self.load = load
-        self.since = 0
+        self.since = max(0, len(self.open) - (load.slots - load.free + load.queued))
 
     def add(self, offer: OpenOffer) -> None:
         """Count one more open offer."""
@@ -116,11 +128,16 @@
         """Bring what depends on time up to date; return whether to offer it tasks."""
         waited = now - self._paced_ms > SLOW_PROBE_MS
         self.is_probe_due = waited and not self.open
-        return self.suspect_until <= now
+        return max(self.suspect_until, self._refused_until) <= now
+
+    def note_refused_connection(self, now: float) -> None:
+        """Take that its minion refused a connection: offer it nothing for a moment."""
+        self._refused_until = now + REFUSED_PAUSE_MS
 
     def note_pace(self, actual_ms: float, estimated_ms: float, now: float) -> None:
         """Take how long a task took there against what was expected."""
-        self.pace += PACE_WEIGHT * (actual_ms / max(1.0, estimated_ms) - self.pace)
+        ratio = actual_ms / (estimated_ms + PACE_MARGIN_MS)
+        self.pace += PACE_WEIGHT * (ratio - self.pace)
         self._paced_ms = now
 
     def floor(self, next_offer: int) -> int:
--- /dev/null
+++ b/tests/small.py
@@ -0,0 +1,119 @@
+"""A small whole system in one process over loopback, for interface tests."""
+
+import json
+import logging
+import time
+from collections import namedtuple
+
+import eventlet
+import urllib3
+
+from geraniumspool.agent import build_agent
+from geraniumspool.clock import SystemClock
+from geraniumspool.entry import build_entry
+from geraniumspool.settings import AgentSettings, EntrySettings
+from geraniumspool.standin_minion import StandinMinion
+from geraniumspool.standin_store import StandinStore
+
+TOKEN = "operators-token-for-tests"
+TICKET_KEY = "ticket-key-for-tests-0001"
+SERVICE, TEAM, DOMAINS = "fitting", "opticians", ("north", "south")
+SLOTS, ALL_SLOTS = 2, 2 * len(DOMAINS)
+WAIT_S, POLL_S = 20.0, 0.02
+BEAT = {"heartbeat_period_ms": 200}
+Answered = namedtuple("Answered", "status headers body")
+
+
+def make_task(value, run_ms: float = 0) -> dict:
+    """Return a task that answers ``value`` after ``run_ms``."""
+    return {"payload": {"value": value, "run_ms": run_ms}, "run_ms": run_ms}
+
+
+def make_job(tasks: list[dict], **fields) -> dict:
+    """Return the body of a job."""
+    return {"service": SERVICE, "team": TEAM, "deadline_ms": 15_000, "tasks": tasks} | fields
+
+
+def wait_until(condition, limit_s: float = WAIT_S) -> None:
+    """Wait for a condition; fail where it stays false."""
+    end = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true"
+        eventlet.sleep(POLL_S)
+
+
+class Small:
+    """In each failure domain an entry and an agent with its minion, and one store."""
+
+    def __init__(self, **settings):
+        """Start everything, entries with further settings, and wait until all know each other."""
+        logging.getLogger("geraniumspool").setLevel(logging.CRITICAL)
+        self.store = StandinStore(SystemClock())
+        urls = ("http://{}:{}".format(*self.store.start("127.0.0.1")),)
+        patient = BEAT | {"heartbeat_timeout_ms": 10_000} | settings
+        entries = (EntrySettings(name, TOKEN, (TICKET_KEY,), urls, **patient) for name in DOMAINS)
+        self.entries = [build_entry(values) for values in entries]
+        agents = (AgentSettings(name, urls, peer_timeout_ms=10_000, **BEAT) for name in DOMAINS)
+        self.agents = [build_agent(values) for values in agents]
+        self.minions = [StandinMinion(SERVICE, SLOTS, 64, SystemClock()) for _ in DOMAINS]
+        for part in [*self.entries, *self.agents, *self.minions]:
+            part.start()
+        for agent, minion in zip(self.agents, self.minions, strict=True):
+            minion.announce(agent.minion_url)
+        wait_until(self._is_whole)
+
+    def _is_whole(self) -> bool:
+        # An agent's roster has the other agents alone.
+        peers = [1 + len(agent.roster.agents(SERVICE)) for agent in self.agents]
+        agents = [len(entry.roster.agents(SERVICE)) for entry in self.entries]
+        entries = [len(entry.roster.entries()) for entry in self.entries]
+        return min(peers + agents + entries) == len(DOMAINS)
+
+    def stop(self) -> None:
+        """End every process, all at once."""
+        parts = [*self.minions, *self.agents, *self.entries, self.store]
+        list(eventlet.GreenPool().imap(lambda part: part.stop(), parts))
+
+    def call(self, method: str, path: str, body=None, entry=0, to="callers", **headers) -> Answered:
+        """Ask an interface of an entry; a body of bytes is sent as it is."""
+        url = f"http://{self.entries[entry].ready_line()[to]}{path}"
+        data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+        headers = {name.replace("_", "-"): text for name, text in headers.items()}
+        limits = {"retries": False, "timeout": WAIT_S}
+        reply = urllib3.request(method, url, body=data, headers=headers, **limits)
+        is_json = "json" in reply.headers.get("Content-Type", "")
+        return Answered(reply.status, reply.headers, reply.json() if is_json else reply.data)
+
+    def operate(self, method: str, path: str, body=None, entry=0, token=TOKEN) -> Answered:
+        """Ask the operators' interface of an entry."""
+        headers = {} if token is None else {"Authorization": f"Bearer {token}"}
+        return self.call(method, path, body, entry, "operators", **headers)
+
+    def ticket(self, agent: int = 0) -> str:
+        """Return a ticket of an agent: an entry chooses homes in its own failure domain."""
+        order = {"service": SERVICE, "team": TEAM}
+        return self.call("POST", "/v1/tickets", order, agent).body["tickets"][0]
+
+    def put(self, ticket: str, tasks: list[dict], entry: int = 0, **fields) -> Answered:
+        """Submit a job under a ticket."""
+        return self.call("PUT", f"/v1/jobs/{ticket}", make_job(tasks, **fields), entry)
+
+    def block(self, tasks: int = ALL_SLOTS) -> str:
+        """Start a job whose tasks run until :meth:`unblock`, in all slots; return its ticket."""
+        ticket = self.ticket()
+        eventlet.spawn(self.put, ticket, [make_task(0, 60_000)] * tasks, deadline_ms=600_000)
+        wait_until(lambda: self.running() == ALL_SLOTS)
+        return ticket
+
+    def unblock(self, ticket: str) -> None:
+        """Cancel a blocking job and wait until its tasks have stopped."""
+        self.call("DELETE", f"/v1/jobs/{ticket}")
+        wait_until(lambda: self.running() == 0)
+
+    def running(self) -> int:
+        """Return how many tasks the minions run."""
+        return sum(minion.running for minion in self.minions)
+
+    def starts(self) -> int:
+        """Return how many tasks the minions started."""
+        return sum(minion.report()["starts"] for minion in self.minions)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,472 @@
+"""Contract of the callers' interface, against a whole running system."""
+
+import unittest
+
+import eventlet
+
+from geraniumspool.messages import Peer
+from geraniumspool.ticket import Keyring, Ticket, read_ticket
+from tests.small import (
+    ALL_SLOTS,
+    SERVICE,
+    TEAM,
+    TICKET_KEY,
+    Small,
+    make_job,
+    make_task,
+    wait_until,
+)
+
+MAX_BODY_BYTES = 64 << 10
+TASK = make_task("good")
+
+
+def values(answered):
+    """Return the values of a whole answer."""
+    return [row["value"] for row in answered.body["results"]]
+
+
+class CallersCase(unittest.TestCase):
+    """Base: one system for all tests of a class."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the system."""
+        cls.small = Small(max_body_bytes=MAX_BODY_BYTES)
+        cls.addClassCleanup(cls.small.stop)
+
+    def assert_problem(self, answered, status, code, outcome=None):
+        """Check a failure's status, code, type and outcome."""
+        self.assertEqual((answered.status, answered.body.get("code")), (status, code), answered)
+        self.assertEqual(answered.headers["Content-Type"], "application/problem+json")
+        self.assertEqual(answered.body["type"], f"urn:geraniumspool:{code}")
+        self.assertEqual(answered.body["status"], status)
+        self.assertTrue(answered.body["detail"])
+        self.assertEqual(answered.body.get("outcome"), outcome)
+        if outcome is not None:
+            self.assertRegex(answered.body.get("decision") or "none", r"\Ad-[0-9a-f]+-[0-9]+\Z")
+
+
+class BadInputTest(CallersCase):
+    """Bad input is a typed problem and touches no other job."""
+
+    def bad_requests(self):
+        """Return name, request, and the expected problem and path of a finding."""
+        ticket = self.small.ticket()
+        said = read_ticket(ticket)
+        forged = Keyring(["another-key-than-theirs-01"]).sign(said)
+        swapped = ticket[:30] + ("A" if ticket[30] != "A" else "B") + ticket[31:]
+        other = Keyring([TICKET_KEY]).issue(said.home, "sawing", said.issued_ms)
+        url, job = f"/v1/jobs/{ticket}", make_job([TASK])
+        invalid = (400, "invalid_input")
+
+        def put(name, body, path):
+            return name, ("PUT", url, body), *invalid, path
+
+        return [
+            ("malformed", ("PUT", "/v1/jobs/no-ticket", job), 400, "ticket_malformed", None),
+            ("not text", ("GET", "/v1/jobs/%ff%00", None), 400, "ticket_malformed", None),
+            ("long", ("GET", "/v1/jobs/" + "A" * 600, None), 400, "ticket_malformed", None),
+            ("forged", ("PUT", f"/v1/jobs/{forged}", job), 403, "ticket_forged", None),
+            ("swapped", ("DELETE", f"/v1/jobs/{swapped}", None), 403, "ticket_forged", None),
+            ("foreign", ("PUT", f"/v1/jobs/{other}", job), 409, "ticket_foreign_service", None),
+            put("no task", make_job([]), "tasks"),
+            put("341 tasks", make_job([TASK] * 341), "tasks"),
+            put("wrong JSON", b'{"service": ', ""),
+            put("no object", b"[]", ""),
+            put("no body", b"", ""),
+            put("unknown field", make_job([TASK], colour="red"), "colour"),
+            put("unknown in task", make_job([TASK | {"x": 1}]), "tasks[0].x"),
+            put("negative deadline", make_job([TASK], deadline_ms=-1), "deadline_ms"),
+            put("huge deadline", make_job([TASK], deadline_ms=600_001), "deadline_ms"),
+            put("deadline text", make_job([TASK], deadline_ms="1"), "deadline_ms"),
+            put("service number", make_job([TASK], service=1), "service"),
+            put("empty team", make_job([TASK], team=""), "team"),
+            put("team not UTF-8", b'{"service":"s","team":"\xff","tasks":[{"payload":1}]}', ""),
+            (
+                "oversize",
+                ("PUT", url, b" " * (MAX_BODY_BYTES + 1)),
+                413,
+                "payload_too_large",
+                None,
+            ),
+            ("count", ("POST", "/v1/tickets", {"service": "s", "team": "t", "count": 0}), *invalid)
+            + ("count",),
+            ("unknown path", ("GET", "/v1/nothing", None), 404, "not_found", None),
+            ("operators' path", ("GET", "/v1/status", None), 404, "not_found", None),
+            ("wrong method", ("PATCH", url, job), 405, "method_not_allowed", None),
+            ("GET on tickets", ("GET", "/v1/tickets", None), 405, "method_not_allowed", None),
+        ]
+
+    def test_bad_input(self):
+        """Each is refused with its code; a job that runs meanwhile is whole."""
+        ticket = self.small.ticket()
+        tasks = [make_task(number, 1500) for number in range(3)]
+        meanwhile = eventlet.spawn(self.small.put, ticket, tasks)
+        wait_until(lambda: self.small.running() == 3)
+        for name, request, status, code, path in self.bad_requests():
+            with self.subTest(name=name):
+                answered = self.small.call(*request)
+                self.assert_problem(answered, status, code)
+                if path is not None:
+                    paths = [finding["path"] for finding in answered.body["findings"]]
+                    self.assertIn(path, paths)
+        self.assertEqual(values(meanwhile.wait()), [0, 1, 2])
+        before = self.small.starts()
+        good = self.small.put(self.small.ticket(), [TASK])
+        self.assertEqual((good.status, values(good)), (200, ["good"]))
+        self.assertEqual(self.small.starts(), before + 1)
+
+    def test_payload_is_checked_text(self):
+        """A payload that is no UTF-8 is refused, since it is no JSON."""
+        body = b'{"service":"fitting","team":"t","tasks":[{"payload":{"value":"\xff"}}]}'
+        self.assert_problem(self.small.call("POST", "/v1/jobs", body), 400, "invalid_input")
+
+    def test_all_findings_at_once(self):
+        """One answer names every fault."""
+        job = {"team": 1, "deadline_ms": -1, "odd": 0, "tasks": [{}, {"payload": 1, "size": -1}]}
+        answered = self.small.call("POST", "/v1/jobs", job)
+        self.assert_problem(answered, 400, "invalid_input")
+        paths = {finding["path"] for finding in answered.body["findings"]}
+        expected = {"service", "team", "deadline_ms", "odd", "tasks[0].payload", "tasks[1].size"}
+        self.assertEqual(paths, expected)
+
+    def test_wrong_method_names_the_right_ones(self):
+        """The Allow header lists what a path takes."""
+        answered = self.small.call("PATCH", f"/v1/jobs/{self.small.ticket()}")
+        self.assertEqual(answered.headers["Allow"], "DELETE, GET, PUT")
+
+    def test_other_body_under_a_ticket(self):
+        """409 while the first job runs and after it; the first is untouched."""
+        ticket = self.small.ticket()
+        first = eventlet.spawn(self.small.put, ticket, [make_task("first", 800)])
+        wait_until(lambda: self.small.running() == 1)
+        other = [make_task("other")]
+        for entry in (0, 1):
+            self.assert_problem(self.small.put(ticket, other, entry), 409, "job_conflict")
+        self.assertEqual(values(first.wait()), ["first"])
+        self.assert_problem(self.small.put(ticket, other), 409, "job_conflict")
+        kept = self.small.call("GET", f"/v1/jobs/{ticket}")
+        self.assertEqual(values(kept), ["first"])
+
+
+class JobsTest(CallersCase):
+    """Life of a job as its caller sees it."""
+
+    def test_resubmission_joins(self):
+        """Both callers get the whole answer of one run, then the kept one."""
+        ticket = self.small.ticket()
+        tasks = [make_task(number, 500) for number in range(4)]
+        before = self.small.starts()
+        one = eventlet.spawn(self.small.put, ticket, tasks)
+        wait_until(lambda: self.small.running() > 0)
+        state = self.small.call("GET", f"/v1/jobs/{ticket}", entry=1)
+        self.assertEqual((state.status, state.body["state"]), (200, "running"))
+        two = self.small.put(ticket, tasks, entry=1, deadline_ms=9_000)
+        results = one.wait().body["results"]
+        self.assertEqual([row["value"] for row in results], [0, 1, 2, 3])
+        for answered in (two, self.small.put(ticket, tasks)):
+            self.assertEqual(answered.body["results"], results)
+        for entry in (0, 1):
+            kept = self.small.call("GET", f"/v1/jobs/{ticket}", entry=entry)
+            self.assertEqual((kept.body["outcome"], kept.body["results"]), ("complete", results))
+        self.assertEqual(self.small.starts(), before + 4)
+
+    def test_unknown_state_and_next_ticket(self):
+        """A ticket never used is unknown; each answer brings the next ticket."""
+        ticket = self.small.ticket()
+        state = self.small.call("GET", f"/v1/jobs/{ticket}")
+        self.assertEqual(state.body, {"job": ticket, "state": "unknown"})
+        answered = self.small.put(ticket, [TASK])
+        after = answered.body["next_ticket"]
+        self.assertNotEqual(after, ticket)
+        self.assertEqual(self.small.put(after, [TASK]).body["job"], after)
+
+    def test_tickets(self):
+        """As many different ones as asked for; none where nobody serves."""
+        order = {"service": SERVICE, "team": TEAM, "count": 100}
+        answered = self.small.call("POST", "/v1/tickets", order)
+        self.assertEqual((answered.status, len(set(answered.body["tickets"]))), (201, 100))
+        answered = self.small.call("POST", "/v1/tickets", order | {"service": "sawing"})
+        self.assert_problem(answered, 503, "no_home")
+        self.assertEqual(answered.headers["Retry-After"], "1")
+
+    def test_cancel_before_submission(self):
+        """The ticket never runs after that."""
+        ticket = self.small.ticket()
+        before = self.small.starts()
+        for answered in (
+            self.small.call("DELETE", f"/v1/jobs/{ticket}"),
+            self.small.put(ticket, [TASK], entry=1),
+            self.small.call("GET", f"/v1/jobs/{ticket}"),
+        ):
+            self.assert_problem(answered, 409, "job_cancelled", "not_run")
+        self.assertEqual(self.small.starts(), before)
+
+    def test_cancel_queued(self):
+        """No task of it starts, then or later."""
+        blocker = self.small.block()
+        before = self.small.starts()
+        ticket = self.small.ticket()
+        caller = eventlet.spawn(self.small.put, ticket, [TASK], deadline_ms=500_000)
+        url = f"/v1/jobs/{ticket}"
+        wait_until(lambda: self.small.call("GET", url).body.get("state") == "running")
+        self.assert_problem(
+            self.small.call("DELETE", url, entry=1), 409, "job_cancelled", "not_run"
+        )
+        self.assert_problem(caller.wait(), 409, "job_cancelled", "not_run")
+        self.small.unblock(blocker)
+        self.assertEqual(values(self.small.put(self.small.ticket(), [TASK])), ["good"])
+        self.assertEqual(self.small.starts(), before + 1)
+
+    def test_cancel_running(self):
+        """It may have run, and its caller and later ones are told the same."""
+        ticket = self.small.ticket()
+        caller = eventlet.spawn(self.small.put, ticket, [make_task(1, 60_000)], 0)
+        wait_until(lambda: self.small.running() == 1)
+        url = f"/v1/jobs/{ticket}"
+        for answered in (
+            self.small.call("DELETE", url, entry=1),
+            caller.wait(),
+            self.small.call("DELETE", url),
+            self.small.call("GET", url),
+        ):
+            self.assert_problem(answered, 409, "job_cancelled", "may_have_run")
+        wait_until(lambda: self.small.running() == 0)
+
+    def test_cancel_complete(self):
+        """A complete job stays so."""
+        ticket = self.small.ticket()
+        self.small.put(ticket, [TASK])
+        answered = self.small.call("DELETE", f"/v1/jobs/{ticket}")
+        self.assertEqual((answered.status, values(answered)), (200, ["good"]))
+
+    def test_failed_task(self):
+        """A minion's error fails the whole job as one that may have run."""
+        self.small.minions[0].apply(self.small.minions[0].faults._replace(fail_all=True))
+        self.small.minions[1].apply(self.small.minions[1].faults._replace(fail_all=True))
+        ticket = self.small.ticket()
+        answered = self.small.put(ticket, [TASK])
+        for minion in self.small.minions:
+            minion.apply(minion.faults._replace(fail_all=False))
+        self.assert_problem(answered, 502, "task_failed", "may_have_run")
+        self.assert_problem(self.small.put(ticket, [TASK]), 502, "task_failed", "may_have_run")
+
+    def test_post_without_ticket(self):
+        """Each POST is a job of its own, whose ticket is in the answer."""
+        one, two = (self.small.call("POST", "/v1/jobs", make_job([TASK])) for _ in range(2))
+        self.assertEqual((values(one), values(two)), (["good"], ["good"]))
+        self.assertNotEqual(one.body["job"], two.body["job"])
+        again = self.small.put(one.body["job"], [TASK], entry=1)
+        self.assertEqual(again.body["results"], one.body["results"])
+        answered = self.small.call("POST", "/v1/jobs", make_job([TASK], service="sawing"))
+        self.assert_problem(answered, 503, "no_home", "not_run")
+
+    def test_post_with_key(self):
+        """The same key of the same team is the same job, through any entry."""
+        before = self.small.starts()
+        job = make_job([TASK])
+        one = self.small.call("POST", "/v1/jobs", job, Idempotency_Key="k1")
+        two = self.small.call("POST", "/v1/jobs", job, entry=1, Idempotency_Key="k1")
+        self.assertEqual(one.body["job"], two.body["job"])
+        self.assertEqual(one.body["results"], two.body["results"])
+        self.assertEqual(self.small.starts(), before + 1)
+        changed = make_job([make_task("other")])
+        answered = self.small.call("POST", "/v1/jobs", changed, Idempotency_Key="k1")
+        self.assert_problem(answered, 409, "job_conflict")
+        foreign = job | {"team": "archers"}
+        answered = self.small.call("POST", "/v1/jobs", foreign, Idempotency_Key="k1")
+        self.assertNotEqual(answered.body["job"], one.body["job"])
+
+    def test_key_bound_to_another_service(self):
+        """A key bound for one service runs no job of another."""
+        entry = self.small.entries[0]
+        home = Peer(*self.small.agents[0].describe()[:2])
+        text = Keyring([TICKET_KEY]).sign(Ticket(home, "sawing", entry._clock.wall(), 7))
+        entry.callers._bindings.bind(TEAM, "k2", text)
+        before = self.small.starts()
+        answered = self.small.call("POST", "/v1/jobs", make_job([TASK]), Idempotency_Key="k2")
+        self.assert_problem(answered, 409, "ticket_foreign_service")
+        self.assertEqual(self.small.starts(), before)
+
+    def test_key_too_long(self):
+        """A key without bound is refused before anything is done."""
+        headers = {"Idempotency_Key": "k" * 256}
+        answered = self.small.call("POST", "/v1/jobs", make_job([TASK]), **headers)
+        self.assert_problem(answered, 400, "invalid_input")
+
+    def test_post_with_key_and_no_store(self):
+        """Refused while the store is down; jobs with tickets go on."""
+        self.small.store.store.down = True
+        self.addCleanup(setattr, self.small.store.store, "down", False)
+        before = self.small.starts()
+        job = make_job([TASK])
+        answered = self.small.call("POST", "/v1/jobs", job, Idempotency_Key="k3")
+        self.assert_problem(answered, 503, "binding_unavailable", "may_have_run")
+        self.assertIn("Retry-After", answered.headers)
+        self.assertEqual(self.small.starts(), before)
+        self.assertEqual(values(self.small.put(self.small.ticket(), [TASK])), ["good"])
+        self.small.store.store.down = False
+        answered = self.small.call("POST", "/v1/jobs", job, Idempotency_Key="k3")
+        self.assertEqual(values(answered), ["good"])
+
+    def test_decisions(self):
+        """Why: the entry's choice and the home's steps, in order."""
+        ticket = self.small.ticket()
+        self.small.put(ticket, [TASK])
+        answered = self.small.call("GET", f"/v1/jobs/{ticket}/decisions")
+        codes = [row["code"] for row in answered.body["decisions"]]
+        self.assertEqual(codes, ["home_chosen", "job_accepted", "task_placed", "job_complete"])
+        elsewhere = self.small.call("GET", f"/v1/jobs/{ticket}/decisions", entry=1)
+        self.assertEqual(elsewhere.body["decisions"], answered.body["decisions"][1:])
+
+
+class RefusalsTest(CallersCase):
+    """Refusals say that nothing ran and when to try again."""
+
+    def assert_refused(self, answered, status, code):
+        """Check a refusal, and that the ticket stays refused."""
+        self.assert_problem(answered, status, code, "not_run")
+        self.assertGreater(answered.body["retry_after_ms"], 0)
+        self.assertGreaterEqual(int(answered.headers["Retry-After"]), 1)
+        self.assertIn("next_ticket", answered.body)
+
+    def refuse_late(self, tasks):
+        """Check that a job that cannot be done in time is refused at once and for good."""
+        blocker = self.small.block(10 * ALL_SLOTS)
+        before = self.small.starts()
+        ticket = self.small.ticket()
+        answered = self.small.put(ticket, tasks, deadline_ms=5)
+        self.small.unblock(blocker)
+        self.assert_refused(answered, 503, "job_refused_deadline")
+        again = self.small.put(ticket, tasks)
+        self.assert_refused(again, 503, "job_refused_deadline")
+        self.assertEqual(self.small.starts(), before)
+        after = self.small.put(answered.body["next_ticket"], [TASK])
+        self.assertEqual(values(after), ["good"])
+
+    def test_deadline(self):
+        """A narrow job, while other jobs hold every slot for long."""
+        self.refuse_late([TASK])
+
+    def test_deadline_of_a_wide_job(self):
+        """A wide job, which waits for all that waits already."""
+        self.refuse_late([TASK] * (ALL_SLOTS + 1))
+
+    def test_quota(self):
+        """A team over its quota is refused; others and known jobs are not."""
+        change = {
+            "change_id": "q1",
+            "expected_revision": 0,
+            "body": "running_tasks: 2\n",
+            "who": "tester",
+            "why": "a tight quota",
+        }
+        ticket = self.small.ticket()
+        tasks = [make_task(number) for number in range(3)]
+        self.assertEqual(len(values(self.small.put(ticket, tasks, team="tight"))), 3)
+        self.assertEqual(self.small.operate("PUT", "/v1/config/team/tight", change).status, 200)
+        refused = self.small.ticket()
+        answers = [self.small.put(refused, tasks, team="tight") for _ in range(2)]
+        answers.append(self.small.call("POST", "/v1/jobs", make_job(tasks, team="tight")))
+        for answered in answers:
+            self.assert_problem(answered, 429, "job_refused_quota", "not_run")
+            self.assertNotIn("retry_after_ms", answered.body, "no later try can help")
+        self.assertEqual(len(values(self.small.put(ticket, tasks, team="tight"))), 3)
+        self.assertEqual(len(values(self.small.put(self.small.ticket(), tasks))), 3)
+        for _ in range(3):
+            fits = self.small.put(self.small.ticket(), tasks[:2], team="tight")
+            self.assertEqual(len(values(fits)), 2)
+
+    def test_other_body_over_quota(self):
+        """Another body under a ticket never gets the first one's answer."""
+        ticket = self.small.ticket()
+        first = self.small.put(ticket, [make_task("first")], team="narrow")
+        self.assertEqual(values(first), ["first"])
+        change = {
+            "change_id": "n1",
+            "expected_revision": 0,
+            "body": "running_tasks: 1\n",
+            "who": "tester",
+            "why": "a tight quota",
+        }
+        self.assertEqual(self.small.operate("PUT", "/v1/config/team/narrow", change).status, 200)
+        other = [make_task("other"), make_task("other")]
+        self.assert_problem(self.small.put(ticket, other, team="narrow"), 409, "job_conflict")
+
+    def test_no_capacity(self):
+        """A task larger than every minion's largest is refused."""
+        for agent, minion in zip(self.small.agents, self.small.minions, strict=True):
+            minion._max_size = 10
+            minion.announce(agent.minion_url)
+        rosters = [process.roster for process in [*self.small.entries, *self.small.agents]]
+        wait_until(
+            lambda: all(row.max_size == 10 for roster in rosters for row in roster.agents(SERVICE))
+        )
+        answered = self.small.put(self.small.ticket(), [TASK | {"size": 11}])
+        self.assert_problem(answered, 422, "job_refused_no_capacity", "not_run")
+        fits = self.small.put(self.small.ticket(), [TASK | {"size": 10}])
+        self.assertEqual(values(fits), ["good"])
+
+
+class LimitsTest(CallersCase):
+    """An entry that may hold one job, with a short deadline of its own."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the system."""
+        cls.small = Small(max_running_jobs=1, default_deadline_ms=300)
+        cls.addClassCleanup(cls.small.stop)
+
+    def test_overload(self):
+        """New jobs are refused for good, the one that runs is joined still."""
+        wait_until(lambda: self.small.running() == 0)
+        ticket = self.small.ticket()
+        tasks = [make_task("first", 1000)]
+        first = eventlet.spawn(self.small.put, ticket, tasks)
+        wait_until(lambda: self.small.running() == 1)
+        refused = self.small.ticket()
+        for answered in (
+            self.small.put(refused, [TASK]),
+            self.small.put(refused, [TASK], entry=1),
+            self.small.call("POST", "/v1/jobs", make_job([TASK])),
+        ):
+            self.assert_problem(answered, 503, "job_refused_overload", "not_run")
+            self.assertGreaterEqual(int(answered.headers["Retry-After"]), 1)
+        self.assert_problem(self.small.put(ticket, [TASK]), 409, "job_conflict")
+        joined = self.small.put(ticket, tasks)
+        self.assertEqual((values(joined), values(first.wait())), (["first"], ["first"]))
+
+    def test_default_deadline(self):
+        """A job that names no deadline has the one of the settings."""
+        job = make_job([make_task("late", 3000)])
+        del job["deadline_ms"]
+        answered = self.small.call("POST", "/v1/jobs", job)
+        wait_until(lambda: self.small.running() == 0)
+        self.assert_problem(answered, 502, "job_expired", "may_have_run")
+
+
+class ReadinessTest(CallersCase):
+    """Health, readiness and metrics."""
+
+    def test_health_ready_metrics(self):
+        """All are there without a token; the metrics count requests."""
+        self.assertEqual(self.small.call("GET", "/healthz").body, {"state": "alive"})
+        self.assertEqual(self.small.call("GET", "/readyz").body, {"state": "ready"})
+        metrics = self.small.call("GET", "/metrics")
+        self.assertEqual(metrics.status, 200)
+        self.assertTrue(metrics.headers["Content-Type"].startswith("text/plain"))
+        self.assertIn(
+            b'http_requests_total{domain="north",role="entry",status="200"}', metrics.body
+        )
+
+    def test_leaving_entry(self):
+        """A leaving entry finishes its job."""
+        small = Small()
+        self.addCleanup(small.stop)
+        ticket = small.ticket()
+        running = eventlet.spawn(small.put, ticket, [make_task("kept", 800)])
+        wait_until(lambda: small.running() == 1)
+        self.assertTrue(small.entries[0].drain())
+        self.assertEqual(values(running.wait()), ["kept"])
+        self.assertEqual(values(small.call("GET", f"/v1/jobs/{ticket}", entry=1)), ["kept"])
--- /dev/null
+++ b/tests/test_estimate.py
@@ -0,0 +1,44 @@
+"""Tests of run-time estimates."""
+
+import random
+import unittest
+
+from geraniumspool.estimate import INITIAL_MS, RunTimes
+
+
+def teach(times, off_by, source):
+    """Teach times of tasks whose declared times are off by a factor."""
+    for _ in range(400):
+        actual = 50 * 20 ** source.random()
+        times.learn(actual * off_by(source), actual)
+
+
+class RunTimesTest(unittest.TestCase):
+    """Declared times are followed as far as they are worth it."""
+
+    def test_follows_what_is_right(self):
+        cases = [
+            ("exact", lambda _source: 1.0, 0.99, 1.0),
+            ("always twice as long", lambda _source: 2.0, 0.99, 1.0),
+            ("off by up to 10", lambda source: 10 ** source.uniform(-1, 1), 0.1, 0.5),
+            ("without relation", lambda source: 10 ** source.uniform(-4, 4), 0.0, 0.1),
+        ]
+        for name, off_by, least, most in cases:
+            with self.subTest(name):
+                times = RunTimes()
+                teach(times, off_by, random.Random(1))
+                self.assertGreaterEqual(times.slope, least)
+                self.assertLessEqual(times.slope, most)
+
+    def test_exact_declarations_are_met(self):
+        times = RunTimes()
+        teach(times, lambda _source: 2.0, random.Random(2))
+        self.assertAlmostEqual(times.estimate(1000), 500, delta=25)
+
+    def test_without_declarations_the_mean(self):
+        times = RunTimes()
+        self.assertEqual(times.estimate(), INITIAL_MS)
+        for _ in range(50):
+            times.learn(0, 80.0)
+        self.assertAlmostEqual(times.estimate(), 80.0)
+        self.assertGreater(times.estimate(10_000), 0)
--- /dev/null
+++ b/tests/test_golden.py
@@ -0,0 +1,277 @@
+"""Golden files: whole sessions of callers and operators, request by request.
+
+Written anew with ``GERANIUMSPOOL_WRITE_GOLDEN=1``. What differs from run to
+run is replaced by names in order of appearance; what depends on placement or
+on speed has one name for all.
+"""
+
+import json
+import os
+import re
+import unittest
+from pathlib import Path
+
+import eventlet
+
+from geraniumspool.messages import MEMBER_LEFT, Peer
+from geraniumspool.ticket import Keyring, read_ticket
+from tests.small import (
+    ALL_SLOTS,
+    SERVICE,
+    TEAM,
+    TOKEN,
+    Small,
+    make_job,
+    make_task,
+    wait_until,
+)
+
+FOLDER = Path(__file__).parent / "golden"
+WRITE_VARIABLE = "GERANIUMSPOOL_WRITE_GOLDEN"
+HEADERS = ("Content-Type", "Allow", "Retry-After")
+TICKET = re.compile(r"[A-Za-z0-9_-]{60,}")
+FIXED = {
+    "minion": "<minion>",
+    "task": "<task>",
+    "decision": "<decision>",
+    "id": "<decision>",
+    "at_ms": "<time>",
+    "retry_after_ms": "<ms>",
+    "wait_ms": "<ms>",
+    "free": "<count>",
+    "last_contact_ms": "<ms>",
+    "incarnation": "<incarnation>",
+    "worker": "<address>",
+    "home": "<address>",
+}
+PATTERNS = (
+    (re.compile(r"tcp://[0-9.]+:[0-9]+"), "address"),
+    (re.compile(r"(?<=revision )[0-9]+"), "revision"),
+)
+SPEED = re.compile(r"[0-9.]+(?= ms)")
+
+
+class Names:
+    """Stable names for values that differ from run to run."""
+
+    def __init__(self):
+        """Start with none."""
+        self._names: dict[tuple[str, str], str] = {}
+
+    def name(self, kind: str, value: object) -> str:
+        """Return the name of a value, by order of appearance within its kind."""
+        key = (kind, str(value))
+        if key not in self._names:
+            count = sum(known == kind for known, _ in self._names) + 1
+            self._names[key] = f"<{kind}-{count}>"
+        return self._names[key]
+
+    def clean(self, value, key: str = ""):
+        """Return a document with names in place of volatile values."""
+        if isinstance(value, dict):
+            return {name: self.clean(inner, name) for name, inner in value.items()}
+        if isinstance(value, list):
+            return [self.clean(inner, key) for inner in value]
+        if key in FIXED and value is not None and not isinstance(value, dict | list):
+            return FIXED[key]
+        if key in ("revision", "expected_revision", "newest", "config_revision") and value:
+            return self.name("revision", value)
+        if key == "subject":
+            return self.name("job", value)
+        return self._clean_text(value) if isinstance(value, str) else value
+
+    def _clean_text(self, text: str) -> str:
+        text = TICKET.sub(lambda found: self.name("ticket", found[0]), text)
+        for pattern, kind in PATTERNS:
+            text = pattern.sub(lambda found, kind=kind: self.name(kind, found[0]), text)
+        return SPEED.sub("<ms>", text)
+
+
+class Recorder:
+    """Does a session's requests and notes them with their answers."""
+
+    def __init__(self, small: Small):
+        """Start with nothing noted."""
+        self.small = small
+        self.steps: list[dict] = []
+        self._names = Names()
+
+    def call(self, method: str, path: str, body=None, entry: int = 0, **headers):
+        """Ask the callers' interface and note it."""
+        return self.note("callers", method, path, body, entry, headers)
+
+    def operate(self, method: str, path: str, body=None, entry: int = 0):
+        """Ask the operators' interface and note it."""
+        return self.note("operators", method, path, body, entry, {})
+
+    def note(self, listener, method, path, body, entry, headers):
+        """Ask, and note request and answer in the order of the answers."""
+        if listener == "callers":
+            answered = self.small.call(method, path, body, entry, **headers)
+        else:
+            answered = self.small.operate(method, path, body, entry)
+        request = {"to": f"{listener} of entry {entry + 1}", "method": method, "path": path}
+        if headers:
+            request["headers"] = {name.replace("_", "-"): text for name, text in headers.items()}
+        if body is not None:
+            request["body"] = body
+        sent = {name: answered.headers[name] for name in HEADERS if name in answered.headers}
+        if "Retry-After" in sent:
+            sent["Retry-After"] = "<s>"
+        response = {"status": answered.status, "headers": sent, "body": answered.body}
+        step = {"request": request, "response": response}
+        self.steps.append(self._names.clean(step))
+        return answered
+
+    def ticket(self) -> str:
+        """Order one ticket."""
+        order = {"service": SERVICE, "team": TEAM, "count": 1}
+        return self.call("POST", "/v1/tickets", order).body["tickets"][0]
+
+    def put(self, ticket: str, values: list, entry: int = 0, run_ms: float = 0, **fields):
+        """Submit a job of quick tasks."""
+        job = make_job([make_task(value, run_ms) for value in values], **fields)
+        return self.call("PUT", f"/v1/jobs/{ticket}", job, entry)
+
+
+class GoldenTest(unittest.TestCase):
+    """Sessions go as they are written down."""
+
+    maxDiff = None
+
+    def setUp(self):
+        """Start a system of its own, so that sessions don't meet."""
+        self.small = Small()
+        self.addCleanup(self.small.stop)
+        self.session = Recorder(self.small)
+
+    def check(self, name: str) -> None:
+        """Compare the session with its file, or write it."""
+        path = FOLDER / f"{name}.json"
+        text = json.dumps(self.session.steps, indent=2, ensure_ascii=False) + "\n"
+        if os.environ.get(WRITE_VARIABLE):
+            path.write_text(text, encoding="utf-8")
+        self.assertEqual(json.loads(path.read_text(encoding="utf-8")), self.session.steps)
+
+    def test_submit(self):
+        """Tickets, a job, its answer, its state, the reasons, a job by POST."""
+        session = self.session
+        ticket = session.ticket()
+        url = f"/v1/jobs/{ticket}"
+        session.call("GET", url)
+        answered = session.put(ticket, ["a", "b", "c"])
+        session.call("GET", url)
+        session.call("GET", f"{url}/decisions")
+        session.put(answered.body["next_ticket"], [{"nested": [1, None]}])
+        session.call("POST", "/v1/jobs", make_job([make_task(1)]))
+        key = {"Idempotency_Key": "order-17"}
+        session.call("POST", "/v1/jobs", make_job([make_task(2)]), **key)
+        session.call("POST", "/v1/jobs", make_job([make_task(2)]), 1, **key)
+        self.check("submit")
+
+    def test_resubmit_elsewhere(self):
+        """The same job through another entry, while it runs and afterwards."""
+        session = self.session
+        ticket = session.ticket()
+        job = make_job([make_task("once", 700)])
+        first = eventlet.spawn(self.small.call, "PUT", f"/v1/jobs/{ticket}", job)
+        wait_until(lambda: self.small.running() == 1)
+        session.call("GET", f"/v1/jobs/{ticket}", entry=1)
+        joined = session.call("PUT", f"/v1/jobs/{ticket}", job, 1)
+        self.assertEqual(first.wait().body["results"], joined.body["results"])
+        session.call("PUT", f"/v1/jobs/{ticket}", job | {"deadline_ms": 9_000})
+        session.put(ticket, ["other"], 1)
+        session.call("GET", f"/v1/jobs/{ticket}")
+        self.assertEqual(self.small.starts(), 1)
+        self.check("resubmit_elsewhere")
+
+    def test_cancel(self):
+        """Before submission, while queued, while running, and when done."""
+        session = self.session
+        unused = session.ticket()
+        session.call("DELETE", f"/v1/jobs/{unused}")
+        session.put(unused, ["never"], 1)
+        blocker = self.small.block()
+        queued = session.ticket()
+        url = f"/v1/jobs/{queued}"
+        job = make_job([make_task("never")], deadline_ms=500_000)
+        waiting = eventlet.spawn(self.small.call, "PUT", url, job)
+        wait_until(lambda: self.small.call("GET", url).body.get("state") == "running")
+        session.call("DELETE", url, entry=1)
+        self.assertEqual(waiting.wait().body["outcome"], "not_run")
+        session.call("DELETE", f"/v1/jobs/{blocker}")
+        session.call("GET", f"/v1/jobs/{blocker}", entry=1)
+        wait_until(lambda: self.small.running() == 0)
+        done = session.ticket()
+        session.put(done, ["done"])
+        session.call("DELETE", f"/v1/jobs/{done}")
+        self.check("cancel")
+
+    def test_leave(self):
+        """An agent leaves: its answers stay, its unused tickets are refused."""
+        session = self.session
+        done, unused = session.ticket(), session.ticket()
+        session.put(done, ["kept"])
+        agent = self.small.agents[0]
+        address = agent.ready_line()["inbox"]
+        self.assertEqual(read_ticket(unused).home.address, address)
+        order = {"address": address, "who": "tester", "why": "new kernel"}
+        session.operate("POST", "/v1/drain", order)
+        wait_until(lambda: agent.exit_requested)
+        self.assertTrue(agent.drain())
+        agent.stop()
+        peer = Peer(address, agent.describe().incarnation)
+        for entry in self.small.entries:
+            wait_until(lambda entry=entry: entry.roster.get(peer).state == MEMBER_LEFT)
+        for entry in (0, 1):
+            session.call("GET", f"/v1/jobs/{done}", entry=entry)
+            session.put(done, ["kept"], entry)
+            session.put(done, ["other"], entry)
+            session.put(unused, ["never"], entry)
+        session.put(session.ticket(), ["elsewhere"])
+        self.check("leave")
+
+    def test_refuse(self):
+        """Every kind of refusal, each with what the caller can do next."""
+        session = self.session
+        ticket = session.ticket()
+        url = f"/v1/jobs/{ticket}"
+        session.call("PUT", "/v1/jobs/none", make_job([make_task(1)]))
+        forged = Keyring(["another-key-than-theirs-01"]).sign(read_ticket(ticket))
+        session.call("PUT", f"/v1/jobs/{forged}", make_job([make_task(1)]))
+        session.call("PUT", url, make_job([make_task(1)], service="sawing"))
+        session.call("PUT", url, {"team": 5, "tasks": [{}], "deadline_ms": -1, "odd": 1})
+        session.call("PUT", url, make_job([]))
+        session.call("PATCH", url)
+        session.call("GET", "/v1/nothing")
+        session.call("POST", "/v1/tickets", {"service": "sawing", "team": TEAM})
+        session.call("POST", "/v1/jobs", make_job([make_task(1)], service="sawing"))
+        change = {
+            "change_id": "c1",
+            "expected_revision": 0,
+            "body": "running_tasks: 1\n",
+            "who": "tester",
+            "why": "a tight quota",
+        }
+        session.operate("PUT", "/v1/config/team/tight", change)
+        session.operate("PUT", "/v1/config/team/tight", change | {"change_id": "c2"}, 1)
+        session.operate("PUT", "/v1/config/team/odd", change | {"body": "weight: x\nodd: 1\n"})
+        session.put(ticket, [1, 2], team="tight")
+        session.put(ticket, [1, 2], team="tight", deadline_ms=9_000)
+        blocker = self.small.block(10 * ALL_SLOTS)
+        late = session.ticket()
+        session.put(late, ["late"], deadline_ms=5)
+        self.small.unblock(blocker)
+        session.put(late, ["late"])
+        self.check("refuse")
+
+
+class FilesTest(unittest.TestCase):
+    """The files themselves."""
+
+    def test_no_secret_in_files(self):
+        """The files hold no token and no ticket."""
+        for path in FOLDER.glob("*.json"):
+            text = path.read_text(encoding="utf-8")
+            self.assertNotIn(TOKEN, text)
+            self.assertIsNone(TICKET.search(text), path.name)
--- /dev/null
+++ b/tests/test_home.py
@@ -0,0 +1,322 @@
+"""Tests of the home: admission, offers, revokes, answers, records."""
+
+import json
+import logging
+import unittest
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.configuration import Configuration
+from geraniumspool.contracts import Announcement
+from geraniumspool.decisions import DecisionLog
+from geraniumspool.health import Health
+from geraniumspool.home import REVOKE_WAIT_MS, Home
+from geraniumspool.messages import (
+    MEMBER_LEFT,
+    MEMBER_READY,
+    Answer,
+    Cancel,
+    Decline,
+    Inquire,
+    Load,
+    Member,
+    Offer,
+    Peer,
+    Refusal,
+    Results,
+    Revoke,
+    Revoked,
+    Submit,
+    Task,
+    TaskResult,
+    WrongIncarnation,
+)
+from geraniumspool.metrics import MemoryCounters
+from geraniumspool.minion import MemoryMinionClient
+from geraniumspool.placement import LateBinding
+from geraniumspool.records import Records
+from geraniumspool.roster import Roster
+from geraniumspool.runner import Runner
+from geraniumspool.ticket import Keyring
+from tests.test_runner import Outbox
+
+ME = Peer("tcp://127.0.0.1:7001", 1)
+FAR = Peer("tcp://127.0.0.1:7002", 2)
+FARTHER = Peer("tcp://127.0.0.1:7003", 3)
+ENTRY = Peer("tcp://127.0.0.1:7004", 4)
+PEER_TIMEOUT_MS = 4_000.0
+
+
+class HomeTest(unittest.TestCase):
+    """A home without slots of its own, and workers played by the test."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.make()
+
+    def make(self, workers=(FAR,), slots=4, own_slots=0, max_record_bytes=1 << 20):
+        self.clock = ManualClock()
+        self.outbox = Outbox(ME)
+        self.keyring = Keyring(["ticket-key-for-tests-0001"])
+        counters = MemoryCounters()
+        decisions = DecisionLog(ME.incarnation, self.clock, logging.getLogger(__name__))
+        self.roster = Roster(self.clock, "north")
+        client = MemoryMinionClient(self.clock)
+        health = Health(self.clock, decisions, ME.address)
+        runner = Runner(self.outbox, self.clock, client, counters, health)
+        self.home = Home(
+            self.outbox,
+            self.clock,
+            counters,
+            decisions,
+            self.roster,
+            Configuration(self.clock, counters),
+            runner,
+            Records(self.clock, max_record_bytes, 600_000.0),
+            LateBinding(),
+            "north",
+            PEER_TIMEOUT_MS,
+        )
+        self.home.service = "fitting"
+        if own_slots:
+            runner.announce(Announcement("fitting", "http://127.0.0.1:1", own_slots, 64))
+        for peer in workers:
+            self.join(peer, slots)
+
+    def join(self, peer, slots=4, state=MEMBER_READY):
+        load = Load(slots, slots, 0, 0.0)
+        member = Member(*peer, "north", "agent", state, "fitting", 10.0, load)
+        self.roster.hear(member)
+        self.clock.settle()
+
+    def issue(self) -> str:
+        return self.keyring.issue(ME, "fitting", self.clock.wall())
+
+    def submit(self, tasks=2, run_ms=100.0, ticket="", deadline_ms=8_000.0, size=0.0, digest=b"a"):
+        ticket = ticket or self.issue()
+        rows = tuple(Task(json.dumps(n).encode(), size, run_ms) for n in range(tasks))
+        submit = Submit(7, ticket, "fitting", "team", deadline_ms, digest, rows)
+        self.home.take_submit(ENTRY, submit)
+        self.clock.settle()
+        return ticket
+
+    def cancel(self, ticket):
+        self.home.take_cancel(ENTRY, Cancel(9, ticket))
+        self.clock.settle()
+
+    def offers(self) -> list[Offer]:
+        return self.outbox.take(Offer)
+
+    def results(self, *offers, refused=(), peer=FAR, slots=4, ok=True):
+        done = tuple(
+            TaskResult(n, ok, b"%d" % n, "" if ok else "task_failed", 90.0) for n in offers
+        )
+        gone = tuple(Refusal(number, "worker_busy") for number in refused)
+        self.home.take_results(peer, Results(done, gone, Load(slots, slots, 0, 0.0)))
+        self.clock.settle()
+
+    def revoked(self, not_started=(), started=(), lost=(), peer=FAR):
+        answer = Revoked(tuple(not_started), tuple(started), tuple(lost), Load(4, 4, 0, 0.0))
+        self.home.take_revoked(peer, answer)
+        self.clock.settle()
+
+    def answers(self) -> list[tuple[str, str]]:
+        return [(answer.state, answer.code) for answer in self.outbox.take(Answer)]
+
+    def test_one_offer_at_a_time(self):
+        """One batch a worker; a task is offered again only after a refusal."""
+        self.submit(3)
+        (offer,) = self.offers()
+        self.assertEqual([task.offer for task in offer.tasks], [1, 2, 3])
+        self.clock.advance(2_500.0)
+        self.assertEqual(self.offers(), [])
+        self.assertTrue(self.outbox.take(Revoke))
+        self.results(1, refused=(2,))
+        (again,) = self.offers()
+        self.assertEqual([(task.offer, task.index) for task in again.tasks], [(4, 1)])
+        self.assertEqual(again.floor, 3)
+        self.results(3, 4)
+        (answer,) = self.outbox.take(Answer)
+        self.assertEqual((answer.state, answer.results), ("complete", (b"1", b"4", b"3")))
+
+    def test_crossed_results(self):
+        """Results are taken once, and only from the worker that was offered the task."""
+        self.make(workers=(FAR, FARTHER), slots=1)
+        self.submit(2)
+        sent = {peer: message.tasks[0] for peer, message in self.outbox.sent}
+        self.offers()
+        first, second = sent[FAR].offer, sent[FARTHER].offer
+        self.results(second, peer=FAR, slots=1)
+        self.results(first, peer=Peer(FAR.address, 99), slots=1)
+        self.results(first, 77, peer=FAR, slots=1)
+        self.results(first, peer=FAR, slots=1)
+        self.assertEqual(self.answers(), [])
+        self.results(second, peer=FARTHER, slots=1)
+        self.assertEqual(self.answers(), [("complete", "")])
+
+    def test_cancellation(self):
+        """What is told depends on the workers' word alone."""
+        cases = (
+            ("not started", {"not_started": (1, 2)}, "not_run"),
+            ("one started", {"not_started": (1,), "started": (2,)}, "may_have_run"),
+            ("one lost", {"not_started": (1,), "lost": (2,)}, "may_have_run"),
+            ("half an answer", {"not_started": (1,)}, "may_have_run"),
+            ("no answer", {}, "may_have_run"),
+        )
+        for name, told, expected in cases:
+            with self.subTest(case=name):
+                self.make()
+                ticket = self.submit(2)
+                self.cancel(ticket)
+                self.assertEqual(self.answers(), [])
+                if told:
+                    self.revoked(**told)
+                self.clock.advance(REVOKE_WAIT_MS)
+                self.assertEqual({state for state, _ in self.answers()}, {expected})
+                self.submit(2, ticket=ticket)
+                self.assertEqual(self.answers(), [(expected, "job_cancelled")])
+                self.assertEqual(len(self.offers()), 1)
+
+    def test_cancellations_share_a_message(self):
+        """A wave of cancellations costs one message a worker."""
+        tickets = [self.submit(1) for _ in range(4)]
+        for ticket in tickets:
+            self.home.take_cancel(ENTRY, Cancel(9, ticket))
+        self.clock.settle()
+        revokes = self.outbox.take(Revoke)
+        self.assertEqual([message.offers for message in revokes], [(1, 2, 3, 4)])
+
+    def test_unknown_jobs(self):
+        """Cancelled or declined before it is known, a job never runs."""
+        for message in (Cancel(9, self.issue()), Decline(9, self.issue(), b"a", "quota", "", 50.0)):
+            with self.subTest(kind=type(message).__name__):
+                kind = type(message).__name__.lower()
+                getattr(self.home, f"take_{kind}")(ENTRY, message)
+                self.submit(ticket=message.ticket)
+                self.assertEqual({state for state, _ in self.answers()}, {"not_run"})
+                self.assertEqual(self.offers(), [])
+
+    def test_decline_of_a_known_job(self):
+        """A refusal of a job that runs joins it."""
+        ticket = self.submit(1)
+        self.home.take_decline(ENTRY, Decline(8, ticket, b"a", "quota", "", 50.0))
+        self.results(1)
+        self.assertEqual({(a.request, a.state) for a in self.outbox.take(Answer)}, {
+            (7, "complete"),
+            (8, "complete"),
+        })  # fmt: skip
+
+    def test_predicted_wait(self):
+        """A job that cannot be in time is refused at once, with the time to come back."""
+        for _ in range(8):
+            self.submit(4, 1_000.0, deadline_ms=60_000.0)
+        late = self.submit(2, 100.0, deadline_ms=500.0)
+        (answer,) = self.outbox.take(Answer)
+        self.assertEqual((answer.state, answer.code), ("not_run", "job_refused_deadline"))
+        self.assertGreater(answer.retry_after_ms, 0.0)
+        self.submit(2, 100.0, ticket=late, deadline_ms=500.0)
+        self.assertEqual(self.answers(), [("not_run", "job_refused_deadline")])
+
+    def test_fits_no_minion(self):
+        """What fits no minion is refused for good, without a time to come back."""
+        self.submit(2, size=11.0)
+        (answer,) = self.outbox.take(Answer)
+        self.assertEqual(
+            (answer.state, answer.code, answer.retry_after_ms),
+            ("not_run", "job_refused_no_capacity", 0.0),
+        )
+
+    def test_narrow_before_wide(self):
+        """A narrow job that comes later goes before a wide one's waiting tasks."""
+        self.submit(14, 100.0)
+        first = self.offers()
+        self.submit(1, 200.0)
+        narrow = [task for offer in self.offers() for task in offer.tasks]
+        self.assertEqual([task.any_slot for task in narrow], [True])
+        waiting = {task.any_slot for offer in first for task in offer.tasks}
+        self.assertEqual(waiting, {False})
+
+    def test_deadline(self):
+        """A job ends at its deadline; tasks that never had a place did not run."""
+        self.make(workers=())
+        self.join(FAR, 1)
+        for _ in range(8):
+            self.submit(1, 1.0, deadline_ms=9_000.0)
+        self.submit(1, 1.0, deadline_ms=600.0)
+        waiting = sum(len(offer.tasks) for offer in self.offers())
+        self.assertLess(waiting, 9)
+        self.clock.advance(601.0)
+        self.assertEqual(self.answers(), [("not_run", "job_expired")])
+
+    def test_worker_gone(self):
+        """A worker that left, was replaced or stays silent fails its jobs at once."""
+
+        def leave():
+            self.join(FAR, state=MEMBER_LEFT)
+
+        def be_replaced():
+            self.home.take_rejection(Peer(FAR.address, 99), WrongIncarnation(1, 0, FAR.incarnation))
+
+        cases = (("left", leave, 600.0), ("replaced", be_replaced, 0.0), ("silent", None, 8_000.0))
+        for name, strike, wait_ms in cases:
+            with self.subTest(case=name):
+                self.make()
+                ticket = self.submit(2, deadline_ms=60_000.0)
+                if strike:
+                    strike()
+                self.clock.advance(wait_ms)
+                self.assertEqual(self.answers(), [("may_have_run", "worker_lost")])
+                self.results(1, 2)
+                self.submit(2, ticket=ticket)
+                self.assertEqual(self.answers(), [("may_have_run", "worker_lost")])
+
+    def test_worker_given_up(self):
+        """A worker given up as silent gets no task until it is heard again."""
+        self.submit(1, deadline_ms=60_000.0)
+        self.clock.advance(9_000.0)
+        self.offers()
+        self.submit(1, deadline_ms=60_000.0)
+        self.clock.advance(3_000.0)
+        self.assertEqual(self.offers(), [])
+        self.assertTrue(self.outbox.take(Revoke))
+        self.revoked()
+        self.submit(1, deadline_ms=60_000.0)
+        self.assertEqual(len(self.offers()), 1)
+
+    def test_evicted_record(self):
+        """A ticket as old as an evicted record may have run; a newer one runs."""
+        self.make(max_record_bytes=1_500)
+        tickets = []
+        for number in range(1, 5):
+            tickets.append(self.submit(1))
+            self.results(number)
+            self.clock.advance(5.0)
+        self.answers()
+        self.submit(1, ticket=tickets[0])
+        self.submit(1, ticket=tickets[-1])
+        self.assertEqual(self.answers(), [("may_have_run", "record_evicted"), ("complete", "")])
+        self.offers()
+        self.submit(1)
+        self.assertEqual(len(self.offers()), 1)
+
+    def test_states(self):
+        """An inquiry tells what is known, and starts nothing."""
+        running, unknown = self.submit(1), self.issue()
+        foreign = self.keyring.issue(FAR, "fitting", self.clock.wall())
+        for ticket in (running, unknown, foreign):
+            self.home.take_inquire(ENTRY, Inquire(3, ticket))
+        states = [state for state, _ in self.answers()]
+        self.assertEqual(states, ["running", "unknown", "may_have_run"])
+        self.submit(1, ticket=foreign)
+        self.assertEqual(self.answers(), [("may_have_run", "home_gone")])
+        self.assertEqual(len(self.offers()), 1)
+
+    def test_leaving(self):
+        """A home that leaves refuses new jobs, truly, and finishes those it has."""
+        self.submit(1)
+        self.home.leave()
+        self.submit(1)
+        self.assertEqual(self.answers(), [("not_run", "job_refused_leaving")])
+        self.results(1)
+        self.assertEqual(self.answers(), [("complete", "")])
+        self.assertTrue(self.home.is_idle)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,421 @@
+"""Contract of the operators' interface, by HTTP and by the command line."""
+
+import contextlib
+import io
+import json
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+import eventlet
+
+from geraniumspool import cli
+from geraniumspool.clock import ManualClock
+from geraniumspool.messages import MEMBER_EJECTED, MEMBER_LEFT, MEMBER_READY, Member, Peer
+from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, Roster
+from tests.small import SERVICE, TEAM, TOKEN, Small, make_task, wait_until
+
+TASK = make_task("good")
+PATHS = (
+    ("GET", "/v1/status"),
+    ("GET", "/v1/roster"),
+    ("GET", "/v1/config"),
+    ("GET", "/v1/config/team/t"),
+    ("PUT", "/v1/config/team/t"),
+    ("GET", "/v1/config/team/t/history"),
+    ("GET", "/v1/config-status"),
+    ("POST", "/v1/drain"),
+    ("GET", "/v1/decisions/d-1-1"),
+    ("GET", "/v1/jobs/x"),
+    ("DELETE", "/v1/jobs/x"),
+    ("GET", "/v1/jobs/x/decisions"),
+)
+
+
+def make_change(expected, body, change_id, **fields):
+    """Return the body of a configuration change."""
+    change = {
+        "change_id": change_id,
+        "expected_revision": expected,
+        "body": body,
+        "who": "tester",
+        "why": "a test",
+    }
+    return change | fields
+
+
+class OperatorsCase(unittest.TestCase):
+    """Base: one system for all tests of a class."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the system."""
+        cls.small = Small()
+        cls.addClassCleanup(cls.small.stop)
+
+    def assert_problem(self, answered, status, code):
+        """Check a failure's status, code and type."""
+        self.assertEqual((answered.status, answered.body.get("code")), (status, code), answered)
+        self.assertEqual(answered.headers["Content-Type"], "application/problem+json")
+        self.assertTrue(answered.body["detail"])
+
+    def store_down(self):
+        """Take the store away until the test ends."""
+        self.small.store.store.down = True
+        self.addCleanup(self.store_up)
+
+    def store_up(self):
+        """Bring the store back and wait until the entries follow it again."""
+        self.small.store.store.down = False
+        wait_until(lambda: all(entry.watcher.state == "watching" for entry in self.small.entries))
+
+
+class HttpTest(OperatorsCase):
+    """The interface itself."""
+
+    def test_token(self):
+        """Without the whole token nothing is told or done on any path."""
+        for token in (None, "", "wrong", TOKEN[:-1], TOKEN + "x", "é"):
+            for method, path in PATHS:
+                with self.subTest(token=token, method=method, path=path):
+                    answered = self.small.operate(method, path, {}, token=token)
+                    self.assert_problem(answered, 401, "unauthorized")
+
+    def test_status(self):
+        """Status tells of the entry, its domains, the store and counters."""
+        status = self.small.operate("GET", "/v1/status", entry=1).body
+        self.assertEqual(status["entry"]["domain"], "south")
+        self.assertEqual(status["entry"]["state"], MEMBER_READY)
+        rows = {row["domain"]: (row["agents"], row["ready"]) for row in status["domains"]}
+        self.assertEqual(rows, {"north": (1, 1), "south": (1, 1)})
+        self.assertEqual(status["store"]["state"], "watching")
+        self.assertGreater(status["counters"]["http_requests{status=200}"], -1)
+
+    def test_roster(self):
+        """Both entries list the same four processes, in one order."""
+        one, two = (self.small.operate("GET", "/v1/roster", entry=n).body for n in (0, 1))
+        rows = [(row["domain"], row["role"], row["state"]) for row in one["members"]]
+        self.assertEqual(
+            rows,
+            [
+                (domain, role, MEMBER_READY)
+                for domain in ("north", "south")
+                for role in (ROLE_AGENT, ROLE_ENTRY)
+            ],
+        )
+        addresses = [[row["address"] for row in answer["members"]] for answer in (one, two)]
+        self.assertEqual(*addresses)
+
+    def test_change_and_stale_revision(self):
+        """One of two changes on one revision wins; the other is told so."""
+        url = "/v1/config/service/planing"
+        first = self.small.operate("PUT", url, make_change(0, "max_tasks: 5\n", "a1"))
+        self.assertEqual((first.status, first.body["status"]), (200, "accepted"))
+        revision = first.body["revision"]
+        again = self.small.operate("PUT", url, make_change(0, "max_tasks: 5\n", "a1"), entry=1)
+        self.assertEqual((again.status, again.body), (200, first.body))
+        change = make_change(0, "max_tasks: 6\n", "a2", who="other")
+        stale = self.small.operate("PUT", url, change, entry=1)
+        self.assert_problem(stale, 409, "config_stale_revision")
+        self.assertIn("tester", stale.body["detail"])
+        self.assertIn(str(revision), stale.body["detail"])
+        got = self.small.operate("GET", url, entry=1).body
+        self.assertEqual(
+            (got["revision"], got["body"], got["fresh"]), (revision, "max_tasks: 5\n", True)
+        )
+        second = self.small.operate("PUT", url, make_change(revision, "max_tasks: 6\n", "a3"))
+        newest = second.body["revision"]
+        deleted = self.small.operate("PUT", url, make_change(newest, None, "a4"))
+        self.assertEqual(deleted.status, 200)
+        history = self.small.operate("GET", url + "/history", entry=1).body["changes"]
+        self.assertEqual({row["change_id"] for row in history}, {"a1", "a3", "a4"})
+        self.assertEqual({row["who"] for row in history}, {"tester"})
+        bodies = {row["change_id"]: (row["before"], row["after"]) for row in history}
+        self.assertEqual(bodies["a3"], ("max_tasks: 5\n", "max_tasks: 6\n"))
+        self.assertEqual(bodies["a4"], ("max_tasks: 6\n", None))
+        listed = self.small.operate("GET", "/v1/config").body["documents"]
+        self.assertNotIn("service/planing", [row["key"] for row in listed])
+
+    def test_change_takes_effect_everywhere(self):
+        """It is in force at every agent, and the status says so."""
+        change = make_change(0, "max_tasks: 3\n", "b1")
+        revision = self.small.operate("PUT", "/v1/config/service/carving", change).body["revision"]
+        for entry in (0, 1):
+
+            def is_in_force(entry=entry):
+                answer = self.small.operate("GET", "/v1/config-status", entry=entry).body
+                rows = {row["domain"]: row["revision"] for row in answer["domains"]}
+                return answer["newest"] >= revision and min(rows.values(), default=0) >= revision
+
+            wait_until(is_in_force)
+        for agent in self.small.agents:
+            self.assertEqual(agent.configuration.service("carving").max_tasks, 3)
+
+    def test_invalid_documents(self):
+        """All findings come at once, with lines, and nothing is written."""
+        body = "max_tasks: 0\nodd: 1\nrun_limit_ms: soon\n"
+        url = "/v1/config/service/turning"
+        answered = self.small.operate("PUT", url, make_change(0, body, "c1"))
+        self.assert_problem(answered, 400, "invalid_input")
+        found = [(row["place"], row["line"], row["path"]) for row in answered.body["findings"]]
+        key = "service/turning"
+        self.assertEqual(found, [(key, 1, "max_tasks"), (key, 2, "odd"), (key, 3, "run_limit_ms")])
+        self.assert_problem(self.small.operate("GET", url), 404, "not_found")
+
+    def test_invalid_requests(self):
+        """Requests that are no changes are typed problems."""
+        url = "/v1/config/team/t"
+        for method, path, body, status, code in (
+            ("PUT", url, b"{", 400, "invalid_input"),
+            ("PUT", url, {"body": ""}, 400, "invalid_input"),
+            ("PUT", url, make_change("0", "", "d1"), 400, "invalid_input"),
+            ("PUT", url, make_change(0, "weight: 1\n", "d1", more=1), 400, "invalid_input"),
+            ("PUT", url, make_change(0, "weight: 1\n", ""), 400, "invalid_input"),
+            ("PUT", url, make_change(0, "weight: 1\n", "d1", who=""), 400, "invalid_input"),
+            ("PUT", url, make_change(0, "weight: 1\n", "d1", why=""), 400, "invalid_input"),
+            ("PUT", url, make_change(-1, "weight: 1\n", "d1"), 409, "config_stale_revision"),
+            ("PUT", "/v1/config/nokind/t", make_change(0, "a: 1", "d1"), 400, "invalid_input"),
+            ("GET", "/v1/config/nokind/t", None, 400, "invalid_input"),
+            ("GET", "/v1/config/nokind/t/history", None, 400, "invalid_input"),
+            ("GET", "/v1/config/team/unknown", None, 404, "not_found"),
+            ("POST", "/v1/drain", {"address": "tcp://h:1"}, 400, "invalid_input"),
+            ("POST", "/v1/drain", b"", 400, "invalid_input"),
+            ("GET", "/v1/decisions/none", None, 404, "not_found"),
+            ("GET", "/v1/decisions/d-1-1", None, 404, "not_found"),
+            ("GET", "/v1/nothing", None, 404, "not_found"),
+            ("POST", "/v1/status", None, 405, "method_not_allowed"),
+            ("GET", "/v1/jobs/none", None, 400, "ticket_malformed"),
+        ):
+            with self.subTest(method=method, path=path, body=body):
+                self.assert_problem(self.small.operate(method, path, body), status, code)
+        drain = {"address": "tcp://127.0.0.1:1", "who": "tester", "why": "a test"}
+        answered = self.small.operate("POST", "/v1/drain", drain)
+        self.assert_problem(answered, 404, "not_found")
+
+    def test_store_down(self):
+        """A change is unknown, what is in force stays, the repeat is safe."""
+        url = "/v1/config/team/joiners"
+        change = make_change(0, "weight: 2\n", "e1")
+        revision = self.small.operate("PUT", url, change).body["revision"]
+        self.store_down()
+        change = make_change(revision, "weight: 3\n", "e2")
+        answered = self.small.operate("PUT", url, change)
+        self.assert_problem(answered, 503, "config_change_unknown")
+        self.assertIn("Retry-After", answered.headers)
+        self.assertIn("e2", answered.body["detail"])
+        got = self.small.operate("GET", url).body
+        self.assertEqual((got["body"], got["fresh"]), ("weight: 2\n", False))
+        self.store_up()
+        again = self.small.operate("PUT", url, change)
+        self.assertEqual(again.status, 200)
+        self.assertGreater(again.body["revision"], revision)
+
+    def test_lost_answer(self):
+        """A change whose answer the store lost is accepted exactly once."""
+        self.small.store.store.lose_answers = 1
+        url = "/v1/config/team/turners"
+        answered = self.small.operate("PUT", url, make_change(0, "weight: 2\n", "f1"))
+        self.assertEqual((answered.status, answered.body.get("status")), (200, "accepted"))
+        history = self.small.operate("GET", url + "/history").body["changes"]
+        self.assertEqual([row["change_id"] for row in history], ["f1"])
+
+    def test_decisions_by_id(self):
+        """Decisions of any process are told by any entry."""
+        ticket = self.small.ticket()
+        self.small.put(ticket, [TASK])
+        rows = self.small.operate("GET", f"/v1/jobs/{ticket}/decisions").body["decisions"]
+        self.assertEqual(len({row["id"].split("-")[1] for row in rows}), 2)
+        for row in rows:
+            for entry in (0, 1):
+                with self.subTest(code=row["code"], entry=entry):
+                    answered = self.small.operate("GET", f"/v1/decisions/{row['id']}", entry=entry)
+                    self.assertEqual(answered.body, {"decisions": [row]})
+            gone = row["id"].rpartition("-")[0] + "-999999999"
+            self.assert_problem(
+                self.small.operate("GET", f"/v1/decisions/{gone}"), 404, "not_found"
+            )
+
+    def test_refusal_names_its_decision(self):
+        """The decision in a problem can be asked for as it stands there."""
+        ticket = self.small.ticket()
+        self.small.call("DELETE", f"/v1/jobs/{ticket}")
+        named = self.small.put(ticket, [TASK]).body["decision"]
+        answered = self.small.operate("GET", f"/v1/decisions/{named}")
+        codes = [row["code"] for row in answered.body.get("decisions", [])]
+        self.assertIn("job_cancelled", codes, answered)
+
+    def test_jobs_for_operators(self):
+        """Operators see and cancel jobs with the token."""
+        ticket = self.small.ticket()
+        caller = eventlet.spawn(self.small.put, ticket, [make_task(1, 60_000)])
+        wait_until(lambda: self.small.running() == 1)
+        url = f"/v1/jobs/{ticket}"
+        self.assertEqual(self.small.operate("GET", url, entry=1).body["state"], "running")
+        answered = self.small.operate("DELETE", url, entry=1)
+        self.assertEqual(answered.body["outcome"], "may_have_run")
+        self.assertEqual(caller.wait().body["code"], "job_cancelled")
+
+
+class DrainTest(unittest.TestCase):
+    """Agents and entries leave when an operator asks."""
+
+    def setUp(self):
+        """Start a system of its own, which the test takes apart."""
+        self.small = Small()
+        self.addCleanup(self.small.stop)
+
+    def test_drain_of_an_agent(self):
+        """It leaves; its jobs' answers come from the archive; nothing runs again."""
+        done, unused = self.small.ticket(0), self.small.ticket(0)
+        results = self.small.put(done, [TASK]).body["results"]
+        agent = self.small.agents[0]
+        address = agent.ready_line()["inbox"]
+        order = {"address": address, "who": "tester", "why": "new kernel"}
+        answered = self.small.operate("POST", "/v1/drain", order, entry=1)
+        self.assertEqual((answered.status, answered.body["state"]), (202, "asked"))
+        wait_until(lambda: agent.exit_requested)
+        self.assertTrue(agent.drain())
+        agent.stop()
+        peer = Peer(address, agent.describe().incarnation)
+        for entry in self.small.entries:
+            wait_until(lambda entry=entry: entry.roster.get(peer).state == MEMBER_LEFT)
+        starts = self.small.starts()
+        for entry in (0, 1):
+            kept = self.small.call("GET", f"/v1/jobs/{done}", entry=entry)
+            self.assertEqual(kept.body.get("results"), results, kept)
+            again = self.small.put(done, [TASK], entry)
+            self.assertEqual(again.body.get("results"), results, again)
+            other = self.small.put(done, [make_task("other")], entry)
+            self.assertEqual((other.status, other.body["code"]), (409, "job_conflict"))
+            never = self.small.put(unused, [TASK], entry)
+            self.assertEqual(never.body["outcome"], "not_run", never)
+            self.assertEqual(never.body["code"], "job_never_submitted")
+            reason = self.small.operate("GET", f"/v1/decisions/{never.body.get('decision')}")
+            self.assertEqual(reason.status, 200, never)
+        self.assertEqual(self.small.starts(), starts)
+        fresh = self.small.call("POST", "/v1/tickets", {"service": SERVICE, "team": TEAM})
+        after = self.small.put(fresh.body["tickets"][0], [TASK])
+        self.assertEqual(after.status, 200)
+        rows = self.small.operate("GET", "/v1/status").body["domains"]
+        self.assertEqual(sum(row["agents"] for row in rows), 1)
+
+    def test_drain_of_entries(self):
+        """An entry asked through another one, or through itself, will exit."""
+        for through, target in ((0, 1), (0, 0)):
+            address = self.small.entries[target].ready_line()["inbox"]
+            order = {"address": address, "who": "tester", "why": "a test"}
+            self.small.operate("POST", "/v1/drain", order, entry=through)
+            wait_until(lambda target=target: self.small.entries[target].exit_requested)
+
+
+class CommandsTest(OperatorsCase):
+    """The operators' commands against a running entry."""
+
+    def setUp(self):
+        """Point the commands at the first entry."""
+        address = self.small.entries[0].ready_line()["operators"]
+        variables = {cli.ENTRY_VARIABLE: address, cli.TOKEN_VARIABLE: TOKEN}
+        patch = mock.patch.dict(os.environ, variables)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_command(self, *argv, expected=cli.EXIT_OK):
+        """Run a command with --json; return what it printed."""
+        output, errors = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(errors),
+            self.assertRaises(SystemExit) as stopped,
+        ):
+            cli.main([*argv, "--json"])
+        self.assertEqual(stopped.exception.code, expected, (argv, errors.getvalue()))
+        if output.getvalue():
+            return json.loads(output.getvalue())
+        self.assertNotEqual(expected, cli.EXIT_OK)
+        return errors.getvalue()
+
+    def apply(self, key, text, revision, change_id, expected=cli.EXIT_OK):
+        """Run ``config apply`` with a document's text."""
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+            file.write(text)
+            file.flush()
+            flags = ("--who", "tester", "--why", "a test", "--change-id", change_id)
+            revised = ("--expected-revision", str(revision))
+            return self.run_command(
+                "config", "apply", key, file.name, *revised, *flags, expected=expected
+            )
+
+    def test_status_and_roster(self):
+        """Both print what the interface answers."""
+        status = self.run_command("status")
+        self.assertEqual(status["entry"]["domain"], "north")
+        roster = self.run_command("roster")
+        self.assertEqual(roster, self.small.operate("GET", "/v1/roster").body)
+        self.run_command("status", "--token", "wrong", expected=cli.EXIT_UNAUTHORIZED)
+
+    def test_config(self):
+        """Apply, get, list, history, status; stale and invalid changes."""
+        key = "service/weaving"
+        revision = self.apply(key, "max_tasks: 4\n", 0, "g1")["revision"]
+        self.assertEqual(self.run_command("config", "get", key)["revision"], revision)
+        listed = self.run_command("config", "list")["documents"]
+        self.assertIn(key, [row["key"] for row in listed])
+        history = self.run_command("config", "history", key)["changes"]
+        self.assertEqual([row["change_id"] for row in history], ["g1"])
+        self.assertGreaterEqual(self.run_command("config", "status")["newest"], revision)
+        stale = self.apply(key, "max_tasks: 5\n", 0, "g2", cli.EXIT_CONFLICT)
+        self.assertIn("config_stale_revision", stale)
+        invalid = self.apply(key, "max_tasks: x\nodd: 1\n", revision, "g3", cli.EXIT_INVALID)
+        self.assertIn(f"{key}:1: max_tasks", invalid)
+        self.assertIn(f"{key}:2: odd", invalid)
+        self.run_command("config", "get", "service/none", expected=cli.EXIT_NOT_FOUND)
+
+    def test_config_without_store(self):
+        """The outcome is unknown, by exit code as well."""
+        self.store_down()
+        unknown = self.apply("team/weavers", "weight: 2\n", 0, "h1", cli.EXIT_UNKNOWN)
+        self.assertIn("config_change_unknown", unknown)
+
+    def test_jobs(self):
+        """State, reasons and cancellation of jobs."""
+        ticket = self.small.ticket()
+        self.run_command("job", ticket, expected=cli.EXIT_NOT_FOUND)
+        self.small.put(ticket, [TASK])
+        self.assertEqual(self.run_command("job", ticket)["outcome"], "complete")
+        rows = self.run_command("why", ticket)["decisions"]
+        self.assertEqual(rows[-1]["code"], "job_complete")
+        one = self.run_command("why", rows[0]["id"])["decisions"]
+        self.assertEqual(one, rows[:1])
+        self.run_command("why", "d-1-1", expected=cli.EXIT_NOT_FOUND)
+        unused = self.small.ticket()
+        self.assertEqual(self.run_command("cancel", unused)["outcome"], "not_run")
+        self.run_command("job", "A" * 60, expected=cli.EXIT_INVALID)
+
+    def test_drain(self):
+        """An unknown address is not found; a known one is asked."""
+        flags = ("--who", "tester", "--why", "a test")
+        self.run_command("drain", "tcp://127.0.0.1:1", *flags, expected=cli.EXIT_NOT_FOUND)
+        entry = self.small.entries[1]
+        answer = self.run_command("drain", entry.ready_line()["inbox"], *flags)
+        self.assertEqual(answer["state"], "asked")
+        wait_until(lambda: entry.exit_requested)
+
+
+class RosterTest(unittest.TestCase):
+    """What the operators' roster is made of."""
+
+    def test_newer_word_through_another_entry(self):
+        """A member's newer word counts, whoever was heard directly before."""
+        roster = Roster(ManualClock(), "north")
+        source = Peer("tcp://127.0.0.1:2", 2)
+        roster.hear(Member(*source, "south", ROLE_ENTRY, MEMBER_READY))
+        old = Member(
+            "tcp://127.0.0.1:1", 1, "south", ROLE_AGENT, MEMBER_EJECTED, SERVICE, version=3
+        )
+        roster.hear(old)
+        for state, max_size in ((MEMBER_READY, 0.0), (MEMBER_READY, 10.0)):
+            newer = old._replace(state=state, max_size=max_size, version=old.version + 1)
+            roster.relay(newer, source)
+            self.assertEqual(roster.get(Peer(*old[:2])), newer)
+            old = newer
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,51 @@
+"""Tests of placement."""
+
+import unittest
+
+from geraniumspool.job import Width
+from geraniumspool.messages import Load, Member, Peer
+from geraniumspool.placement import Demand, LateBinding
+from geraniumspool.worker import SLOW_PACE, SLOW_PROBE_MS, Worker
+
+OWN = Peer("tcp://10.0.0.1:7000", 1)
+
+
+def make_worker(number, domain="north", load=None):
+    """Return a worker with 8 slots, all free by default."""
+    address = f"tcp://10.0.0.{number}:7000"
+    load = load or Load(8, 8)
+    return Worker(Member(address, number, domain, "agent", "ready", "fitting", load=load), 0.0)
+
+
+def allot(workers, count, width=Width.WIDE):
+    """Return how many tasks go to each worker, by number."""
+    demand = Demand(count, 400.0, width, width == Width.NARROW)
+    rows = LateBinding(1).allot(demand, workers, OWN, "north")
+    return {row.worker.peer.incarnation: row.count for row in rows}
+
+
+class LateBindingTest(unittest.TestCase):
+    """Cheapest places first."""
+
+    def test_where_tasks_go(self):
+        full = Load(8, 0)
+        own, near, far = make_worker(1), make_worker(2), make_worker(3, "south")
+        cases = [
+            ("own first", [own, near, far], 1, Width.NARROW, {1: 1}),
+            ("near before far", [make_worker(1, load=full), near, far], 2, Width.NARROW, {2: 2}),
+            ("wide leaves a slot", [own, near], 14, Width.WIDE, {1: 7, 2: 7}),
+            ("narrow takes every slot", [own], 8, Width.NARROW, {1: 8}),
+            ("a short wait beats crossing", [own, near, far], 21, Width.WIDE, {1: 8, 2: 8, 3: 5}),
+            ("ahead is bounded", [own], 100, Width.WIDE, {1: 15}),
+            ("narrower goes further ahead", [own], 100, Width.NARROW, {1: 32}),
+        ]
+        for name, workers, count, width, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(allot(workers, count, width), expected)
+
+    def test_wide_job_may_probe_the_only_worker(self):
+        """A slow worker gets its probe also from a wide job, or it never recovers."""
+        worker = make_worker(1)
+        worker.pace = SLOW_PACE * 2
+        worker.look(SLOW_PROBE_MS + 1)
+        self.assertEqual(allot([worker], 40), {1: 1})
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -13,6 +13,7 @@
 
 from geraniumspool import messages as m
 from geraniumspool.errors import ChangeUnknown, StaleRevision
+from geraniumspool.minion import Fault, FaultKind
 from tests.world import SERVICE, TEAM, Job, World
 
 WIDE = (300.0,) * 6
@@ -211,6 +212,35 @@
                 self.play(first, 2.5, second)
 
 
+class MinionFaultTest(ProofTest):
+    """Points 1, 2 and 4 while one minion misbehaves."""
+
+    def play(self, role, fault, expected):
+        world = World(agents=2)
+        try:
+            world.agents[role].minion.inner.script(fault)
+            calls = []
+            for _ in range(6):
+                job = world.job(world.agents[0], WIDE)
+                calls += resubmit(world, job, world.entries, (200.0, 1_500.0))
+            self.hold(world)
+        finally:
+            world.stop()
+        self.assertLessEqual({call.outcome for call in calls}, expected)
+
+    def test_faults(self):
+        cases = (
+            ("refuses connections", Fault(FaultKind.REFUSE), {"complete"}),
+            ("never answers", Fault(FaultKind.SILENT), {"may_have_run", "complete"}),
+            ("fails everything", Fault(FaultKind.FAIL), {"may_have_run", "complete"}),
+            ("is a straggler", Fault(slow_factor=12.0), {"complete"}),
+        )
+        for name, fault, expected in cases:
+            for role in (0, 1):
+                with self.subTest(fault=name, agent=role):
+                    self.play(role, fault, expected)
+
+
 class OwnAnswerTest(ProofTest):
     """Point 3: callers get the whole answer to their own request."""
 
@@ -526,6 +556,7 @@
     FAULTS = (
         ("none", lambda network: None),
         ("answers lost", lose(m.Answer, 1)),
+        ("answers lost twice", lose(m.Answer, 2)),
         ("results lost", lose(m.Results, 2)),
         ("results late", delay(m.Results, 600.0)),
         ("offers lost", lose(m.Offer, 1)),
@@ -719,6 +750,19 @@
         world.replace(world.entries[0])
         self.settled(world, 3.0)
 
+    def test_watch_falls_behind(self):
+        """An entry that slept through changes whose history is gone takes them all."""
+        world = self.make(entries=2)
+        sleeper = world.entries[0]
+        world.freeze(sleeper)
+        first = self.change(world, world.entries[1], 2.0, 0, "change-1")
+        world.run(2_000.0)
+        self.change(world, world.entries[2], 3.0, first, "change-2")
+        world.store.compact()
+        world.run(8_000.0)
+        world.thaw(sleeper)
+        self.settled(world, 3.0)
+
     def test_operators_race(self):
         """Of two changes on one revision one is accepted, also with answers lost."""
         for lost in (0, 1, 2):
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,205 @@
+"""Tests of the teams' quotas."""
+
+import unittest
+from types import SimpleNamespace
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.documents import TeamDocument
+from geraniumspool.quota import MAX_TEAMS, Quotas
+
+TEAM = "opticians"
+STEPS_PER_DIGEST = 50
+
+
+class QuotaTest(unittest.TestCase):
+    """Entries share a team's quota by demand, without agreement."""
+
+    def setUp(self):
+        """Start with one clock and no limit."""
+        self.clock = ManualClock()
+        self.limits = TeamDocument()
+        self.entries = []
+        self.reports = {}
+
+    def add_entry(self):
+        """Return one more entry's quotas, which hears of the others in digests."""
+
+        def peers_demand():
+            return [report for sender, report in self.reports.items() if sender is not quotas]
+
+        configuration = SimpleNamespace(team=lambda _name: self.limits)
+        quotas = Quotas(self.clock, configuration, peers_demand, lambda: len(self.entries))
+        self.entries.append(quotas)
+        return quotas
+
+    def exchange(self):
+        """Let the entries tell each other their demand."""
+        demands = [(quotas, quotas.demand()) for quotas in self.entries]
+        self.reports = {quotas: SimpleNamespace(demand=demand) for quotas, demand in demands}
+
+    def taken(self, quotas, jobs, tasks=1):
+        """Return how many of the jobs are taken now; they end at once."""
+        count = 0
+        for _ in range(jobs):
+            if quotas.take(TEAM, tasks) is None:
+                quotas.give_back(TEAM, tasks)
+                count += 1
+        return count
+
+    def run_load(self, seconds, loads, step_ms=20.0):
+        """Return tasks started per entry when each offers so many a second."""
+        started = [0] * len(loads)
+        for step in range(int(seconds * 1000 / step_ms)):
+            if step % STEPS_PER_DIGEST == 0:
+                self.exchange()
+            for index, rate in enumerate(loads):
+                due = int((step + 1) * rate * step_ms / 1000) - int(step * rate * step_ms / 1000)
+                started[index] += self.taken(self.entries[index], due)
+            self.clock.advance(step_ms)
+        return started
+
+    def test_no_limit(self):
+        """A team without a document is never refused."""
+        self.assertEqual(self.taken(self.add_entry(), 1000, 340), 1000)
+
+    def test_burst_and_rate(self):
+        """A second's worth at once, then the rate; the wait told is enough."""
+        self.limits = TeamDocument(rate_tasks_per_s=10)
+        quotas = self.add_entry()
+        self.assertEqual(self.taken(quotas, 30), 10)
+        shortage = quotas.take(TEAM, 1)
+        self.assertIn("10.0 tasks a second", shortage.detail)
+        self.clock.advance(shortage.retry_after_ms)
+        self.assertEqual(self.taken(quotas, 5), 1)
+        self.clock.advance(60_000)
+        self.assertEqual(self.taken(quotas, 30), 10)
+
+    def test_wide_job(self):
+        """A job wider than the burst runs, and is paid for afterwards."""
+        self.limits = TeamDocument(rate_tasks_per_s=10)
+        quotas = self.add_entry()
+        self.assertEqual(self.taken(quotas, 1, 40), 1)
+        shortage = quotas.take(TEAM, 1)
+        self.assertAlmostEqual(shortage.retry_after_ms, 3100, delta=1)
+        self.clock.advance(3000)
+        self.assertEqual(self.taken(quotas, 1), 0)
+        self.clock.advance(100.001)
+        self.assertEqual(self.taken(quotas, 1), 1)
+
+    def test_slow_rate(self):
+        """A rate below one task a second still lets tasks through."""
+        self.limits = TeamDocument(rate_tasks_per_s=0.5)
+        self.add_entry()
+        started = self.run_load(20, [5])[0]
+        self.assertIn(started, range(10, 13))
+
+    def test_running(self):
+        """Tasks count until given back; a refused job counts for nothing."""
+        self.limits = TeamDocument(running_tasks=10)
+        quotas = self.add_entry()
+        self.assertIsNone(quotas.take(TEAM, 6))
+        self.assertIsNotNone(quotas.take(TEAM, 5))
+        self.assertIsNone(quotas.take(TEAM, 4))
+        shortage = quotas.take(TEAM, 1)
+        self.assertIn("10 tasks", shortage.detail)
+        self.assertGreater(shortage.retry_after_ms, 0)
+        quotas.give_back(TEAM, 4)
+        self.assertIsNotNone(quotas.take(TEAM, 5))
+        self.assertIsNone(quotas.take(TEAM, 4))
+
+    def test_give_back(self):
+        """Never below zero, and nothing for teams that are not known."""
+        self.limits = TeamDocument(running_tasks=3)
+        quotas = self.add_entry()
+        quotas.give_back(TEAM, 100)
+        self.assertEqual(quotas.demand(), ())
+        quotas.take(TEAM, 2)
+        quotas.give_back(TEAM, 100)
+        self.assertEqual(quotas.demand()[0][2], 0.0)
+        self.assertIsNone(quotas.take(TEAM, 3))
+        self.assertIsNotNone(quotas.take(TEAM, 1))
+
+    def test_rate_refusal_holds_no_slot(self):
+        """A job refused for its rate does not count as running."""
+        self.limits = TeamDocument(rate_tasks_per_s=1, running_tasks=5)
+        quotas = self.add_entry()
+        self.assertIsNone(quotas.take(TEAM, 1))
+        self.assertIsNotNone(quotas.take(TEAM, 1))
+        self.assertEqual(quotas.demand()[0][2], 1.0)
+
+    def test_limit_set_and_lifted(self):
+        """A new document counts from the next job on."""
+        quotas = self.add_entry()
+        self.assertEqual(self.taken(quotas, 100), 100)
+        self.limits = TeamDocument(rate_tasks_per_s=10)
+        self.assertEqual(self.taken(quotas, 100), 10)
+        self.limits = TeamDocument()
+        self.assertEqual(self.taken(quotas, 100), 100)
+
+    def test_shares_follow_demand(self):
+        """An idle entry's part goes to the one that has the demand."""
+        self.limits = TeamDocument(rate_tasks_per_s=100)
+        self.add_entry()
+        self.add_entry()
+        busy, idle = self.run_load(20, [300, 0])
+        self.assertEqual(idle, 0)
+        self.assertGreaterEqual(busy, 0.95 * 2000)
+        one, two = self.run_load(20, [300, 100])
+        self.assertGreater(one, 2 * two)
+        self.assertGreater(two, 0)
+
+    def test_overshoot_is_bounded(self):
+        """However many entries are flooded, the sum stays near the quota."""
+        self.limits = TeamDocument(rate_tasks_per_s=100)
+        for _ in range(4):
+            self.add_entry()
+        self.run_load(10, [400] * 4)
+        total = sum(self.run_load(10, [400] * 4))
+        self.assertGreaterEqual(total, 0.9 * 1000)
+        self.assertLessEqual(total, 1.15 * 1000)
+
+    def test_first_second_is_bounded(self):
+        """Entries that do not know each other's demand yet take one burst each."""
+        self.limits = TeamDocument(rate_tasks_per_s=100)
+        for _ in range(3):
+            self.add_entry()
+        self.assertLessEqual(sum(self.taken(quotas, 300) for quotas in self.entries), 300)
+
+    def test_running_shares(self):
+        """Flooded entries keep the running tasks near the quota together."""
+        self.limits = TeamDocument(running_tasks=40)
+        for _ in range(4):
+            self.add_entry()
+        for quotas in self.entries:
+            quotas.take(TEAM, 1)
+        self.exchange()
+        running = 4
+        for _ in range(100):
+            for quotas in self.entries:
+                running += quotas.take(TEAM, 1) is None
+            self.clock.advance(10)
+            self.exchange()
+        self.assertGreaterEqual(running, 36)
+        self.assertLessEqual(running, 44)
+
+    def test_demand_is_forgotten(self):
+        """Teams that went quiet are dropped, and their number is bounded."""
+        quotas = self.add_entry()
+        quotas.take("quiet", 1)
+        quotas.give_back("quiet", 1)
+        self.assertEqual(quotas.demand(), (("quiet", 0.2, 0.0),))
+        self.clock.advance(60_000)
+        self.assertEqual(quotas.demand(), ())
+        for number in range(MAX_TEAMS + 10):
+            quotas.take(f"team-{number}", 1)
+        self.assertEqual(len(quotas.demand()), MAX_TEAMS)
+
+    def test_many_teams_do_not_lift_a_limit(self):
+        """A flood of made-up team names does not free a team's running tasks."""
+        self.limits = TeamDocument(running_tasks=1)
+        quotas = self.add_entry()
+        self.assertIsNone(quotas.take(TEAM, 1))
+        for number in range(MAX_TEAMS + 10):
+            quotas.take(f"team-{number}", 1)
+            quotas.give_back(f"team-{number}", 1)
+        self.assertIsNotNone(quotas.take(TEAM, 1))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -11,6 +11,7 @@
 from geraniumspool.registry import (
     FOREIGN_MEMBERS,
     HINTS_PER_REPLY,
+    PUSHES_AT_ONCE,
     Registrar,
     Registry,
     discover_entries,
@@ -364,6 +365,18 @@
                 reply = self.ask(entry=entry, version=asked)
                 self.assertEqual((reply.whole, len(reply.members)), (whole, members))
 
+    def test_configuration_is_pushed_in_batches(self):
+        for number in range(2 * PUSHES_AT_ONCE + 1):
+            self.ask(number, entry=0, revision=9 if number == 0 else 0)
+        self.messenger.sent.clear()
+        self.configuration.apply([Document("team/opticians", 9, b"{}")])
+        self.registry.push_configuration()
+        self.assertEqual(len(self.messenger.sent), PUSHES_AT_ONCE)
+        self.clock.advance(10_000)
+        receivers = {peer.incarnation for peer, _ in self.messenger.sent}
+        self.assertEqual(receivers, set(range(10, 10 + 2 * PUSHES_AT_ONCE)))
+        self.assertEqual(len(self.messenger.sent), 2 * PUSHES_AT_ONCE)
+
     def test_agent_in_charge_of_another_entry_gets_no_reply(self):
         self.assertIsNone(self.ask(entry=2, state="leaving"))
         self.assertEqual(self.roster.find_incarnation(9).state, "leaving")
--- /dev/null
+++ b/tests/test_runner.py
@@ -0,0 +1,211 @@
+"""Tests of the runner: offers, revokes, floors, results."""
+
+import json
+import unittest
+
+from geraniumspool import runner as runners
+from geraniumspool.clock import ManualClock
+from geraniumspool.contracts import Announcement
+from geraniumspool.decisions import DecisionLog
+from geraniumspool.health import Health
+from geraniumspool.messages import Offer, OfferedTask, Peer, Results, Revoke, Revoked
+from geraniumspool.metrics import MemoryCounters
+from geraniumspool.minion import Fault, FaultKind, MemoryMinionClient
+from geraniumspool.runner import Runner
+
+ME = Peer("tcp://127.0.0.1:7001", 1)
+HOME = Peer("tcp://127.0.0.1:7002", 2)
+OTHER = Peer("tcp://127.0.0.1:7003", 3)
+HOLD_MS = 100.0
+MINION = Announcement("fitting", "http://127.0.0.1:1", 2, 64)
+
+
+class Outbox:
+    """A messenger that keeps what is sent."""
+
+    def __init__(self, me: Peer):
+        self.me = me
+        self.sent = []
+
+    def send(self, peer, message) -> bool:
+        self.sent.append((peer, message))
+        return True
+
+    def take(self, kind) -> list:
+        """Return the messages of a type, and forget them."""
+        found = [message for _, message in self.sent if isinstance(message, kind)]
+        self.sent = [row for row in self.sent if not isinstance(row[1], kind)]
+        return found
+
+
+def make_task(offer, job=1, index=None, run_ms=100.0, rank=0.0, any_slot=True) -> OfferedTask:
+    payload = json.dumps({"run_ms": run_ms}).encode()
+    place = offer if index is None else index
+    return OfferedTask(offer, job, place, "fitting", payload, run_ms, rank, 9_000.0, any_slot)
+
+
+class RunnerTest(unittest.TestCase):
+    """A runner with two slots and room for four more tasks."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.client = MemoryMinionClient(self.clock)
+        self.make()
+
+    def make(self, minion=MINION):
+        decisions = DecisionLog(ME.incarnation, self.clock, None)
+        health = Health(self.clock, decisions, ME.address)
+        self.outbox = Outbox(ME)
+        counters = MemoryCounters()
+        self.runner = Runner(self.outbox, self.clock, self.client, counters, health, 2.0, HOLD_MS)
+        self.runner.announce(minion)
+
+    def offer(self, *tasks, floor=1, more=False, home=HOME):
+        self.runner.take_offer(home, Offer(floor, tasks, more))
+        self.clock.settle()
+
+    def revoke(self, *offers, floor=1, stop=False, home=HOME) -> Revoked:
+        self.runner.take_revoke(home, Revoke(floor, offers, stop))
+        self.clock.settle()
+        return self.outbox.take(Revoked)[-1]
+
+    def results(self) -> list[list[int]]:
+        """Return the offers of each message of results so far."""
+        return [[row.offer for row in message.done] for message in self.outbox.take(Results)]
+
+    def refusals(self) -> dict[int, str]:
+        found = self.outbox.take(Results)
+        return {row.offer: row.code for message in found for row in message.refused}
+
+    def started(self, offer, job=1) -> int:
+        return self.client.starts[f"{job:x}.{offer}"]
+
+    def test_revoke_states(self):
+        """Each state is told as it is, and never changes to not started."""
+        self.offer(*(make_task(number) for number in (1, 2, 3)))
+        answer = self.revoke(1, 3, 9)
+        self.assertEqual((answer.started, answer.not_started, answer.lost), ((1,), (3, 9), ()))
+        self.clock.advance(300.0)
+        self.results()
+        answer = self.revoke(1, 3, 9)
+        self.assertEqual((answer.started, answer.not_started, answer.lost), ((), (3, 9), ()))
+        self.assertEqual(self.results(), [[1]])
+        self.offer(make_task(3), make_task(9))
+        self.clock.advance(1_000.0)
+        self.assertEqual([self.started(number) for number in (1, 2, 3, 9)], [1, 1, 0, 0])
+
+    def test_lost_result(self):
+        """A result that is no longer kept is told as lost, not as not started."""
+        limit = runners.KEPT_RESULT_BYTES
+        self.addCleanup(setattr, runners, "KEPT_RESULT_BYTES", limit)
+        runners.KEPT_RESULT_BYTES = 10
+        self.offer(make_task(1))
+        self.clock.advance(500.0)
+        answer = self.revoke(1)
+        self.assertEqual((answer.lost, answer.not_started), ((1,), ()))
+
+    def test_stop(self):
+        """A revoke that stops ends a running task; its outcome is a failure."""
+        self.offer(make_task(1, run_ms=5_000.0))
+        self.assertEqual(self.revoke(1, stop=True).started, (1,))
+        result = self.outbox.take(Results)[-1].done[0]
+        self.assertEqual((result.offer, result.ok), (1, False))
+
+    def test_floor(self):
+        """Offers below the floor are settled: refused when late, and never started."""
+        self.offer(make_task(1), make_task(2), make_task(3), make_task(4))
+        self.offer(make_task(8), floor=8)
+        self.outbox.take(Results)
+        self.offer(make_task(5), floor=1)
+        self.assertEqual(self.refusals(), {5: runners.REFUSED_STALE})
+        self.clock.advance(2_000.0)
+        starts = [self.started(number) for number in (1, 2, 3, 4, 5, 8)]
+        self.assertEqual(starts, [1, 1, 0, 0, 0, 1])
+        self.assertTrue(self.runner.is_idle)
+
+    def test_repeated_offer(self):
+        """A repeated offer starts nothing, in whatever state the first is."""
+        for wait_ms in (0.0, 50.0, 150.0, 500.0):
+            with self.subTest(wait_ms=wait_ms):
+                self.make()
+                job = 10 + int(wait_ms)
+                tasks = [make_task(number, job) for number in (1, 2, 3)]
+                self.offer(*tasks)
+                self.clock.advance(wait_ms)
+                self.offer(*tasks)
+                self.clock.advance(1_000.0)
+                self.assertEqual([self.started(number, job) for number in (1, 2, 3)], [1, 1, 1])
+
+    def test_home_gone(self):
+        """Nothing new starts for a home that is gone, and no start is denied."""
+        self.offer(*(make_task(number) for number in (1, 2, 3)))
+        self.runner.forget_home(HOME)
+        self.offer(make_task(4))
+        self.assertEqual(self.refusals(), {4: runners.REFUSED_STALE})
+        self.assertNotIn(1, self.revoke(1).not_started)
+        self.clock.advance(1_000.0)
+        self.assertEqual([self.started(number) for number in (1, 2, 3, 4)], [1, 1, 0, 0])
+
+    def test_refusals(self):
+        """Full, leaving or without a minion, offers are refused at once."""
+        self.offer(*(make_task(number) for number in range(1, 8)))
+        self.assertEqual(self.refusals(), {7: runners.REFUSED_BUSY})
+        self.runner.leave()
+        codes = dict.fromkeys((3, 4, 5, 6), runners.REFUSED_LEAVING)
+        self.assertEqual(self.refusals(), codes)
+        self.offer(make_task(8))
+        self.assertEqual(self.refusals(), {8: runners.REFUSED_LEAVING})
+        self.clock.advance(1_000.0)
+        self.assertEqual(sum(self.client.starts.values()), 2)
+        self.make(minion=None)
+        self.offer(make_task(9))
+        self.assertEqual(self.refusals(), {9: runners.REFUSED_NO_MINION})
+
+    def test_connection_refused(self):
+        """A refused connection proves that nothing started; any other fault does not."""
+        self.client.script(Fault(FaultKind.REFUSE), "1.1")
+        self.client.script(Fault(FaultKind.SILENT), "1.2")
+        self.offer(make_task(1), make_task(2))
+        self.assertEqual(self.refusals(), {1: "minion_refused_connection"})
+        self.clock.advance(9_500.0)
+        result = self.outbox.take(Results)[-1].done[0]
+        self.assertEqual((result.offer, result.code), (2, "task_outcome_unknown"))
+
+    def test_result_batches(self):
+        """Results wait for the last one of their job, within a limit."""
+        cases = (
+            ("last of the job", (50.0, 50.0), False, HOME, 55.0, [[1, 2]]),
+            ("held for another", (50.0, 900.0), False, HOME, 60.0, []),
+            ("at the limit", (50.0, 900.0), False, HOME, 55.0 + HOLD_MS, [[1]]),
+            ("more waits at the home", (50.0, 900.0), True, HOME, 55.0, [[1]]),
+            ("own home", (50.0, 900.0), False, ME, 55.0, [[1]]),
+        )
+        for name, runs, more, home, wait_ms, expected in cases:
+            with self.subTest(case=name):
+                self.make()
+                tasks = [make_task(number, 1, number, run) for number, run in enumerate(runs, 1)]
+                self.offer(*tasks, more=more, home=home)
+                self.clock.advance(wait_ms)
+                self.assertEqual(self.results(), expected)
+
+    def test_order_and_reserved_slot(self):
+        """Earlier ranks start first; a kept slot is left to narrow jobs."""
+        self.make(MINION._replace(slots=4))
+        wide = [make_task(number, any_slot=False, run_ms=300.0) for number in range(1, 6)]
+        self.offer(*wide)
+        self.assertEqual(sum(self.client.starts.values()), 3)
+        self.offer(make_task(8, rank=50.0), make_task(9, rank=10.0))
+        self.assertEqual((self.started(9), self.started(8)), (1, 0))
+        self.offer(make_task(10, job=2, rank=0.0), home=OTHER)
+        self.clock.advance(110.0)
+        self.assertEqual((self.started(10, 2), self.started(8), self.started(4)), (1, 0, 0))
+
+    def test_leaving_repeats_results(self):
+        """What no home has settled is sent once more before the runner goes."""
+        self.offer(make_task(1), make_task(2))
+        self.clock.advance(500.0)
+        self.offer(make_task(3), floor=2)
+        self.clock.advance(500.0)
+        self.results()
+        self.runner.repeat_results()
+        self.assertEqual(self.results(), [[2, 3]])
--- /dev/null
+++ b/tests/test_ticket.py
@@ -0,0 +1,82 @@
+"""Tests of tickets."""
+
+import base64
+import unittest
+
+from geraniumspool.errors import ForgedTicket, MalformedTicket
+from geraniumspool.messages import Peer
+from geraniumspool.ticket import MAX_KEYS, SIGNATURE_BYTES, Keyring, Ticket, _sign, read_ticket
+
+OLD, NEW = "an-old-key-of-tickets", "a-new-key-of-tickets"
+HOME = Peer("tcp://127.0.0.1:7000", 2**63)
+
+
+def encode(data):
+    """Return base64url text without padding."""
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+class TicketTest(unittest.TestCase):
+    """Tickets say what they were issued for, or are refused."""
+
+    def test_round_trip(self):
+        """What is issued verifies, also by who does not have the key."""
+        text = Keyring([NEW]).issue(HOME, "fitting", 123)
+        ticket = Keyring([NEW]).verify(text)
+        self.assertEqual(ticket[:3], (HOME, "fitting", 123))
+        self.assertEqual(read_ticket(text), ticket)
+        self.assertRegex(text, r"\A[A-Za-z0-9_-]+\Z")
+
+    def test_unique(self):
+        """No two tickets are the same."""
+        ring = Keyring([NEW])
+        self.assertEqual(len({ring.issue(HOME, "fitting", 1) for _ in range(500)}), 500)
+
+    def test_rotation(self):
+        """The first key signs; every key verifies; a retired one does not."""
+        old = Keyring([OLD]).issue(HOME, "fitting", 1)
+        both = Keyring([NEW, OLD])
+        both.verify(old)
+        Keyring([NEW]).verify(both.issue(HOME, "fitting", 1))
+        with self.assertRaises(ForgedTicket):
+            Keyring([NEW]).verify(old)
+        last = Keyring([f"key-{number}" for number in range(MAX_KEYS)] + [OLD])
+        with self.assertRaises(ForgedTicket):
+            last.verify(old)
+        with self.assertRaises(ValueError):
+            Keyring([])
+
+    def test_every_bit_counts(self):
+        """A ticket with any character changed is never taken."""
+        ring = Keyring([NEW])
+        text = ring.issue(HOME, "fitting", 1)
+        data = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+        for index in range(len(data)):
+            changed = data[:index] + bytes([data[index] ^ 1]) + data[index + 1 :]
+            with self.subTest(index=index), self.assertRaises(ForgedTicket):
+                ring.verify(encode(changed))
+
+    def test_malformed(self):
+        """What is no ticket is told apart from a forged one."""
+        ring = Keyring([NEW])
+        for text in ("", "A", "A" * 513, "no ticket", "é" * 40, "A" * 20 + "\0", "AAAA" * 5):
+            with self.subTest(text=text):
+                for read in (ring.verify, read_ticket):
+                    with self.assertRaises(MalformedTicket):
+                        read(text)
+
+    def test_signed_nonsense(self):
+        """A signature over something else makes no ticket."""
+        for body in (b"\xc0", b"\x91\x01", b"\x94\x01\x02\x03\x04", b"\x94\x92\xa1\xff\x01\xa0"):
+            text = encode(_sign(NEW.encode(), body) + body)
+            with self.subTest(body=body):
+                for read in (Keyring([NEW]).verify, read_ticket):
+                    with self.assertRaises(MalformedTicket):
+                        read(text)
+
+    def test_longest_names_fit(self):
+        """A ticket with the longest service name is still readable."""
+        ticket = Ticket(Peer("tcp://[" + "f" * 39 + "]:65535", 2**63), "s" * 100, 2**42, 2**63 - 1)
+        ring = Keyring([NEW])
+        self.assertEqual(ring.verify(ring.sign(ticket)), ticket)
+        self.assertGreater(SIGNATURE_BYTES, 15)
--- a/tests/world.py
+++ b/tests/world.py
@@ -48,6 +48,7 @@
             is_due = hub.timers and hub.timers[0][0] <= hub.clock()
             if not hub.next_timers and not is_due:
                 return
+        raise AssertionError("green tasks go on for ever without time passing")
 
 
 class ProcessClock(BaseClock):
@@ -433,6 +434,8 @@
         return wrong
 
     def stop(self) -> None:
+        for process in self.processes:
+            process.clock.dead = True
         for process in list(self.processes):
             self.kill(process)
             process.application.metrics.close()
