--- /dev/null
+++ b/benchmarks/experiment_base.py
@@ -0,0 +1,426 @@
+"""What all experiments share: fleets side by side, slices of load, rows of figures."""
+
+import contextlib
+import os
+import signal
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import eventlet
+from eventlet import tpool
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.counts import NO_COUNTS, Counts, Meter, is_alive
+from geraniumspool.client import OUTCOME_COMPLETE, OUTCOME_MAY_HAVE_RUN, OUTCOME_NOT_RUN
+from geraniumspool.load import OUTCOME_UNANSWERED, JobOutcome, Load, LoadOptions, LoadReport
+from geraniumspool.ticket import Keyring
+from geraniumspool.workload import ideal_ms
+from tests.processes import SERVICE, TEAM, TICKET_KEY, TOKEN, Fleet, Program
+
+DOMAINS = ["sukhbaatar", "bayanzurkh", "khan-uul"]
+AGENTS_PER_DOMAIN = [4, 4, 3]
+AGENTS = sum(AGENTS_PER_DOMAIN)
+SLOTS = 88
+READY_LIMIT_S = 30.0
+SETTLE_S = 0.3
+SAMPLE_S = 0.25
+TRIPS = 200
+SCALE = 1_000
+MAX_RATIO = 1_000_000
+MAX_MS = 600_000
+CANCELLED_CODE = "job_cancelled"
+QUERIES_AT_ONCE = 32
+JOIN_LIMIT_S = 60.0
+
+
+class Row(NamedTuple):
+    """Figures of one experiment under one policy.
+
+    :param chosen: whether the policy is the one in force
+    :param response_over_ideal_p50: None where no job was complete
+    :param tasks_started_more_than_once: starts beyond one a task, as the minions count
+    :param goodput_share: share of all slots' time spent on jobs that were answered
+        complete, over the time in which load was sent
+    :param refused_ms_p99: time to the answer of jobs refused as "not run"
+    :param deadline_missed: jobs answered after their deadline, or never
+    :param notes: figures of this experiment alone
+    """
+
+    experiment: str
+    policy: str
+    chosen: bool
+    jobs: int
+    response_over_ideal_p50: float | None
+    response_over_ideal_p99: float | None
+    response_over_ideal_narrow_p99: float | None
+    response_over_ideal_wide_p99: float | None
+    messages_per_task: float
+    cross_domain_messages_per_task: float
+    wasted_messages_per_task: float
+    refused_not_run: int
+    may_have_run: int
+    tasks_started_more_than_once: int
+    false_not_run: int
+    wrong_answers: int
+    goodput_share: float
+    refused_ms_p99: float | None
+    deadline_missed: int
+    load_average: float
+    notes: dict[str, float]
+
+    def as_json(self) -> dict:
+        """Return the row as one flat object."""
+        fields = self._asdict()
+        return fields | fields.pop("notes")
+
+
+class Job(NamedTuple):
+    """A job that was answered, as far as starts are checked against it."""
+
+    ticket: str
+    outcome: str
+    tasks: int
+
+
+class Tally:
+    """Outcomes and response times of jobs, over several slices of load."""
+
+    def __init__(self, trip_ms: float):
+        """Start empty.
+
+        :param trip_ms: one way between client and entries
+        """
+        self._trip_ms = trip_ms
+        self._ratios = HdrHistogram(1, MAX_RATIO, 3)
+        self._narrow = HdrHistogram(1, MAX_RATIO, 3)
+        self._wide = HdrHistogram(1, MAX_RATIO, 3)
+        self._refused = HdrHistogram(1, MAX_MS * SCALE, 3)
+        self.outcomes: Counter[str] = Counter()
+        self.codes: Counter[str] = Counter()
+        self.late = 0
+        self.jobs: list[Job] = []
+
+    def note(self, outcome: JobOutcome) -> None:
+        """Take the outcome of one job."""
+        plan = outcome.plan
+        self.outcomes[outcome.outcome] += 1
+        self.codes[outcome.code] += bool(outcome.code)
+        self.jobs.append(Job(outcome.ticket, outcome.outcome, len(plan.tasks)))
+        if outcome.outcome == OUTCOME_COMPLETE:
+            self.late += outcome.response_ms > plan.deadline_ms
+            ideal = ideal_ms(plan, SLOTS, self._trip_ms)
+            ratio = min(MAX_RATIO, max(1, round(outcome.response_ms / ideal * SCALE)))
+            self._ratios.record_value(ratio)
+            if plan.is_narrow:
+                self._narrow.record_value(ratio)
+            if plan.is_wide:
+                self._wide.record_value(ratio)
+        elif outcome.outcome == OUTCOME_NOT_RUN and outcome.code != CANCELLED_CODE:
+            self._refused.record_value(max(1, min(MAX_MS, outcome.response_ms) * SCALE))
+        elif outcome.outcome in (OUTCOME_MAY_HAVE_RUN, OUTCOME_UNANSWERED):
+            self.late += 1
+
+    def ratio(self, percentile: float) -> float | None:
+        """Return response time over ideal."""
+        return _read(self._ratios, percentile)
+
+    def narrow_ratio(self, percentile: float) -> float | None:
+        """Return response time over ideal of narrow jobs."""
+        return _read(self._narrow, percentile)
+
+    def wide_ratio(self, percentile: float) -> float | None:
+        """Return response time over ideal of wide jobs."""
+        return _read(self._wide, percentile)
+
+    def refused_ms(self, percentile: float) -> float | None:
+        """Return the time to the answer of refused jobs."""
+        return _read(self._refused, percentile)
+
+
+def _read(histogram: HdrHistogram, percentile: float) -> float | None:
+    if not histogram.get_total_count():
+        return None
+    return round(histogram.get_value_at_percentile(percentile) / SCALE, 3)
+
+
+class Trial:
+    """One policy of an experiment, measured in slices of load on one fleet."""
+
+    def __init__(self, fleet: Fleet, experiment: str, policy: str, chosen: bool, trip_ms: float):
+        """Start without figures.
+
+        :param chosen: whether the policy is the one in force
+        :param trip_ms: one way between client and entries
+        """
+        self.fleet = fleet
+        self._experiment = experiment
+        self._policy = policy
+        self._chosen = chosen
+        self._trip_ms = trip_ms
+        self.tally = Tally(trip_ms)
+        self.counts = NO_COUNTS
+        self.meter: Meter | None = None
+        self.wrong_answers = 0
+        self.starts = 0
+        self.reports: list[LoadReport] = []
+        self._useful: list[float] = []
+        self._loads: list[float] = []
+
+    def run(
+        self,
+        seconds: float,
+        watch: bool = False,
+        on_start: Callable[[Callable[[], None]], None] = lambda stop: None,
+        **options,
+    ) -> LoadReport:
+        """Send one slice of load and add up what it did.
+
+        :param watch: whether to sample how many slots are busy meanwhile
+        :param on_start: is given what ends the load early
+        :param options: fields of :class:`geraniumspool.load.LoadOptions`
+        """
+        options = {"slots": SLOTS, "trip_ms": self._trip_ms, "team": TEAM} | options
+        self.meter = Meter(self.fleet)
+        before = self.fleet.starts()["starts"]
+        first = len(self.tally.jobs)
+        samples: list[int] = []
+        sampler = eventlet.spawn(self._sample, samples, seconds) if watch else None
+        entries = options.pop("entries", None) or self.fleet.callers()
+        chosen = LoadOptions(entries=entries, service=SERVICE, seconds=seconds, **options)
+        load = Load(chosen, observer=self.tally.note)
+        on_start(load.stop)
+        report = load.run()
+        if sampler:
+            sampler.kill()
+        eventlet.sleep(SETTLE_S)
+        started = self.fleet.starts()["starts"] - before
+        self.counts += self.meter.read()
+        self.starts += started
+        self.wrong_answers += report.wrong_answers
+        self.reports.append(report)
+        self._loads.append(os.getloadavg()[0])
+        complete = sum(
+            job.tasks for job in self.tally.jobs[first:] if job.outcome == OUTCOME_COMPLETE
+        )
+        if samples:
+            busy = statistics.mean(samples) / SLOTS
+            self._useful.append(busy * complete / max(1, started))
+        return report
+
+    def _sample(self, samples: list[int], seconds: float) -> None:
+        """Sample the busy slots from a fifth of the time on until no more is sent."""
+        end = time.monotonic() + seconds
+        eventlet.sleep(seconds / 5)
+        while time.monotonic() < end:
+            samples.append(self.fleet.starts()["running"])
+            eventlet.sleep(SAMPLE_S)
+
+    def row(self, **notes: float) -> Row:
+        """Return the figures so far.
+
+        :param notes: figures of this experiment alone
+        """
+        tally = self.tally
+        tasks = max(1, self.starts)
+        check = check_starts(self.fleet, tally.jobs, self.starts)
+        goodput = statistics.mean(self._useful or [r.goodput_share for r in self.reports])
+        return Row(
+            experiment=self._experiment,
+            policy=self._policy,
+            chosen=self._chosen,
+            jobs=len(tally.jobs),
+            response_over_ideal_p50=tally.ratio(50),
+            response_over_ideal_p99=tally.ratio(99),
+            response_over_ideal_narrow_p99=tally.narrow_ratio(99),
+            response_over_ideal_wide_p99=tally.wide_ratio(99),
+            messages_per_task=round(self.counts.work_messages / tasks, 3),
+            cross_domain_messages_per_task=round(self.counts.cross_messages / tasks, 3),
+            wasted_messages_per_task=round(self.counts.wasted_messages / tasks, 3),
+            refused_not_run=tally.outcomes[OUTCOME_NOT_RUN],
+            may_have_run=tally.outcomes[OUTCOME_MAY_HAVE_RUN],
+            tasks_started_more_than_once=check.repeated,
+            false_not_run=check.false_not_run,
+            wrong_answers=self.wrong_answers,
+            goodput_share=round(goodput, 3),
+            refused_ms_p99=tally.refused_ms(99),
+            deadline_missed=tally.late,
+            load_average=round(max(self._loads or [0.0]), 1),
+            notes=notes,
+        )
+
+
+class StartsCheck(NamedTuple):
+    """What the minions' counts of starts say of the answers.
+
+    :param repeated: starts beyond one a task
+    :param false_not_run: jobs answered "not run" of which a task was started
+    """
+
+    repeated: int
+    false_not_run: int
+
+
+def check_starts(fleet: Fleet, jobs: list[Job], starts: int) -> StartsCheck:
+    """Compare the minions' starts with what the callers were told.
+
+    Each task of a complete job was started at least once, so the minions are
+    asked of single tasks only where more was started than that.
+
+    :param starts: starts that these jobs caused, at all minions
+    """
+    complete = sum(job.tasks for job in jobs if job.outcome == OUTCOME_COMPLETE)
+    beyond = starts - complete
+    if beyond <= 0:
+        return StartsCheck(0, 0)
+    others = [job for job in jobs if job.outcome != OUTCOME_COMPLETE and job.ticket]
+    keyring = Keyring([TICKET_KEY])
+    pool = eventlet.GreenPool(QUERIES_AT_ONCE)
+    names = [
+        (job, f"{keyring.verify(job.ticket).job:x}.{index}")
+        for job in others
+        for index in range(job.tasks)
+    ]
+    counts = list(pool.imap(lambda pair: _count_starts(fleet, pair[1]), names))
+    false = {
+        job.ticket
+        for (job, _), count in zip(names, counts, strict=True)
+        if count and job.outcome == OUTCOME_NOT_RUN
+    }
+    known_once = sum(1 for count in counts if count)
+    return StartsCheck(beyond - known_once, len(false))
+
+
+def _count_starts(fleet: Fleet, task: str) -> int:
+    total = 0
+    for minion in fleet.minions:
+        if is_alive(minion):
+            url = f"{minion.ready['minion']}/starts/{task}"
+            total += fleet.http.request("GET", url, timeout=10).json()["starts"]
+    return total
+
+
+@contextlib.contextmanager
+def open_fleets(*settings: dict) -> Iterator[list[Fleet]]:
+    """Start fleets side by side, ready for work, and end them.
+
+    :param settings: settings of the agents of each fleet
+    """
+    pool = eventlet.GreenPool()
+    fleets = list(pool.imap(_start_fleet, settings))
+    try:
+        for fleet in fleets:
+            wait_ready(fleet)
+        yield fleets
+    finally:
+        for fleet in fleets:
+            fleet.stop()
+
+
+def _start_fleet(settings: dict) -> Fleet:
+    # Starting a process blocks, so each fleet is started in a thread of its own.
+    return tpool.execute(Fleet, DOMAINS, AGENTS_PER_DOMAIN, agent_settings=settings)
+
+
+def wait_ready(fleet: Fleet, agents: int = AGENTS) -> None:
+    """Wait until every entry that lives knows enough agents to be ready."""
+    end = time.monotonic() + READY_LIMIT_S
+    for entry in fleet.entries:
+        while is_alive(entry) and fleet.ready_agents(entry) < agents:
+            if time.monotonic() > end:
+                raise RuntimeError(f"{agents} agents were not ready in time")
+            eventlet.sleep(0.1)
+
+
+def measure_trip(fleet: Fleet) -> float:
+    """Return the median of half a round trip to an entry, in milliseconds."""
+    url = f"http://{fleet.callers()[0]}/healthz"
+    times = []
+    for _ in range(TRIPS):
+        begin = time.perf_counter()
+        fleet.http.request("GET", url, timeout=10)
+        times.append(time.perf_counter() - begin)
+    return statistics.median(times) * 1_000 / 2
+
+
+def put_faults(fleet: Fleet, url: str, **faults) -> None:
+    """Switch faults of a stand-in on; those left out of a minion's go off."""
+    reply = fleet.http.request("PUT", f"{url}/faults", json=faults, timeout=10)
+    if reply.status != 200:
+        raise RuntimeError(f"{url}: {reply.status} {reply.data!r}")
+
+
+def wait_until(condition: Callable[[], bool], limit_s: float, pause_s: float = 0.02) -> float:
+    """Wait for a condition.
+
+    :returns: how long it took in milliseconds, infinite if it did not come true
+    """
+    begin = time.monotonic()
+    while not condition():
+        if time.monotonic() - begin > limit_s:
+            return float("inf")
+        eventlet.sleep(pause_s)
+    return (time.monotonic() - begin) * 1_000
+
+
+def restart_entry(fleet: Fleet, index: int) -> None:
+    """Start an entry that ended anew at its old addresses."""
+    old = fleet.entries[index].ready
+    settings = {
+        "role": "entry",
+        "domain": DOMAINS[index],
+        "inbox": old["inbox"],
+        "callers_listen": old["callers"],
+        "operators_listen": old["operators"],
+        "operators_token": TOKEN,
+        "ticket_keys": [TICKET_KEY],
+        "heartbeat_timeout_ms": 2000,
+        "registration_ttl_ms": 3000,
+    }
+    fleet.entries[index] = _start_again(fleet, "entry", settings)
+
+
+def restart_agent(fleet: Fleet, index: int) -> None:
+    """Start an agent that ended anew at its old addresses; its minion finds it there."""
+    old = fleet.agents[index].ready
+    settings = {
+        "role": "agent",
+        "domain": domain_of(index),
+        "inbox": old["inbox"],
+        "minion_listen": old["minion"].removeprefix("http://"),
+    }
+    fleet.agents[index] = _start_again(fleet, "agent", settings)
+
+
+def domain_of(index: int) -> str:
+    """Return the failure domain of an agent by its place in the start order."""
+    for domain, count in zip(DOMAINS, AGENTS_PER_DOMAIN, strict=True):
+        if index < count:
+            return domain
+        index -= count
+    raise IndexError(index)
+
+
+def _start_again(fleet: Fleet, role: str, settings: dict) -> Program:
+    common = {"store_urls": [fleet.store_url], "heartbeat_period_ms": 500}
+    path = fleet._write(settings | common)
+    return tpool.execute(fleet._start, role, path)
+
+
+def leave(program: Program) -> int:
+    """Ask a process to leave gracefully and wait without stopping the load.
+
+    :returns: its exit code
+    """
+    program.send(signal.SIGTERM)
+    wait_until(lambda: not is_alive(program), JOIN_LIMIT_S, 0.05)
+    program.kill()
+    return program.process.returncode
+
+
+def subtract(after: Counts, before: Counts) -> dict[str, float]:
+    """Return messages spent between two counts, as figures of a row."""
+    spent = after - before
+    return {"messages_spent": spent.work_messages, "wasted_spent": spent.wasted_messages}
--- /dev/null
+++ b/benchmarks/experiment_faults.py
@@ -0,0 +1,256 @@
+"""Experiments with faults: minions, processes, store, planned restarts."""
+
+import contextlib
+import signal
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import eventlet
+
+from benchmarks.experiment_base import (
+    Row,
+    Trial,
+    is_alive,
+    leave,
+    measure_trip,
+    open_fleets,
+    put_faults,
+    restart_agent,
+    restart_entry,
+    wait_ready,
+    wait_until,
+)
+from benchmarks.experiment_limits import change, configure, is_in_force, newest
+from geraniumspool.client import OUTCOME_COMPLETE
+from geraniumspool.workload import MIXES, RunTimes
+from tests.processes import SERVICE, Fleet
+
+MINION_SHARE = 0.6
+MINION_S = 8.0
+MINION_MIX = MIXES["narrow"]._replace(run_times=RunTimes(50, 1_000), deadline_ms=6_000.0)
+FLAP_S = 1.0
+FAULT_SHARE = 0.6
+FAULT_S = 12.0
+FAULT_AT_S = 4.0
+FAULT_MIX = MIXES["brief"]._replace(run_times=RunTimes(50, 1_000), deadline_ms=10_000.0)
+FROZEN_S = 6.0
+ENTRY_DOWN_S = 1.0
+DOUBLED_SHARE = 0.3
+STORE_SHARE = 0.5
+STORE_DOWN_S = 10.0
+STORE_SLOW_MS = 300.0
+STORE_LIMIT_S = 30.0
+RESTART_SHARE = 0.5
+RESTART_SECONDS = 150.0
+
+
+class BadMinion(NamedTuple):
+    """One way in which a minion is bad.
+
+    :param faults: faults of the stand-in
+    :param flaps: whether they come and go
+    """
+
+    name: str
+    faults: dict
+    flaps: bool = False
+
+
+BAD_MINIONS = (
+    BadMinion("healthy", {}),
+    BadMinion("fails everything", {"fail_all": True}),
+    BadMinion("fails at once", {"fail_all": True, "fail_fast": True}),
+    BadMinion("ten times slower", {"slow_factor": 10}),
+    BadMinion("frozen", {"freeze": True}),
+    BadMinion("flaps", {"fail_all": True, "fail_fast": True}, True),
+)
+# Each fault hits another minion, so that none has to be restored in between.
+BAD_PLACES = (0, 0, 4, 8, 1, 5)
+
+
+def measure_minions() -> list[Row]:
+    """Let one minion of eleven go bad, with ejection and without."""
+    rows = []
+    with open_fleets({}, {}) as fleets:
+        trip_ms = measure_trip(fleets[0])
+        configure(fleets[1], f"service/{SERVICE}", "ejection_failure_share: 1\n")
+        for bad, place in zip(BAD_MINIONS, BAD_PLACES, strict=True):
+            for fleet, name in zip(fleets, ("ejection", "no ejection"), strict=True):
+                chosen = fleet is fleets[0]
+                policy = f"{bad.name}, {name}"
+                trial = Trial(fleet, "bad minions", policy, chosen, trip_ms)
+                with _make_bad(fleet, place, bad):
+                    trial.run(MINION_S, mix=MINION_MIX, load_share=MINION_SHARE)
+                rows.append(_describe_failures(trial))
+    return rows
+
+
+def _describe_failures(trial: Trial) -> Row:
+    jobs = len(trial.tally.jobs)
+    failed = jobs - trial.tally.outcomes[OUTCOME_COMPLETE]
+    return trial.row(failed_share=round(failed / max(1, jobs), 4))
+
+
+@contextlib.contextmanager
+def _make_bad(fleet: Fleet, place: int, bad: BadMinion) -> Iterator[None]:
+    url = fleet.minions[place].ready["minion"]
+    task = eventlet.spawn(_flap, fleet, url, bad) if bad.flaps else None
+    put_faults(fleet, url, **bad.faults)
+    try:
+        yield
+    finally:
+        if task:
+            task.kill()
+        put_faults(fleet, url)
+
+
+def _flap(fleet: Fleet, url: str, bad: BadMinion) -> None:
+    while True:
+        eventlet.sleep(FLAP_S)
+        put_faults(fleet, url)
+        eventlet.sleep(FLAP_S)
+        put_faults(fleet, url, **bad.faults)
+
+
+def measure_unknown() -> list[Row]:
+    """Lose processes in the middle of jobs; jobs are submitted twice now and then."""
+    cases: tuple[tuple[str, Callable[[Trial], None]], ...] = (
+        ("no fault", lambda trial: None),
+        ("agent frozen 6 s", _freeze_agent),
+        ("entry killed, back at its address", _kill_entry),
+        ("agent killed", _kill_agent),
+        ("agent killed, back at its address", _kill_agent_and_restart),
+    )
+    rows = []
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        for name, fault in cases:
+            trial = Trial(fleet, "unknown outcomes", name, True, trip_ms)
+            task = eventlet.spawn(_later, fault, trial)
+            options = {"mix": FAULT_MIX, "load_share": FAULT_SHARE}
+            trial.run(FAULT_S, resubmit_share=DOUBLED_SHARE, **options)
+            task.wait()
+            rows.append(_describe_failures(trial))
+    return rows
+
+
+def _later(fault: Callable[[Trial], None], trial: Trial) -> None:
+    eventlet.sleep(FAULT_AT_S)
+    trial.meter.look()
+    fault(trial)
+
+
+def _freeze_agent(trial: Trial) -> None:
+    agent = trial.fleet.agents[0]
+    agent.send(signal.SIGSTOP)
+    eventlet.sleep(FROZEN_S)
+    agent.send(signal.SIGCONT)
+
+
+def _kill_entry(trial: Trial) -> None:
+    trial.fleet.entries[1].kill()
+    eventlet.sleep(ENTRY_DOWN_S)
+    restart_entry(trial.fleet, 1)
+
+
+def _kill_agent(trial: Trial) -> None:
+    trial.fleet.agents[10].kill()
+
+
+def _kill_agent_and_restart(trial: Trial) -> None:
+    trial.fleet.agents[5].kill()
+    restart_agent(trial.fleet, 5)
+
+
+def measure_store() -> list[Row]:
+    """Change the configuration while the store misbehaves, under load."""
+    cases = (
+        ("healthy", {}, 0.0, 6.0),
+        ("300 ms slow", {"slow_ms": STORE_SLOW_MS}, 0.0, 8.0),
+        ("two answers lost", {"lose_answers": 2}, 0.0, 8.0),
+        ("down 10 s", {"down": True}, STORE_DOWN_S, 18.0),
+    )
+    rows = []
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        for number, (name, faults, down_s, seconds) in enumerate(cases):
+            trial = Trial(fleet, "store", name, True, trip_ms)
+            notes: dict[str, float] = {}
+            task = eventlet.spawn(_change_later, fleet, number, faults, down_s, notes)
+            trial.run(seconds, mix=FAULT_MIX, load_share=STORE_SHARE)
+            task.wait()
+            put_faults(fleet, fleet.store_url, down=False, slow_ms=0, lose_answers=0)
+            row = _describe_failures(trial)
+            rows.append(row._replace(notes=row.notes | notes))
+    return rows
+
+
+def _change_later(
+    fleet: Fleet, number: int, faults: dict, down_s: float, notes: dict[str, float]
+) -> None:
+    """Change a document, repeat it until it is accepted, and wait until it is in force.
+
+    Times count from the first try, or from the store's return where it was down.
+    """
+    eventlet.sleep(1.0)
+    before = newest(fleet)
+    if faults:
+        put_faults(fleet, fleet.store_url, **faults)
+    begin = time.monotonic()
+    if down_s:
+        eventlet.spawn_after(down_s, put_faults, fleet, fleet.store_url, down=False)
+    change_id = uuid.uuid4().hex
+    body = f"weight: {number + 2}\n"
+    tries = 0
+    while change(fleet, "team/opticians", body, change_id) != 200:
+        tries += 1
+        if time.monotonic() - begin > STORE_LIMIT_S:
+            break
+        eventlet.sleep(0.1)
+    accepted = time.monotonic()
+    wait_until(lambda: is_in_force(fleet, before + 1), STORE_LIMIT_S)
+    notes["repeated_changes"] = tries
+    notes["accepted_ms"] = round((accepted - begin - down_s) * 1_000, 1)
+    notes["in_force_ms"] = round((time.monotonic() - begin - down_s) * 1_000, 1)
+
+
+def measure_restarts() -> list[Row]:
+    """Restart every agent and entry one after the other, under load."""
+    with open_fleets({}) as (fleet,):
+        trial = Trial(fleet, "restarts", "every agent and entry", True, measure_trip(fleet))
+        notes: dict[str, float] = {}
+        stop: list[Callable[[], None]] = []
+        task = eventlet.spawn(_restart_all, trial, notes, stop)
+        options = {"mix": FAULT_MIX, "load_share": RESTART_SHARE}
+        trial.run(RESTART_SECONDS, resubmit_share=DOUBLED_SHARE, on_start=stop.append, **options)
+        task.wait()
+        row = _describe_failures(trial)
+        return [row._replace(notes=row.notes | notes)]
+
+
+def _restart_all(trial: Trial, notes: dict[str, float], stop: list[Callable[[], None]]) -> None:
+    fleet = trial.fleet
+    eventlet.sleep(2.0)
+    begin = time.monotonic()
+    codes = []
+    longest = 0.0
+    for index in range(len(fleet.agents)):
+        trial.meter.look()
+        left = time.monotonic()
+        codes.append(leave(fleet.agents[index]))
+        longest = max(longest, time.monotonic() - left)
+        restart_agent(fleet, index)
+        wait_ready(fleet)
+    for index in range(len(fleet.entries)):
+        trial.meter.look()
+        codes.append(leave(fleet.entries[index]))
+        restart_entry(fleet, index)
+        wait_ready(fleet)
+    notes["restarted"] = sum(is_alive(program) for program in fleet.agents + fleet.entries)
+    notes["bad_exit_codes"] = sum(code != 0 for code in codes)
+    notes["took_s"] = round(time.monotonic() - begin, 1)
+    notes["longest_leave_s"] = round(longest, 1)
+    for end in stop:
+        end()
--- /dev/null
+++ b/benchmarks/experiment_limits.py
@@ -0,0 +1,223 @@
+"""Experiments on quotas, on fairness between teams and on cancellations in waves."""
+
+import statistics
+import time
+import uuid
+
+import eventlet
+
+from benchmarks.experiment_base import (
+    SLOTS,
+    Row,
+    Tally,
+    Trial,
+    measure_trip,
+    open_fleets,
+    subtract,
+    wait_until,
+)
+from geraniumspool.client import OUTCOME_COMPLETE, OUTCOME_NOT_RUN
+from geraniumspool.load import CancelWave, run_load
+from geraniumspool.workload import MIXES, RunTimes
+from tests.processes import SERVICE, Fleet
+
+RATE_TEAM = "phones"
+RATE_TASKS_PER_S = 60.0
+RUNNING_TEAM = "lenses"
+RUNNING_TASKS = 24
+QUOTA_S = 10.0
+QUOTA_OFFER = 2.5
+FAIR_S = 12.0
+FLOOD_TEAM = "flood"
+LIGHT_TEAM = "light"
+FLOOD_SHARE = 1.4
+LIGHT_SHARE = 0.05
+SAMPLE_S = 0.1
+STORE_LIMIT_S = 30.0
+SHORT_TIMES = RunTimes(50, 400)
+SHORT_NARROW = MIXES["narrow"]._replace(run_times=SHORT_TIMES)
+WAVE_MIX = MIXES["brief"]._replace(run_times=SHORT_TIMES, deadline_ms=30_000.0)
+WAVE_SHARE = 3.0
+WAVE_AT_S = 4.0
+FREE_LIMIT_S = 20.0
+
+
+def change(fleet: Fleet, key: str, body: str, change_id: str = "", entry: int = 0) -> int:
+    """Put a configuration document in place of the current one.
+
+    :param key: ``service/NAME`` or ``team/NAME``
+    :param change_id: identity of the change, a new one by default
+    :returns: status of the answer, 200 where it was accepted
+    """
+    program = fleet.entries[entry]
+    status, document = fleet.ask(program, f"/v1/config/{key}")
+    request = {
+        "change_id": change_id or uuid.uuid4().hex,
+        "expected_revision": document["revision"] if status == 200 else 0,
+        "body": body,
+        "who": "measure",
+        "why": "an experiment",
+    }
+    return fleet.ask(program, f"/v1/config/{key}", "PUT", request)[0]
+
+
+def is_in_force(fleet: Fleet, revision: int) -> bool:
+    """Return whether every entry knows a revision to be in force in every domain."""
+    for entry in fleet.entries:
+        _, status = fleet.ask(entry, "/v1/config-status")
+        rows = [row["revision"] for row in status["domains"]]
+        if status["newest"] < revision or min(rows, default=0) < revision:
+            return False
+    return True
+
+
+def newest(fleet: Fleet) -> int:
+    """Return the newest revision that the first entry knows."""
+    return fleet.ask(fleet.entries[0], "/v1/config-status")[1]["newest"]
+
+
+def configure(fleet: Fleet, key: str, body: str) -> None:
+    """Put a configuration document in force everywhere.
+
+    :raises RuntimeError: if it is not accepted, or not in force in time
+    """
+    if change(fleet, key, body) != 200:
+        raise RuntimeError(f"{key} was not accepted")
+    program = fleet.entries[0]
+    revision = fleet.ask(program, f"/v1/config/{key}")[1]["revision"]
+    if wait_until(lambda: is_in_force(fleet, revision), STORE_LIMIT_S) == float("inf"):
+        raise RuntimeError(f"{key} was not in force in time")
+
+
+def measure_quotas() -> list[Row]:
+    """Send more than a team may use: through one entry, then through all."""
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        configure(fleet, f"team/{RATE_TEAM}", f"rate_tasks_per_s: {RATE_TASKS_PER_S}\n")
+        configure(fleet, f"team/{RUNNING_TEAM}", f"running_tasks: {RUNNING_TASKS}\n")
+        return [_measure_rate(fleet, trip_ms), _measure_running(fleet, trip_ms)]
+
+
+def _rate_for(tasks_per_s: float) -> float:
+    return QUOTA_OFFER * tasks_per_s / SHORT_NARROW.widths.mean
+
+
+def _measure_rate(fleet: Fleet, trip_ms: float) -> Row:
+    trial = Trial(fleet, "quotas", "60 tasks a second", True, trip_ms)
+    options = {"team": RATE_TEAM, "mix": SHORT_NARROW, "rate": _rate_for(RATE_TASKS_PER_S)}
+    seconds = []
+    for entries in (fleet.callers()[:1], fleet.callers()):
+        counts: list[int] = []
+        sampler = eventlet.spawn(_sample_starts, fleet, counts, QUOTA_S)
+        trial.run(QUOTA_S, entries=entries, **options)
+        sampler.wait()
+        seconds.append([b - a for a, b in zip(counts, counts[1:], strict=False)])
+    one, every = seconds
+    return trial.row(
+        one_entry_over_quota=_over(statistics.mean(one), RATE_TASKS_PER_S),
+        all_entries_over_quota=_over(statistics.mean(every), RATE_TASKS_PER_S),
+        all_entries_worst_second=_over(max(every), RATE_TASKS_PER_S),
+        all_entries_after_2_s=_over(statistics.mean(every[2:]), RATE_TASKS_PER_S),
+    )
+
+
+def _sample_starts(fleet: Fleet, counts: list[int], seconds: float) -> None:
+    begin = time.monotonic()
+    for second in range(int(seconds) + 1):
+        eventlet.sleep(max(0.0, begin + second - time.monotonic()))
+        counts.append(fleet.starts()["starts"])
+
+
+def _over(value: float, quota: float) -> float:
+    return round(value / quota, 3)
+
+
+def _measure_running(fleet: Fleet, trip_ms: float) -> Row:
+    trial = Trial(fleet, "quotas", "24 running tasks", True, trip_ms)
+    tasks_per_s = RUNNING_TASKS * 1_000 / SHORT_TIMES.mean_ms
+    options = {"team": RUNNING_TEAM, "mix": SHORT_NARROW, "rate": _rate_for(tasks_per_s)}
+    peaks, means = [], []
+    for entries in (fleet.callers()[:1], fleet.callers()):
+        samples: list[int] = []
+        sampler = eventlet.spawn(_sample_running, fleet, samples)
+        trial.run(QUOTA_S, entries=entries, **options)
+        sampler.kill()
+        peaks.append(_over(max(samples), RUNNING_TASKS))
+        means.append(_over(statistics.mean(samples), RUNNING_TASKS))
+    return trial.row(
+        one_entry_peak_over_quota=peaks[0],
+        all_entries_peak_over_quota=peaks[1],
+        one_entry_mean_over_quota=means[0],
+        all_entries_mean_over_quota=means[1],
+    )
+
+
+def _sample_running(fleet: Fleet, samples: list[int]) -> None:
+    while True:
+        samples.append(fleet.starts()["running"])
+        eventlet.sleep(SAMPLE_S)
+
+
+def measure_fairness() -> list[Row]:
+    """Let one team flood the system while another sends little."""
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        alone = Trial(fleet, "fairness", "light team alone", True, trip_ms)
+        options = {"mix": "narrow", "load_share": LIGHT_SHARE, "team": LIGHT_TEAM}
+        alone.run(FAIR_S, seed=2, **options)
+        flood = Trial(fleet, "fairness", "flood beside a light team", True, trip_ms)
+        light = Tally(trip_ms)
+        beside = eventlet.spawn(
+            run_load,
+            fleet.callers(),
+            SERVICE,
+            seconds=FAIR_S,
+            seed=2,
+            observer=light.note,
+            trip_ms=trip_ms,
+            **options,
+        )
+        flood.run(FAIR_S, mix="brief", load_share=FLOOD_SHARE, team=FLOOD_TEAM)
+        beside.wait()
+        # The light team's tasks were started in the same slice, so they are checked with it.
+        flood.tally.jobs += light.jobs
+        row = flood.row(
+            light_jobs=len(light.jobs),
+            light_complete=light.outcomes[OUTCOME_COMPLETE],
+            light_refused=light.outcomes[OUTCOME_NOT_RUN],
+            light_p50=light.ratio(50) or 0.0,
+            light_p99=light.ratio(99) or 0.0,
+        )
+        return [alone.row(), row._replace(jobs=row.jobs - len(light.jobs))]
+
+
+def measure_cancellation() -> list[Row]:
+    """Cancel everything in flight at once, under three times the load."""
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        trial = Trial(fleet, "cancellation", "all jobs in flight", True, trip_ms)
+        notes: dict[str, float] = {}
+        watcher = eventlet.spawn(_watch_wave, trial, notes)
+        wave = CancelWave(WAVE_AT_S * 1_000, 1.0)
+        seconds = WAVE_AT_S - 0.1
+        report = trial.run(
+            seconds, mix=WAVE_MIX, load_share=WAVE_SHARE, cancel_waves=(wave,), team="opticians"
+        )
+        watcher.wait()
+        messages = notes["messages_spent"]
+        notes["messages_per_cancelled_job"] = round(messages / max(1, report.cancelled), 2)
+        return [trial.row(cancelled=report.cancelled, **notes)]
+
+
+def _watch_wave(trial: Trial, notes: dict[str, float]) -> None:
+    eventlet.sleep(WAVE_AT_S - 0.4)
+    before = trial.meter.read()
+    running = trial.fleet.starts()["running"]
+    eventlet.sleep(0.4)
+    fleet = trial.fleet
+    taken = wait_until(lambda: fleet.starts()["running"] == 0, FREE_LIMIT_S, 0.01)
+    notes["running_before"] = running
+    notes["slots"] = SLOTS
+    notes["all_slots_free_ms"] = round(taken, 1)
+    eventlet.sleep(1.0)
+    notes |= subtract(trial.meter.read(), before)
--- /dev/null
+++ b/benchmarks/experiment_load.py
@@ -0,0 +1,104 @@
+"""Experiments without faults: light load, placement, declared times, overload."""
+
+from typing import NamedTuple
+
+from benchmarks.experiment_base import Row, Trial, measure_trip, open_fleets
+from geraniumspool.workload import MIXES, Burst
+
+FULL_SHARE = 0.8
+LIGHT_SHARE = 0.05
+OVER_SHARE = 1.5
+BURST_BASE_SHARE = 0.4
+SLICES = 2
+SLICE_S = 12.0
+LIGHT_SLICE_S = 6.0
+OVER_S = 20.0
+BURST_S = 14.0
+
+
+class Policy(NamedTuple):
+    """A way of placing tasks, as settings of the agents.
+
+    :param chosen: whether it is the one in force
+    """
+
+    name: str
+    settings: dict
+    chosen: bool = False
+
+
+# Without late binding tasks wait at the workers, so their queues must be long.
+CHOSEN = Policy("late", {}, True)
+RANDOM = Policy("random", {"placement": "random", "queue_per_slot": 100})
+LEAST = Policy("least", {"placement": "least", "queue_per_slot": 100})
+TWO = Policy("two", {"placement": "two", "queue_per_slot": 100})
+NO_AHEAD = Policy("late, 0 ahead", {"ahead_per_slot": 0})
+HALF_AHEAD = Policy("late, 0.5 ahead", {"ahead_per_slot": 0.5})
+TWO_AHEAD = Policy("late, 2 ahead", {"ahead_per_slot": 2})
+SHORT_HOLD = Policy("late, results held 100 ms", {"result_hold_ms": 100})
+
+
+def _compare(experiment: str, policies: list[Policy], seconds: float, **options) -> list[Row]:
+    """Measure policies on fleets side by side; slices of load take turns."""
+    with open_fleets(*(policy.settings for policy in policies)) as fleets:
+        trip_ms = measure_trip(fleets[0])
+        trials = [
+            Trial(fleet, experiment, policy.name, policy.chosen, trip_ms)
+            for fleet, policy in zip(fleets, policies, strict=True)
+        ]
+        for seed in range(1, SLICES + 1):
+            for trial in trials:
+                trial.run(seconds, seed=seed, **options)
+        return [trial.row(trip_ms=round(trip_ms, 3)) for trial in trials]
+
+
+def measure_light() -> list[Row]:
+    """Send single short tasks at a light load."""
+    policies = [CHOSEN, RANDOM, TWO]
+    return _compare("light", policies, LIGHT_SLICE_S, mix="light", load_share=LIGHT_SHARE)
+
+
+def measure_placement() -> list[Row]:
+    """Compare ways of choosing workers at a high load."""
+    policies = [CHOSEN, RANDOM, LEAST, TWO]
+    return _compare("placement", policies, SLICE_S, mix="brief", load_share=FULL_SHARE)
+
+
+def measure_ahead() -> list[Row]:
+    """Compare settings of late binding at a high load."""
+    policies = [CHOSEN, HALF_AHEAD, TWO_AHEAD, SHORT_HOLD]
+    return _compare("ahead", policies, SLICE_S, mix="brief", load_share=FULL_SHARE)
+
+
+def measure_declared() -> list[Row]:
+    """Compare exact declared run times, wrong ones and none."""
+    with open_fleets({}) as (fleet,):
+        trip_ms = measure_trip(fleet)
+        trials = {
+            declared: Trial(fleet, "declared", f"declared {declared}", True, trip_ms)
+            for declared in ("exact", "wrong", "none")
+        }
+        for seed in range(1, SLICES + 1):
+            for declared, trial in trials.items():
+                mix = MIXES["brief"]._replace(declared=declared)
+                trial.run(SLICE_S, seed=seed, mix=mix, load_share=FULL_SHARE)
+        return [trial.row() for trial in trials.values()]
+
+
+def measure_overload() -> list[Row]:
+    """Send more work than the slots can do, lasting and in a burst."""
+    rows = []
+    policies = [CHOSEN, RANDOM]
+    with open_fleets(*(policy.settings for policy in policies)) as fleets:
+        trip_ms = measure_trip(fleets[0])
+        pairs = list(zip(fleets, policies, strict=True))
+        for fleet, policy in pairs:
+            trial = Trial(fleet, "overload", policy.name, policy.chosen, trip_ms)
+            trial.run(OVER_S, watch=True, mix="brief", load_share=OVER_SHARE)
+            rows.append(trial.row())
+        for fleet, policy in pairs:
+            trial = Trial(fleet, "burst", policy.name, policy.chosen, trip_ms)
+            burst = Burst(4_000, 2_000)
+            trial.run(BURST_S, mix="brief", load_share=BURST_BASE_SHARE, bursts=(burst,))
+            rows.append(trial.row())
+    return rows
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,133 @@
+"""Table and plot of measured rows."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402
+from tabulate import tabulate  # noqa: E402
+
+DOCS = Path(__file__).parent.parent / "docs"
+LINES = DOCS / "measurements.jsonl"
+PLOT = DOCS / "measurements.png"
+PAGE = DOCS / "MEASUREMENTS.md"
+BEGIN = "<!-- table begins -->"
+END = "<!-- table ends -->"
+NONE = "–"
+
+COLUMNS = {
+    "experiment": "experiment",
+    "policy": "policy",
+    "chosen": "in force",
+    "jobs": "jobs",
+    "response_over_ideal_p50": "p50 / ideal",
+    "response_over_ideal_p99": "p99 / ideal",
+    "response_over_ideal_narrow_p99": "narrow p99",
+    "response_over_ideal_wide_p99": "wide p99",
+    "messages_per_task": "messages a task",
+    "cross_domain_messages_per_task": "cross-domain",
+    "wasted_messages_per_task": "wasted",
+    "refused_not_run": "not run",
+    "may_have_run": "may have run",
+    "tasks_started_more_than_once": "started twice",
+    "false_not_run": "false not run",
+    "goodput_share": "goodput",
+    "refused_ms_p99": "refused p99, ms",
+    "deadline_missed": "late",
+    "load_average": "load average",
+}
+
+Lines = list[dict[str, Any]]
+
+
+def load_rows(path: Path = LINES) -> Lines:
+    """Return the rows that were written last."""
+    if not path.exists():
+        return []
+    return [json.loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
+
+
+def merge_rows(old: Lines, new: Lines) -> Lines:
+    """Return rows in which new ones stand in place of all of their experiments."""
+    replaced = {row["experiment"] for row in new}
+    return [row for row in old if row["experiment"] not in replaced] + new
+
+
+def make_table(rows: Lines) -> str:
+    """Return the rows as a Markdown table."""
+    cells = [[_show(row.get(name)) for name in COLUMNS] for row in rows]
+    return tabulate(cells, headers=list(COLUMNS.values()), tablefmt="github", disable_numparse=True)
+
+
+def make_notes(rows: Lines) -> str:
+    """Return the figures that single experiments have, as a Markdown list."""
+    lines = []
+    for row in rows:
+        notes = {name: row[name] for name in row if name not in COLUMNS and name != "wrong_answers"}
+        if notes:
+            text = ", ".join(f"{name} {_show(value)}" for name, value in notes.items())
+            lines.append(f"- {row['experiment']}, {row['policy']}: {text}")
+    return "\n".join(lines)
+
+
+def place_table(page: str, text: str) -> str:
+    """Return a page with its table replaced.
+
+    :raises ValueError: if the page has no place for it
+    """
+    head, begin, rest = page.partition(BEGIN)
+    _, end, tail = rest.partition(END)
+    if not begin or not end:
+        raise ValueError(f"the page lacks {BEGIN} or {END}")
+    return f"{head}{BEGIN}\n{text}\n{END}{tail}"
+
+
+def write_report(rows: Lines) -> None:
+    """Write lines, table and plot into the documents."""
+    LINES.write_text("".join(json.dumps(row) + "\n" for row in rows), encoding="utf-8")
+    draw_plot(rows)
+    if PAGE.exists():
+        page = PAGE.read_text(encoding="utf-8")
+        text = f"\n{make_table(rows)}\n\n{make_notes(rows)}\n"
+        PAGE.write_text(place_table(page, text), encoding="utf-8")
+
+
+def draw_plot(rows: Lines, path: Path = PLOT) -> None:
+    """Draw response times and messages of every experiment and policy."""
+    figure, axes = pyplot.subplots(1, 3, figsize=(15, 2 + 0.28 * len(rows)), sharey=True)
+    names = [f"{row['experiment']}: {row['policy']}" for row in rows]
+    places = range(len(rows))
+    colours = ["#b3402a" if row["chosen"] else "#8a94a0" for row in rows]
+    _draw_bars(axes[0], places, rows, "response_over_ideal_p99", colours)
+    if any(row["response_over_ideal_p99"] for row in rows):
+        axes[0].set_xscale("log")
+    axes[0].set_xlabel("p99 of response time over ideal")
+    _draw_bars(axes[1], places, rows, "messages_per_task", colours)
+    axes[1].set_xlabel("messages a task between processes")
+    _draw_bars(axes[2], places, rows, "wasted_messages_per_task", colours)
+    axes[2].set_xlabel("wasted messages a task")
+    axes[0].set_yticks(list(places), names)
+    axes[0].invert_yaxis()
+    figure.suptitle("Red: the policy in force")
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
+
+
+def _draw_bars(axis, places, rows: Lines, name: str, colours: list[str]) -> None:
+    axis.barh(list(places), [row[name] or 0.0 for row in rows], color=colours)
+    axis.grid(axis="x", alpha=0.3)
+
+
+def _show(value: Any) -> str:
+    if value is None:
+        return NONE
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3g}" if abs(value) < 100 else f"{value:.0f}"
+    return str(value)
--- /dev/null
+++ b/benchmarks/slope_membership.py
@@ -0,0 +1,358 @@
+"""Slopes of the membership: generated members at one agent and at one entry."""
+
+from benchmarks.slope_fit import Point, Slope, fit, median_us, memory_bytes, processor_us
+from geraniumspool.clock import ManualClock
+from geraniumspool.configuration import Configuration
+from geraniumspool.heartbeat import Heartbeater
+from geraniumspool.messages import (
+    MEMBER_READY,
+    MEMBER_STARTING,
+    Delivery,
+    Digest,
+    Heartbeat,
+    HeartbeatReply,
+    Load,
+    Member,
+    Message,
+    Peer,
+    decode,
+    encode,
+)
+from geraniumspool.metrics import MemoryCounters
+from geraniumspool.registry import Registry
+from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, Roster, peer_of
+
+SIZES = (100, 487, 1000, 7300)
+DOMAINS = 15
+SERVICE = "fitting"
+ENTRIES_PER_DOMAIN = 2
+PERIOD_MS = 1_000.0
+TIMEOUT_MS = 4_000.0
+TIMED_HEARTBEATS = 300
+TIMED_ROUNDS = 5
+BITS = 62
+
+
+class Outbox:
+    """A messenger that codes what is sent and counts it.
+
+    :ivar messages: number of messages sent
+    :ivar bytes: their size in all
+    :ivar last: newest message by receiver's address
+    """
+
+    def __init__(self, me: Peer):
+        """Take the own address."""
+        self.me = me
+        self.messages = 0
+        self.bytes = 0
+        self.last: dict[str, Message] = {}
+
+    def send(self, peer: Peer, message: Message) -> bool:
+        """Code and count a message."""
+        self.bytes += len(encode(self.me, peer.incarnation, message))
+        self.messages += 1
+        self.last[peer.address] = message
+        return True
+
+    def reset(self) -> None:
+        """Count from zero again."""
+        self.messages = 0
+        self.bytes = 0
+
+
+def make_member(domain: int, number: int, role: str, state: str = MEMBER_READY) -> Member:
+    """Return a generated member with an address as long as real ones."""
+    kind = 1 if role == ROLE_ENTRY else 0
+    address = f"tcp://10.{100 + domain}.{kind * 100 + number // 250}.{number % 250}:7400"
+    incarnation = (1 << BITS) + (domain << 32) + (kind << 30) + number
+    load = Load(8, number % 9, 0, 12.5) if role == ROLE_AGENT else Load()
+    service = SERVICE if role == ROLE_AGENT else ""
+    return Member(address, incarnation, f"domain-{domain:02}", role, state, service, 0.0, load)
+
+
+class EntrySide:
+    """One entry's registry among generated entries and agents.
+
+    :ivar near: agents of its failure domain, all beating at it
+    """
+
+    def __init__(self, members: int, join: bool = True):
+        """Build the registry.
+
+        :param members: agents in the whole system
+        :param join: whether the agents of the own domain are known already
+        """
+        self.clock = ManualClock()
+        self.me = make_member(0, 0, ROLE_ENTRY)
+        self.outbox = Outbox(peer_of(self.me))
+        self.roster = Roster(self.clock, self.me.domain)
+        self.configuration = Configuration(self.clock, MemoryCounters())
+        self.registry = Registry(
+            self.outbox,
+            self.roster,
+            self.clock,
+            self.configuration,
+            lambda: self.me,
+            PERIOD_MS,
+            TIMEOUT_MS,
+        )
+        self.per_domain = max(1, members // DOMAINS)
+        self.entries = [
+            make_member(domain, number, ROLE_ENTRY)
+            for domain in range(DOMAINS)
+            for number in range(ENTRIES_PER_DOMAIN)
+        ][1:]
+        self.near = [make_member(0, number, ROLE_AGENT) for number in range(self.per_domain)]
+        for entry in self.entries:
+            self.registry.take_digest(peer_of(entry), self.digest(entry, True))
+        if join:
+            for member in self.near:
+                self.beat(member, 0, 0)
+
+    def digest(self, entry: Member, whole: bool) -> Digest:
+        """Return a digest of another entry.
+
+        The first entry of each other domain tells of its domain's agents.
+        """
+        domain = int(entry.domain[-2:])
+        is_speaker = entry.address == make_member(domain, 0, ROLE_ENTRY).address
+        count = self.per_domain if whole else 16
+        agents = []
+        if domain and is_speaker:
+            agents = [make_member(domain, number, ROLE_AGENT) for number in range(count)]
+        return Digest(entry, whole, tuple(agents), (), ((entry.domain, 0),), 0, ())
+
+    def beat(self, member: Member, entry: int, version: int) -> int:
+        """Take one heartbeat from the wire and return its size in bytes."""
+        data = encode(
+            peer_of(member), self.outbox.me.incarnation, self._heartbeat(member, entry, version)
+        )
+        self.take(data)
+        return len(data)
+
+    def take(self, data: bytes) -> None:
+        """Take a message as it came from the wire."""
+        delivery: Delivery = decode(data)
+        if isinstance(delivery.message, Digest):
+            self.registry.take_digest(delivery.sender, delivery.message)
+        else:
+            self.registry.take_heartbeat(delivery.sender, delivery.message)
+
+    def heartbeats(self, count: int) -> list[bytes]:
+        """Return coded heartbeats of agents that know the present roster."""
+        members = [self.near[number % len(self.near)] for number in range(count)]
+        me, version = self.outbox.me.incarnation, self.roster.version
+        return [encode(peer_of(m), me, self._heartbeat(m, me, version)) for m in members]
+
+    @staticmethod
+    def _heartbeat(member: Member, entry: int, version: int) -> Heartbeat:
+        return Heartbeat(member, entry, version, 0)
+
+
+def measure_membership() -> list[Slope]:
+    """Return the slopes of rosters, heartbeats and digests."""
+    return [
+        *_measure_roster(),
+        *_measure_heartbeats(),
+        *_measure_change(),
+        *_measure_digests(),
+        *_measure_reunion(),
+        *_measure_domain_start(),
+        *_measure_agent(),
+    ]
+
+
+def _fill_roster(count: int) -> Roster:
+    roster = Roster(ManualClock(), "domain-00")
+    for number in range(count):
+        roster.observe(make_member(number % DOMAINS, number // DOMAINS, ROLE_AGENT))
+    return roster
+
+
+def _measure_roster() -> list[Slope]:
+    points = [Point(n, memory_bytes(lambda n=n: _fill_roster(n))) for n in SIZES]
+    return [fit("roster memory / members", "bytes", points)]
+
+
+def _measure_heartbeats() -> list[Slope]:
+    taken, sizes, lengths = [], [], []
+    for members in SIZES:
+        side = EntrySide(members)
+        beats = side.heartbeats(TIMED_HEARTBEATS)
+        for data in beats[: len(side.near)]:
+            side.take(data)
+        side.outbox.reset()
+        taken.append(Point(members, median_us(lambda s=side, b=beats: _take_all(s, b), len(beats))))
+        sizes.append(Point(members, side.outbox.bytes / side.outbox.messages))
+        lengths.append(Point(members, sum(map(len, beats)) / len(beats)))
+    return [
+        fit("entry: heartbeat taken and replied / members", "us of processor", taken),
+        fit("entry: reply to a heartbeat / members", "bytes", sizes),
+        fit("agent: heartbeat / members", "bytes", lengths),
+    ]
+
+
+def _take_all(side: EntrySide, messages: list[bytes]) -> None:
+    for data in messages:
+        side.take(data)
+
+
+def _measure_change() -> list[Slope]:
+    """Cost of the first reply after a foreign agent was replaced."""
+    points = []
+    for members in SIZES:
+        side = EntrySide(members)
+        source = peer_of(side.entries[1])
+        steps = []
+        for number in range(10):
+            base = make_member(1, number % side.per_domain, ROLE_AGENT)
+            member = base._replace(incarnation=base.incarnation + 1000 + number)
+            beat = side.heartbeats(1)[0]
+            side.roster.relay(member, source)
+            steps.append(processor_us(lambda s=side, b=beat: s.take(b)))
+        points.append(Point(members, sorted(steps)[len(steps) // 2]))
+    return [
+        fit("entry: first heartbeat after a roster change / members", "us of processor", points)
+    ]
+
+
+def _measure_digests() -> list[Slope]:
+    rounds, sizes, messages, takes, received = [], [], [], [], []
+    for members in SIZES:
+        side = EntrySide(members)
+        for _ in range(2):
+            _advance(side)
+            side.registry.run_round()
+        steps = []
+        for _ in range(TIMED_ROUNDS):
+            _advance(side)
+            side.outbox.reset()
+            steps.append(processor_us(side.registry.run_round))
+        rounds.append(Point(members, sorted(steps)[TIMED_ROUNDS // 2]))
+        sizes.append(Point(members, side.outbox.bytes))
+        messages.append(Point(members, side.outbox.messages))
+        speaker = next(e for e in side.entries if e.domain != side.me.domain)
+        data = encode(peer_of(speaker), side.outbox.me.incarnation, side.digest(speaker, False))
+        takes.append(Point(members, median_us(lambda s=side, d=data: _take_all(s, [d] * 50), 50)))
+        received.append(Point(members, len(data)))
+    return [
+        fit("entry: digest round, speaker of a domain / members", "us of processor", rounds),
+        fit("entry: bytes sent in a digest round / members", "bytes", sizes),
+        fit("entry: messages sent in a digest round / members", "messages", messages),
+        fit("entry: digest of 16 members taken / members", "us of processor", takes),
+        fit("entry: digest of 16 members / members", "bytes", received),
+    ]
+
+
+def _measure_reunion() -> list[Slope]:
+    """Cost of whole digests, as after a start or a parting of regions."""
+    sent, sizes, taken, lengths = [], [], [], []
+    for members in SIZES:
+        side = EntrySide(members)
+        side.outbox.reset()
+        sent.append(Point(members, processor_us(side.registry.run_round) / 1000.0))
+        sizes.append(Point(members, side.outbox.bytes))
+        speaker = next(e for e in side.entries if e.domain != side.me.domain)
+        digest = side.digest(speaker, True)
+        agents = tuple(m._replace(incarnation=m.incarnation + 1) for m in digest.members)
+        whole = digest._replace(members=agents)
+        data = encode(peer_of(speaker), side.outbox.me.incarnation, whole)
+        taken.append(Point(len(agents), processor_us(lambda s=side, d=data: s.take(d)) / 1000.0))
+        lengths.append(Point(len(agents), len(data)))
+    return [
+        fit("entry: round of whole digests / members", "ms of processor", sent),
+        fit("entry: round of whole digests / members", "bytes", sizes),
+        fit("entry: whole digest of a restarted domain taken / agents", "ms of processor", taken),
+        fit("entry: whole digest of a domain / agents", "bytes", lengths),
+    ]
+
+
+def _advance(side: EntrySide) -> None:
+    """Let a period pass in which every process was heard."""
+    side.clock.advance(PERIOD_MS)
+    for entry in side.entries:
+        side.registry.take_digest(peer_of(entry), side.digest(entry, False))
+    for data in side.heartbeats(len(side.near)):
+        side.take(data)
+
+
+def _measure_domain_start() -> list[Slope]:
+    """Cost at one entry when every agent of its failure domain starts at once."""
+    taken, sizes = [], []
+    for members in SIZES:
+        side = EntrySide(members, join=False)
+        me = side.outbox.me.incarnation
+        first = [_starting(side, member, 0, 0) for member in side.near]
+        side.outbox.reset()
+        start_us = processor_us(lambda s=side, f=first: _take_all(s, f))
+        versions = {
+            address: reply.roster_version
+            for address, reply in side.outbox.last.items()
+            if isinstance(reply, HeartbeatReply)
+        }
+        second = [
+            encode(peer_of(m), me, Heartbeat(m, me, versions[m.address], 0)) for m in side.near
+        ]
+        start_us += processor_us(lambda s=side, b=second: _take_all(s, b))
+        taken.append(Point(len(side.near), start_us / 1000.0))
+        sizes.append(Point(len(side.near), side.outbox.bytes))
+    return [
+        fit("entry: a whole domain starts, 2 beats each / agents of it", "ms of processor", taken),
+        fit("entry: a whole domain starts, replies / agents of it", "bytes", sizes),
+    ]
+
+
+def _starting(side: EntrySide, member: Member, entry: int, version: int) -> bytes:
+    beat = Heartbeat(member._replace(state=MEMBER_STARTING), entry, version, 0)
+    return encode(peer_of(member), side.outbox.me.incarnation, beat)
+
+
+class AgentSide:
+    """One agent's roster and heartbeater, filled by an entry's whole reply."""
+
+    def __init__(self, entry: EntrySide):
+        """Take the reply to a first heartbeat of the first near agent."""
+        self.me = entry.near[0]
+        self.clock = ManualClock()
+        self.outbox = Outbox(peer_of(self.me))
+        self.roster = Roster(self.clock, self.me.domain)
+        configuration = Configuration(self.clock, MemoryCounters())
+        self.beater = Heartbeater(
+            self.outbox, self.roster, self.clock, lambda: self.me, configuration, PERIOD_MS
+        )
+        self.sender = entry.outbox.me
+        entry.beat(self.me, 0, 0)
+        self.whole = entry.outbox.last[self.me.address]
+        self.take(encode(self.sender, self.outbox.me.incarnation, self.whole))
+        beat = entry.heartbeats(1)[0]
+        entry.take(beat)
+        entry.take(beat)
+        later = entry.outbox.last[self.me.address]
+        self.reply = encode(self.sender, self.outbox.me.incarnation, later)
+
+    def take(self, data: bytes) -> None:
+        """Take an entry's reply as it came from the wire."""
+        delivery = decode(data)
+        self.beater.take_reply(delivery.sender, delivery.message)
+
+    def work(self, count: int) -> None:
+        """Beat and take the reply, ``count`` times."""
+        for _ in range(count):
+            self.beater.beat()
+            self.take(self.reply)
+
+
+def _measure_agent() -> list[Slope]:
+    taken, known, whole = [], [], []
+    for members in SIZES:
+        side = AgentSide(EntrySide(members))
+        taken.append(Point(members, median_us(lambda s=side: s.work(200), 200)))
+        known.append(Point(members, len(side.roster.members())))
+        data = encode(side.sender, side.outbox.me.incarnation, side.whole)
+        whole.append(Point(len(side.roster.members()), len(data)))
+    return [
+        fit("agent: heartbeat sent and reply taken / members", "us of processor", taken),
+        fit("agent: members known / members", "members", known),
+        fit("agent: whole reply after a start / members known", "bytes", whole),
+    ]
--- /dev/null
+++ b/benchmarks/slope_processes.py
@@ -0,0 +1,206 @@
+"""Slopes of real processes: an idle fleet as it grows, and one entry under load."""
+
+import os
+import re
+import time
+from typing import NamedTuple
+
+import eventlet
+import psutil
+import urllib3
+
+from benchmarks.slope_fit import US_PER_S, Point, Slope, fit
+from tests.processes import SERVICE, TEAM, Fleet, Program
+
+DOMAINS = ("north", "middle", "south")
+FLEET_SIZES = (11, 44, 110)
+SETTLE_S = 6.0
+WINDOW_S = 10.0
+LOAD_S = 5.0
+CONNECTIONS = 6
+RUN_MS = 20
+JOB_SIZES = (1, 8, 40)
+FIXED_MINION = {
+    "minion": {"service": SERVICE, "url": "http://127.0.0.1:9", "slots": 8, "connections": 64}
+}
+MIB = 1024 * 1024
+_SERIES = re.compile(rb"^(\w+?)(?:_total)?(?:\{[^}]*\})? ([0-9.e+-]+)$", re.MULTILINE)
+
+
+class Usage(NamedTuple):
+    """What one process used up to now.
+
+    :param cpu_s: processor time in seconds
+    :param resident: resident memory in bytes
+    """
+
+    cpu_s: float
+    resident: float
+    sent: float
+    sent_bytes: float
+    received: float
+
+
+def measure_fleet() -> list[Slope]:
+    """Return the slopes of an idle fleet as it grows."""
+    rows: dict[str, list[Point]] = {}
+    fleet = Fleet(
+        list(DOMAINS),
+        [0, 0, 0],
+        1,
+        agent_settings=FIXED_MINION,
+        log_folder=os.environ.get("SLOPE_LOGS"),
+    )
+    try:
+        for size in FLEET_SIZES:
+            while len(fleet.agents) < size:
+                fleet.add_agent(DOMAINS[len(fleet.agents) % len(DOMAINS)], with_minion=False)
+            _wait_ready(fleet, size)
+            _measure_window(fleet, size, rows)
+    finally:
+        fleet.stop()
+    return [fit(name, name.rsplit(", ", 1)[1].split(" / ")[0], p) for name, p in rows.items()]
+
+
+def _wait_ready(fleet: Fleet, size: int) -> None:
+    end = time.monotonic() + 60
+    while any(fleet.ready_agents(entry) < size for entry in fleet.entries):
+        if time.monotonic() > end:
+            raise RuntimeError(f"{size} agents were not ready in time")
+        eventlet.sleep(0.2)
+    eventlet.sleep(SETTLE_S)
+
+
+def _measure_window(fleet: Fleet, size: int, rows: dict[str, list[Point]]) -> None:
+    sampled = fleet.agents[:: max(1, size // 11)]
+    calls = _store_calls(fleet)
+    agents = [_read(fleet, agent) for agent in sampled]
+    entries = [_read(fleet, entry) for entry in fleet.entries]
+    store = _cpu(fleet.store)
+    start = time.monotonic()
+    eventlet.sleep(WINDOW_S)
+    passed = time.monotonic() - start
+    later_agents = [_read(fleet, agent) for agent in sampled]
+    later_entries = [_read(fleet, entry) for entry in fleet.entries]
+    later_calls = _store_calls(fleet)
+    _add_usage(rows, "agent idle", size, passed, agents, later_agents)
+    _add_usage(rows, "entry idle", size, passed, entries, later_entries)
+    cpu = 100 * (_cpu(fleet.store) - store) / passed
+    rows.setdefault("store stand-in, % of a core / agents", []).append(Point(size, cpu))
+    for kind in sorted(later_calls):
+        rate = (later_calls[kind] - calls.get(kind, 0)) / passed
+        rows.setdefault(f"store calls {kind}, calls/s / agents", []).append(Point(size, rate))
+
+
+def _add_usage(
+    rows: dict[str, list[Point]],
+    role: str,
+    size: int,
+    passed: float,
+    before: list[Usage],
+    after: list[Usage],
+) -> None:
+    pairs = list(zip(before, after, strict=True))
+    values = {
+        "% of a core": [100 * (b.cpu_s - a.cpu_s) / passed for a, b in pairs],
+        "MiB resident": [b.resident / MIB for _, b in pairs],
+        "messages sent/s": [(b.sent - a.sent) / passed for a, b in pairs],
+        "messages received/s": [(b.received - a.received) / passed for a, b in pairs],
+        "bytes sent/s": [(b.sent_bytes - a.sent_bytes) / passed for a, b in pairs],
+    }
+    for unit, numbers in values.items():
+        mean = sum(numbers) / len(numbers)
+        rows.setdefault(f"{role}, {unit} / agents", []).append(Point(size, mean))
+
+
+def _read(fleet: Fleet, program: Program) -> Usage:
+    address = program.ready.get("callers")
+    base = f"http://{address}" if address else program.ready["minion"]
+    text = fleet.http.request("GET", f"{base}/metrics", timeout=10).data
+    totals: dict[str, float] = {}
+    for name, value in _SERIES.findall(text):
+        key = name.decode()
+        totals[key] = totals.get(key, 0.0) + float(value)
+    return Usage(
+        _cpu(program),
+        psutil.Process(program.process.pid).memory_info().rss,
+        _find(totals, "messages_sent"),
+        _find(totals, "message_bytes_sent"),
+        _find(totals, "messages_received"),
+    )
+
+
+def _find(totals: dict[str, float], name: str) -> float:
+    return sum(value for key, value in totals.items() if key.endswith(name))
+
+
+def _cpu(program: Program) -> float:
+    times = psutil.Process(program.process.pid).cpu_times()
+    return times.user + times.system
+
+
+def _store_calls(fleet: Fleet) -> dict[str, float]:
+    return fleet.http.request("GET", f"{fleet.store_url}/calls", timeout=10).json()
+
+
+def measure_load() -> list[Slope]:
+    """Return the processor time per job at one entry, one agent and its minion.
+
+    What they take when idle is subtracted.
+    """
+    points: dict[str, list[Point]] = {"entry": [], "agent: home and runner": [], "minion": []}
+    rates: list[Point] = []
+    fleet = Fleet(["north"], [1], 1)
+    try:
+        _wait_ready(fleet, 1)
+        programs = [fleet.entries[0], fleet.agents[0], fleet.minions[0]]
+        idle = _idle_shares(programs)
+        for tasks in JOB_SIZES:
+            _load(fleet, tasks, 1.0)
+            before = [_cpu(program) for program in programs]
+            jobs = _load(fleet, tasks, LOAD_S)
+            for name, program, start, share in zip(points, programs, before, idle, strict=True):
+                used = _cpu(program) - start - share * LOAD_S
+                points[name].append(Point(tasks, used * US_PER_S / jobs))
+            rates.append(Point(tasks, jobs / LOAD_S))
+        resident = [psutil.Process(p.process.pid).memory_info().rss / MIB for p in programs]
+    finally:
+        fleet.stop()
+    slopes = [
+        fit(f"{name}: one job over HTTP / tasks", "us of processor", row)
+        for name, row in points.items()
+    ]
+    return [
+        *slopes,
+        fit("jobs a second in that run / tasks", "jobs/s", rates),
+        *(
+            fit(f"{name}: resident after that run", "MiB", [Point(0, value)])
+            for name, value in zip(points, resident, strict=True)
+        ),
+    ]
+
+
+def _idle_shares(programs: list[Program]) -> list[float]:
+    """Return the share of a core that each program takes without a job."""
+    before = [_cpu(program) for program in programs]
+    eventlet.sleep(LOAD_S)
+    return [(_cpu(p) - start) / LOAD_S for p, start in zip(programs, before, strict=True)]
+
+
+def _load(fleet: Fleet, tasks: int, seconds: float) -> int:
+    end = time.monotonic() + seconds
+    pool = urllib3.PoolManager(retries=False, maxsize=CONNECTIONS)
+    url = f"http://{fleet.callers()[0]}/v1/jobs"
+    rows = [{"payload": {"run_ms": RUN_MS, "value": number}} for number in range(tasks)]
+    body = {"service": SERVICE, "team": TEAM, "deadline_ms": 20_000, "tasks": rows}
+
+    def work() -> int:
+        done = 0
+        while time.monotonic() < end:
+            reply = pool.request("POST", url, json=body, timeout=30)
+            if reply.status != 200:
+                raise RuntimeError(f"{reply.status}: {reply.data[:300]!r}")
+            done += 1
+        return done
+
+    return sum(eventlet.GreenPool(CONNECTIONS).starmap(work, [()] * CONNECTIONS))
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,36 @@
+"""Tests of the arithmetic that the capacity page rests on."""
+
+import unittest
+
+from benchmarks.slope_fit import Point, decode_slopes, encode_slopes, fit
+
+
+class FitTest(unittest.TestCase):
+    """Lines of least squares and their spread."""
+
+    def test_lines(self):
+        """Each case: points, slope, intercept, spread."""
+        cases = (
+            ("exact", [(1, 5.0), (2, 7.0), (4, 11.0)], 2.0, 3.0, 0.0),
+            ("level", [(1, 4.0), (9, 4.0)], 0.0, 4.0, 0.0),
+            ("single size", [(3, 4.0), (3, 6.0)], 0.0, 5.0, 1 / 6),
+            ("all zero", [(1, 0.0), (2, 0.0)], 0.0, 0.0, 0.0),
+            ("quadratic", [(0, 0.0), (1, 1.0), (2, 4.0)], 2.0, -1 / 3, 1 / 6),
+        )
+        for name, pairs, slope, intercept, spread in cases:
+            with self.subTest(name):
+                line = fit(name, "us", [Point(*pair) for pair in pairs])
+                self.assertAlmostEqual(line.slope, slope)
+                self.assertAlmostEqual(line.intercept, intercept)
+                self.assertAlmostEqual(line.spread, spread)
+                self.assertAlmostEqual(line.at(10), intercept + 10 * slope)
+
+    def test_no_point(self):
+        with self.assertRaises(ValueError):
+            fit("none", "us", [])
+
+    def test_written_and_read_back(self):
+        """Figures are kept to four digits."""
+        line = fit("a / b", "us", [Point(1, 123456.0), Point(2, 123456.0)])
+        (read,) = decode_slopes(encode_slopes([line]))
+        self.assertEqual((read.name, read.unit, read.at(5)), ("a / b", "us", 123500.0))
