--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -24,7 +24,7 @@
     if unknown:
         print(f"unknown: {', '.join(unknown)}; known: {', '.join(EXPERIMENTS)}", file=sys.stderr)
         return 2
-    kept = load_rows() if names else []
+    kept = []
     broken = []
     for name in names or EXPERIMENTS:
         begin = time.monotonic()
@@ -39,7 +39,7 @@
         taken = time.monotonic() - begin
         load = os.getloadavg()[0]
         print(f"{name}: {taken:.0f} s, load average {load:.1f}", file=sys.stderr, flush=True)
-        kept = merge_rows(kept, rows)
+        kept = merge_rows(load_rows() if names else kept, rows)
         write_report(kept)
     return 1 if broken else 0
 
--- a/geraniumspool/admission.py
+++ b/geraniumspool/admission.py
@@ -12,10 +12,13 @@
 
 MAX_PENDING_TASKS = 20_000
 MAX_PENDING_BYTES = 64 * 1024 * 1024
-DEADLINE_SHARE = 0.9
 MIN_RETRY_MS = 50.0
 NO_CAPACITY_RETRY_MS = 1_000.0
 
+# How much of the deadline the predicted finish may take: the wider a job, the
+# more later ones overtake it.
+DEADLINE_SHARE = {Width.NARROW: 0.9, Width.MEDIUM: 0.6, Width.WIDE: 0.5}
+
 
 class Verdict(NamedTuple):
     """What admission decided.
@@ -83,7 +86,7 @@
 
 def _judge_deadline(job: Job, slots: int, wait_ms: float) -> Verdict:
     finish_ms = wait_ms + max(job.longest_ms, job.work_ms / slots)
-    allowed_ms = job.deadline_ms * DEADLINE_SHARE
+    allowed_ms = job.deadline_ms * DEADLINE_SHARE[job.width]
     if finish_ms <= allowed_ms or wait_ms <= 0:
         return Verdict("", "", 0.0, wait_ms)
     retry = max(MIN_RETRY_MS, min(finish_ms - allowed_ms, wait_ms))
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -9,7 +9,12 @@
 from geraniumspool.clock import SystemClock
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Announcement, Clock, Messenger, MinionClient, Store
-from geraniumspool.decisions import DRAIN_FINISHED, DRAIN_STARTED, DecisionLog
+from geraniumspool.decisions import (
+    DRAIN_FINISHED,
+    DRAIN_STARTED,
+    RECORDS_HANDED_OVER,
+    DecisionLog,
+)
 from geraniumspool.errors import InvalidInput, StoreError
 from geraniumspool.handover import Handing
 from geraniumspool.health import Health
@@ -85,6 +90,7 @@
         self._random = random.Random(messenger.me.incarnation)
         self._version = 0
         self._left = False
+        self._told_state = MEMBER_STARTING
         self._draining = False
         self._announced_ms = clock.now()
         self.configuration = Configuration(clock, metrics)
@@ -183,6 +189,9 @@
             self._wait_until(lambda: self.home.is_idle, ABANDON_LIMIT_MS)
         self.runner.repeat_results()
         handed = self._handing.hand_over()
+        if self._handing.archive:
+            keeper = self._handing.archive.address
+            self.decisions.record(RECORDS_HANDED_OVER, keeper, records=handed)
         self._left = True
         self._changed()
         self.decisions.record(
@@ -205,12 +214,15 @@
             return MEMBER_LEAVING
         if self.runner.minion is None:
             return MEMBER_STARTING
-        return MEMBER_EJECTED if self.health.is_ejected else MEMBER_READY
+        if self.health.is_ejected and not self.health.is_probe_due:
+            return MEMBER_EJECTED
+        return MEMBER_READY
 
     def _is_idle(self) -> bool:
         return self.home.is_idle and self.runner.is_idle
 
     def _changed(self) -> None:
+        self._told_state = self._state()
         self._version += 1
         self.heartbeater.beat_now()
 
@@ -262,9 +274,7 @@
         self.runner.forget_home(Peer(sender.address, rejection.meant))
 
     def _take_drain(self, _sender: Peer, drain: Drain) -> None:
-        self.decisions.record(
-            DRAIN_STARTED, self._messenger.me.address, who=drain.who, why=drain.why
-        )
+        _LOG.info("drain asked for", extra={"fields": (("who", drain.who), ("why", drain.why))})
         self.request_exit()
 
     def _discover(self) -> None:
@@ -286,6 +296,8 @@
             self.home.schedule_place()
             self.roster.forget()
             self._check_minion()
+            if self._state() != self._told_state:
+                self._changed()
 
     def _check_minion(self) -> None:
         silent_ms = self._clock.now() - self._announced_ms
@@ -338,7 +350,8 @@
     """
     with collect("announcement") as findings:
         try:
-            fields = msgspec.json.decode(body, type=dict[str, str | int | float])
+            given = msgspec.json.decode(body, type=dict[str, str | int | float])
+            fields = Announcement._field_defaults | given
             announcement = msgspec.convert(
                 [fields.get(name) for name in Announcement._fields], Announcement, strict=False
             )
--- a/geraniumspool/archive.py
+++ b/geraniumspool/archive.py
@@ -9,6 +9,7 @@
 
 MAX_ARCHIVES = 200
 MAX_ARCHIVE_BYTES = 64 * 1024 * 1024
+NEW_TICKET_RETRY_MS = 1.0
 CODE_GONE = "home_gone"
 CODE_NEVER_SUBMITTED = "job_never_submitted"
 
@@ -76,7 +77,7 @@
         archive = self._archives.get(ticket.home)
         if archive is not None and archive.covers(ticket):
             detail = "the home left before this job was submitted"
-            return Answer(0, text, STATE_NOT_RUN, CODE_NEVER_SUBMITTED, detail)
+            return Answer(0, text, STATE_NOT_RUN, CODE_NEVER_SUBMITTED, detail, NEW_TICKET_RETRY_MS)
         return Answer(0, text, STATE_MAY_HAVE_RUN, CODE_GONE, "the job's home is gone")
 
     def all(self) -> list[Archive]:
--- a/geraniumspool/backlog.py
+++ b/geraniumspool/backlog.py
@@ -63,6 +63,13 @@
         """Return the estimated run times of narrow jobs' waiting tasks, added up."""
         return self._work_ms[Width.NARROW]
 
+    def count_late(self, width: Width, now: float, most: int) -> int:
+        """Return how many tasks of jobs of a width should have started, at most ``most``."""
+        queue = self._queues[width]
+        if not queue or queue[0].due > now:
+            return 0
+        return min(most, sum(waiting.due <= now for waiting in queue))
+
     def drop(self, job: Job) -> None:
         """Remove all tasks of a job."""
         queue = self._queues[job.width]
--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -291,7 +291,7 @@
 
     def _reply(self, text: str, ticket: Ticket, peer: Peer, answer: Answer | NoAnswer) -> Reply:
         if isinstance(answer, NoAnswer):
-            return self._reply_silent(ticket, answer)
+            return self._reply_silent(text, ticket, answer)
         if answer.request:
             self._homes.note_load(peer, answer.load)
         if answer.state == STATE_COMPLETE:
@@ -301,7 +301,7 @@
             return reply_problem(409, answer.code or CODE_CONFLICT, detail)
         if answer.state not in STATUS_OF_OUTCOME:
             return reply_json(200, {"job": text, "state": answer.state})
-        return self._reply_failed(ticket, answer)
+        return self._reply_failed(text, ticket, answer)
 
     def _reply_complete(self, text: str, ticket: Ticket, answer: Answer) -> Reply:
         results = [msgspec.Raw(body) for body in answer.results]
@@ -311,7 +311,7 @@
             value["next_ticket"] = next_ticket
         return reply_json(200, value)
 
-    def _reply_failed(self, ticket: Ticket, answer: Answer) -> Reply:
+    def _reply_failed(self, text: str, ticket: Ticket, answer: Answer) -> Reply:
         status = STATUS_OF_CODE.get(answer.code, STATUS_OF_OUTCOME[answer.state])
         is_new_try = answer.state == STATE_NOT_RUN
         decision = answer.decision or self._decisions.record(
@@ -325,18 +325,24 @@
             decision=decision,
             retry_after_ms=answer.retry_after_ms or None,
             next_ticket=self._next_ticket(ticket.service) if is_new_try else None,
+            job=text,
         )
 
-    def _reply_silent(self, ticket: Ticket, answer: NoAnswer) -> Reply:
+    def _reply_silent(self, text: str, ticket: Ticket, answer: NoAnswer) -> Reply:
         decision = self._decisions.record(
             TICKET_HOME_GONE, f"{ticket.job:x}", home=ticket.home.address, reason=answer.code
         )
         return reply_problem(
-            502, answer.code, answer.detail, outcome=STATE_MAY_HAVE_RUN, decision=decision
+            502,
+            answer.code,
+            answer.detail,
+            outcome=STATE_MAY_HAVE_RUN,
+            decision=decision,
+            job=text,
         )
 
     def _reply_gone(self, text: str, ticket: Ticket) -> Reply:
-        return self._reply_silent(ticket, NoAnswer(CODE_HOME_GONE, "the job's home is gone"))
+        return self._reply_silent(text, ticket, NoAnswer(CODE_HOME_GONE, "the job's home is gone"))
 
     def _next_ticket(self, service: str) -> str | None:
         try:
--- a/geraniumspool/decisions.py
+++ b/geraniumspool/decisions.py
@@ -32,9 +32,7 @@
 WORKER_RESTORED = "worker_restored"
 WORKER_SILENT = "worker_silent"
 CONFIG_TAKEN = "config_taken"
-CONFIG_REJECTED = "config_rejected"
 HOME_CHOSEN = "home_chosen"
-TICKET_ISSUED = "ticket_issued"
 TICKET_HOME_GONE = "ticket_home_gone"
 KEY_UNBOUND = "key_unbound"
 SERVICE_UNSERVED = "service_unserved"
@@ -64,9 +62,7 @@
     WORKER_RESTORED: "The probes succeeded; the worker gets tasks as before.",
     WORKER_SILENT: "The worker was not heard from in time and counts as gone.",
     CONFIG_TAKEN: "A newer revision of a configuration document is in force.",
-    CONFIG_REJECTED: "A configuration document was invalid or older and was not put in force.",
     HOME_CHOSEN: "The entry chose the process that may run the job.",
-    TICKET_ISSUED: "A ticket was issued for a job to come.",
     TICKET_HOME_GONE: "The ticket's home is gone: the job may have run and is not repeated.",
     KEY_UNBOUND: "The store did not tell which ticket the idempotency key is bound to.",
     SERVICE_UNSERVED: "No ready agent serves the service; nothing was submitted.",
@@ -81,7 +77,6 @@
         WORKER_RESTORED,
         WORKER_SILENT,
         CONFIG_TAKEN,
-        CONFIG_REJECTED,
         RECORDS_HANDED_OVER,
         DRAIN_STARTED,
         DRAIN_FINISHED,
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -231,9 +231,7 @@
         self.registry.take_rejection(sender, rejection.meant)
 
     def _take_drain(self, _sender: Peer, drain: Drain) -> None:
-        self.decisions.record(
-            DRAIN_STARTED, self._messenger.me.address, who=drain.who, why=drain.why
-        )
+        _LOG.info("drain asked for", extra={"fields": (("who", drain.who), ("why", drain.why))})
         self.request_exit()
 
     def _member_changed(self, member: Member) -> None:
--- a/geraniumspool/estimate.py
+++ b/geraniumspool/estimate.py
@@ -5,7 +5,8 @@
 LEARNING_RATE = 0.05
 INITIAL_MS = 300.0
 MIN_MS = 1.0
-MIN_LEARNT = 10
+MIN_LEARNT = 50
+MIN_SLOPE = 0.5
 MIN_VARIANCE = 0.01
 
 
@@ -27,7 +28,8 @@
 
     A regression of the logarithm of the actual time on that of the declared
     one tells how far declared times are worth following: a slope of 1 where
-    they are right, near 0 where they say nothing.
+    they are right, near 0 where they say nothing. Below ``MIN_SLOPE``, and
+    until enough is learnt, the mean is taken.
     """
 
     def __init__(self, initial_ms: float = INITIAL_MS):
@@ -42,24 +44,23 @@
 
     @property
     def slope(self) -> float:
-        """Return how far declared times are followed, from 0 to 1."""
+        """Return how far declared times are followed, 0 or from ``MIN_SLOPE`` to 1."""
         if self._learnt < MIN_LEARNT:
-            return 0.5
+            return 0.0
         variance = self._square.value - self._declared.value**2
         covariance = self._product.value - self._declared.value * self._actual.value
         if variance < MIN_VARIANCE:
             return 0.0
-        return min(1.0, max(0.0, covariance / variance))
+        slope = covariance / variance
+        return min(1.0, slope) if slope >= MIN_SLOPE else 0.0
 
     def estimate(self, declared_ms: float = 0.0) -> float:
         """Return the expected run time of a task in milliseconds.
 
         :param declared_ms: what its caller declared, or 0
         """
-        if declared_ms <= 0:
+        if declared_ms <= 0 or self.slope == 0:
             return max(MIN_MS, self._mean_ms.value)
-        if self._learnt < MIN_LEARNT:
-            return max(MIN_MS, math.sqrt(declared_ms * self._mean_ms.value))
         return max(MIN_MS, self._predict(declared_ms) * self._bias.value)
 
     def learn(self, declared_ms: float, actual_ms: float) -> None:
--- a/geraniumspool/health.py
+++ b/geraniumspool/health.py
@@ -53,11 +53,17 @@
         self._failures = 0.0
         self._outcomes = 0
         self._successes = 0
+        self._is_probing = False
         self._probe_at = 0.0
         self._probe_after = PROBE_AFTER_MS
         self.is_ejected = False
         self.on_change: Callable[[], None] = lambda: None
 
+    @property
+    def is_probe_due(self) -> bool:
+        """Whether an ejected minion may be given a task to be judged by."""
+        return self.is_ejected and self._clock.now() >= self._probe_at
+
     def admits(self, busy: int) -> bool:
         """Return whether another task may be taken.
 
@@ -65,8 +71,9 @@
         """
         if not self.is_ejected:
             return True
-        if busy > 0 or self._clock.now() < self._probe_at:
+        if busy > 0 or not self.is_probe_due:
             return False
+        self._is_probing = True
         self._decisions.record(WORKER_PROBED, self._subject, successes=self._successes)
         return True
 
@@ -80,7 +87,10 @@
         failed = 0.0 if ok else 1.0
         self._failures += RECENT_WEIGHT * (failed - self._failures)
         if self.is_ejected:
-            self._judge_probe(ok)
+            # Tasks from before the ejection are no probes.
+            if self._is_probing:
+                self._is_probing = False
+                self._judge_probe(ok)
         elif self._is_bad(code):
             self._eject(run_ms)
 
@@ -97,6 +107,7 @@
     def _eject(self, run_ms: float) -> None:
         self.is_ejected = True
         self._successes = 0
+        self._is_probing = False
         self._probe_after = PROBE_AFTER_MS
         self._probe_at = self._clock.now() + self._probe_after
         share = round(self._failures, 3)
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -12,8 +12,8 @@
 
 from geraniumspool import decisions as codes
 from geraniumspool.admission import Ahead, Verdict, judge
-from geraniumspool.archive import Archives
-from geraniumspool.backlog import Backlog
+from geraniumspool.archive import NEW_TICKET_RETRY_MS, Archives
+from geraniumspool.backlog import Backlog, Waiting
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock, Counters, Messenger
 from geraniumspool.decisions import DecisionLog, encode_decisions
@@ -45,21 +45,21 @@
     TaskResult,
     WrongIncarnation,
 )
-from geraniumspool.offers import Offers, PlacedTask
-from geraniumspool.placement import Allotment, Demand, Placement
+from geraniumspool.offers import CODE_REVOKED, Offers, PlacedTask
+from geraniumspool.placement import LATE_REACH, REACH_BY_WIDTH, Allotment, Demand, Placement
 from geraniumspool.records import Records, Watermark
 from geraniumspool.roster import Roster
 from geraniumspool.runner import Runner
 from geraniumspool.ticket import Ticket, read_ticket
 from geraniumspool.worker import OpenOffer, Worker
 
-DUE_SHARE = 0.7
+DUE_SHARE = 0.3
 REVOKE_WAIT_MS = 1_000.0
 LEFT_GRACE_MS = 500.0
-OVERLOAD_WAIT_MS = 3_000.0
 MAX_NEAR = 48
 MAX_FAR = 16
 KEPT_DECISIONS = 20
+MAX_LATE = 64
 MIN_SLACK_MS = 50.0
 NEGLIGIBLE_MS = 0.001
 
@@ -140,7 +140,9 @@
             return
         job = Job(ticket, submit)
         if self.leaving:
-            self._refuse(waiter, job, codes.JOB_REFUSED_LEAVING, "the home is leaving", 0.0)
+            detail = "the home is leaving; a new ticket names another"
+            code = codes.JOB_REFUSED_LEAVING
+            self._refuse(waiter, job, code, detail, NEW_TICKET_RETRY_MS)
             return
         self._estimate(job)
         verdict = self._judge(job)
@@ -211,7 +213,8 @@
         """Take a task back that has not started; see :class:`~offers.OfferOwner`."""
         job = offer.job
         self._counters.add("tasks_taken_back", code=code)
-        self._decisions.record(codes.TASK_REFUSED, job.subject, task=offer.index, reason=code)
+        decision = codes.TASK_REVOKED if code == CODE_REVOKED else codes.TASK_REFUSED
+        self._decisions.record(decision, job.subject, task=offer.index, reason=code)
         if job.is_final:
             return
         if job.ending:
@@ -360,7 +363,7 @@
         ]
         members = near + far[: max(MAX_FAR, MAX_NEAR - len(near))]
         workers = [self._offers.worker(member) for member in members if not self._is_own(member)]
-        if self._runner.accepts:
+        if self._runner.load().slots:
             workers.append(self._own_worker())
         now = self._clock.now()
         return [worker for worker in workers if worker.look(now)]
@@ -444,12 +447,13 @@
         if not self._backlog.count:
             return
         batches: dict[Peer, list[PlacedTask]] = {}
-        slots = max(1, self._runner.slots)
-        is_overloaded = self._backlog.work_ms / slots > OVERLOAD_WAIT_MS
         for width in Width:
+            late = self._backlog.count_late(width, self._clock.now(), MAX_LATE)
+            if late:
+                self._place_queue(width, late, LATE_REACH, batches)
             if self._backlog.size(width):
-                any_slot = width == Width.NARROW or is_overloaded
-                self._place_queue(width, any_slot, batches)
+                size = self._backlog.size(width)
+                self._place_queue(width, size, REACH_BY_WIDTH[width], batches)
         limit_ms = self._configuration.service(self.service).run_limit_ms
         for peer, batch in batches.items():
             if not batch:
@@ -459,14 +463,18 @@
             self._offers.send(worker, batch, self.service, limit_ms, self._backlog.count > 0)
 
     def _place_queue(
-        self, width: Width, any_slot: bool, batches: dict[Peer, list[PlacedTask]]
+        self, width: Width, count: int, reach: float, batches: dict[Peer, list[PlacedTask]]
     ) -> None:
-        """Draw tasks of one queue into batches by worker."""
+        """Draw tasks of one queue into batches by worker.
+
+        :param reach: how far ahead they may go, by the usual lookahead
+        """
         workers = self._usable()
         if not workers:
             return
         run_ms = self._backlog.work_ms / self._backlog.count
-        demand = Demand(self._backlog.size(width), run_ms, width, any_slot)
+        any_slot = width == Width.NARROW
+        demand = Demand(count, run_ms, reach, any_slot)
         unplaced = []
         for allotment in self._placement.allot(demand, workers, self.me, self._domain):
             batch = batches.setdefault(allotment.worker.peer, [])
@@ -474,12 +482,12 @@
         for job, index in unplaced:
             self._backlog.push(job, index)
 
-    def _patience(self, worker: Worker, job: Job, index: int) -> float:
-        """Return the wait beyond which a worker should refuse a task."""
-        if worker.peer == self.me:
+    def _patience(self, worker: Worker, waiting: Waiting) -> float:
+        """Return the wait beyond which a worker should refuse a task, 0 for none."""
+        if worker.peer == self.me or waiting.due <= self._clock.now():
             return 0.0
         expected_ms = 0.0 if worker.free else worker.load.wait_ms
-        slack_ms = job.estimates[index] * SLACK_BY_WIDTH[job.width]
+        slack_ms = waiting.job.estimates[waiting.index] * SLACK_BY_WIDTH[waiting.job.width]
         return expected_ms + max(MIN_SLACK_MS, slack_ms)
 
     def _draw(
@@ -491,7 +499,7 @@
         while left > 0 and (waiting := self._backlog.pop(width)) is not None:
             job, index = waiting.job, waiting.index
             if allotment.worker.fits(job.tasks[index].size):
-                patience_ms = self._patience(allotment.worker, job, index)
+                patience_ms = self._patience(allotment.worker, waiting)
                 batch.append(PlacedTask(job, index, waiting.due, any_slot, patience_ms))
                 allotment.worker.planned += 1
                 left -= 1
--- a/geraniumspool/ledger.py
+++ b/geraniumspool/ledger.py
@@ -17,9 +17,10 @@
     :ivar task: the offered task, or None for a tombstone
     :ivar state: one of the constants of this module
     :ivar result: the task's result, while it is kept
+    :ivar is_stopped: whether the minion was asked to stop it
     """
 
-    __slots__ = ("task", "state", "result", "ledger")
+    __slots__ = ("task", "state", "result", "ledger", "is_stopped")
 
     def __init__(self, ledger: "Ledger", task: OfferedTask | None, state: str):
         """Record the offer."""
@@ -27,6 +28,7 @@
         self.task = task
         self.state = state
         self.result: TaskResult | None = None
+        self.is_stopped = False
 
 
 class Ledger:
--- a/geraniumspool/load.py
+++ b/geraniumspool/load.py
@@ -51,6 +51,8 @@
 CONNECT_TIMEOUT_MS = 1_000.0
 ANSWER_GRACE_MS = 2_000.0
 RESUBMIT_PAUSE_MS = 50.0
+# Timers fire up to this much late; the rest is waited for by yielding.
+TIMER_LATENESS_MS = 1.5
 CONNECTIONS_PER_ENTRY = 2_000
 JOBS_IN_FLIGHT = 20_000
 RATIO_SCALE = 1_000
@@ -460,9 +462,11 @@
             pool.spawn_n(self._run_job, number, _Job(plan, number, begin + at_ms, options.service))
 
     def _sleep_until(self, due_ms: float) -> None:
-        left = due_ms - self._clock.now()
+        left = due_ms - self._clock.now() - TIMER_LATENESS_MS
         if left > 0:
             self._clock.sleep(left)
+        while self._clock.now() < due_ms:
+            self._clock.sleep(0)
 
     def _run_job(self, number: int, job: _Job) -> None:
         entry = number % len(self._entries)
--- a/geraniumspool/offers.py
+++ b/geraniumspool/offers.py
@@ -113,11 +113,11 @@
         """
         offered = tuple(self._open(worker, task, service, limit_ms) for task in tasks)
         message = Offer(worker.floor(self._next), offered, more, self._runner.load())
+        self._watch(worker)
         if worker.peer == self._messenger.me:
             self._runner.take_offer(worker.peer, message)
-            return
-        self._messenger.send(worker.peer, message)
-        self._watch(worker)
+        else:
+            self._messenger.send(worker.peer, message)
 
     def settle(self, worker: Worker, number: int) -> OpenOffer | None:
         """Close an offer and return it; None where it matches nothing."""
@@ -249,7 +249,10 @@
             eventlet.spawn_n(self._watch_worker, worker)
 
     def _watch_worker(self, worker: Worker) -> None:
-        """Probe a worker whose results are overdue, until nothing is open."""
+        """Ask a worker for offers whose results are overdue, until nothing is open.
+
+        Tasks that wait there longer than expected come back and may go elsewhere.
+        """
         while worker.open:
             self._clock.sleep(WATCH_MS)
             now = self._clock.now()
--- a/geraniumspool/placement.py
+++ b/geraniumspool/placement.py
@@ -17,8 +17,10 @@
 RESERVED_SLOTS = 1
 MIN_SLOTS_TO_RESERVE = 4
 
-# The narrower a job, the further its tasks go ahead: they overtake there.
-AHEAD_BY_WIDTH = {Width.NARROW: 3.0, Width.MEDIUM: 2.0, Width.WIDE: 1.0}
+# How far ahead tasks go: the narrower their job, the further, since they
+# overtake there; furthest those that should have started already.
+REACH_BY_WIDTH = {Width.NARROW: 3.0, Width.MEDIUM: 2.0, Width.WIDE: 1.0}
+LATE_REACH = 12.0
 
 
 class Demand(NamedTuple):
@@ -26,13 +28,13 @@
 
     :param count: how many
     :param run_ms: estimated mean run time
-    :param width: how wide their jobs are
+    :param reach: how far ahead they may go, by the usual lookahead
     :param any_slot: whether they may use the slots reserved for narrow jobs
     """
 
     count: int
     run_ms: float
-    width: Width
+    reach: float
     any_slot: bool
 
 
@@ -100,7 +102,7 @@
 
     def _survey(self, worker: Worker, demand: Demand, own: Peer, domain: str) -> "_Places":
         free = worker.free
-        per_slot = self._ahead_per_slot * AHEAD_BY_WIDTH[demand.width]
+        per_slot = self._ahead_per_slot * demand.reach
         if not demand.any_slot and not worker.is_slow:
             free = max(0, free - count_reserved(worker.load.slots))
         ahead = 0 if worker.is_slow else worker.room(per_slot)
@@ -121,7 +123,16 @@
 class _Places:
     """The places at one worker, cheapest first."""
 
-    __slots__ = ("worker", "taken", "cost_ms", "_free", "_ahead", "_waiting", "_step_ms")
+    __slots__ = (
+        "worker",
+        "taken",
+        "cost_ms",
+        "_free",
+        "_ahead",
+        "_waiting",
+        "_step_ms",
+        "_next_ms",
+    )
 
     def __init__(
         self,
@@ -138,6 +149,7 @@
         self._ahead = ahead
         self._waiting = waiting
         self._step_ms = run_ms / max(1, worker.load.slots)
+        self._next_ms = 0.0 if worker.load.free else worker.load.next_ms
         self.cost_ms = opening_ms + self._next_wait()
 
     def __lt__(self, other: "_Places") -> bool:
@@ -155,7 +167,7 @@
         beyond = self.taken - self._free
         if beyond < 0:
             return 0.0
-        return (self._waiting + beyond + 1) * self._step_ms
+        return self._next_ms + (self._waiting + beyond + 1) * self._step_ms
 
 
 class RandomChoice:
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -30,11 +30,11 @@
 REFUSED_LEAVING = "worker_leaving"
 REFUSED_EJECTED = "worker_ejected"
 REFUSED_BUSY = "worker_busy"
-REFUSED_REVOKED = "offer_revoked"
 
 RESULT_HOLD_MS = 1_000.0
+RESERVE_MS = 2_000.0
 LOW_WATER_SHARE = 0.25
-DEFAULT_QUEUE_PER_SLOT = 4.0
+DEFAULT_QUEUE_PER_SLOT = 16.0
 KEPT_RESULT_BYTES = 16 * 1024 * 1024
 CLOSED_HOMES = 20_000
 
@@ -87,6 +87,7 @@
         self._queued = 0
         self._queued_ms = 0.0
         self._urgent = 0
+        self._urgent_ms = -RESERVE_MS
         self._running: dict[str, _Run] = {}
         self._kept_bytes = 0
         self._kept: OrderedDict[int, Entry] = OrderedDict()
@@ -114,10 +115,8 @@
 
     def load(self) -> Load:
         """Return what this runner has to offer now."""
-        slots = self.slots if self.accepts else 0
+        slots = self._open_slots()
         free = max(0, slots - len(self._running) - self._queued)
-        if self._health.is_ejected:
-            free = 0
         return Load(
             slots,
             free,
@@ -128,6 +127,13 @@
             self.measure_backlog(),
         )
 
+    def _open_slots(self) -> int:
+        if not self.accepts:
+            return 0
+        if self._health.is_ejected:
+            return 1 if self._health.is_probe_due else 0
+        return self.slots
+
     def predict_wait(self) -> float:
         """Return the predicted wait of a task that arrives now, in ms."""
         slots = self.slots
@@ -228,7 +234,7 @@
 
     def _predict_start(self, task: OfferedTask) -> float:
         """Return the predicted wait of one task, behind those due before it."""
-        usable = self.slots if task.any_slot else self.slots - count_reserved(self.slots)
+        usable = self.slots if task.any_slot else self.slots - self._kept_free()
         if len(self._running) + self._queued < usable:
             return 0.0
         due = self._clock.now() + task.rank
@@ -267,7 +273,9 @@
         ledger.queued += 1
         self._queued += 1
         self._queued_ms += task.run_ms
-        self._urgent += task.any_slot
+        if task.any_slot:
+            self._urgent += 1
+            self._urgent_ms = self._clock.now()
         due = self._clock.now() + task.rank
         heapq.heappush(self._queues[task.any_slot], (due, next(self._order), entry))
 
@@ -298,7 +306,7 @@
         if running >= (1 if self._health.is_ejected else self.slots):
             return None
         heads = [self._queues[True]]
-        if running < self.slots - count_reserved(self.slots):
+        if running < self.slots - self._kept_free():
             heads.append(self._queues[False])
         for queue in heads:
             while queue and queue[0][2].state != QUEUED:
@@ -308,6 +316,12 @@
             return None
         return heapq.heappop(min(ready, key=lambda queue: queue[0][:2]))[2]
 
+    def _kept_free(self) -> int:
+        """Return the slots kept for narrow jobs, while such come at all."""
+        if self._clock.now() - self._urgent_ms > RESERVE_MS:
+            return 0
+        return count_reserved(self.slots)
+
     def _start(self, entry: Entry) -> None:
         task_id = name_task(entry.task)
         self._running[task_id] = _Run(self._clock.now(), entry.task.run_ms)
@@ -329,7 +343,8 @@
         finally:
             self._running.pop(task_id, None)
         run_ms = self._clock.now() - started
-        self._health.note(ok, run_ms, code)
+        if not entry.is_stopped:
+            self._health.note(ok, run_ms, code)
         if code == NotStarted.code:
             self._give_back(entry, code)
             self._flush(entry.ledger)
@@ -399,6 +414,7 @@
             self._dequeue(entry, REFUSED)
             ledger.close_task(entry.task)
         elif entry.state == RUNNING and stop:
+            entry.is_stopped = True
             eventlet.spawn_n(self._client.stop, self.minion, name_task(entry.task))
         elif entry.state == DONE and entry.result not in ledger.done:
             ledger.done.append(entry.result)
--- a/geraniumspool/settings.py
+++ b/geraniumspool/settings.py
@@ -106,7 +106,7 @@
     max_record_bytes: int = 64 << 20
     max_record_age_ms: float = 600_000
     drain_limit_ms: float = 30_000
-    queue_per_slot: int = 4
+    queue_per_slot: int = 16
     placement: str = "late"
     ahead_per_slot: float = 1.0
     result_hold_ms: float = 1_000
--- a/geraniumspool/web.py
+++ b/geraniumspool/web.py
@@ -111,6 +111,7 @@
     decision: NotRequired[Any]
     retry_after_ms: NotRequired[float]
     next_ticket: NotRequired[str]
+    job: NotRequired[str]
     findings: NotRequired[list[ProblemFinding]]
 
 
@@ -138,6 +139,7 @@
     decision: Any = None,
     retry_after_ms: float | None = None,
     next_ticket: str | None = None,
+    job: str | None = None,
     findings: Iterable[Finding] = (),
 ) -> Reply:
     """Return a failure as problem details; members without a value are left out.
@@ -149,6 +151,7 @@
     :param decision: the decision behind a refusal
     :param retry_after_ms: when another try may help, in milliseconds
     :param next_ticket: a fresh ticket for the caller's next job
+    :param job: the ticket of the job that the answer is about
     :param findings: all faults found in the input
     """
     problem: Problem = {
@@ -162,6 +165,8 @@
         problem["outcome"] = outcome
     if decision is not None:
         problem["decision"] = decision
+    if job is not None:
+        problem["job"] = job
     if next_ticket is not None:
         problem["next_ticket"] = next_ticket
     listed = [ProblemFinding(**finding._asdict()) for finding in findings]
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,62 @@
+"""Tests of ejection and probing."""
+
+import logging
+import unittest
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.decisions import DecisionLog
+from geraniumspool.errors import NotStarted
+from geraniumspool.health import MIN_OUTCOMES, PROBE_AFTER_MS, PROBES_TO_RESTORE, Health
+
+
+class HealthTest(unittest.TestCase):
+    """One minion that fails and recovers."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.clock = ManualClock()
+        self.room = True
+        decisions = DecisionLog(1, self.clock, logging.getLogger(__name__))
+        self.health = Health(self.clock, decisions, "tcp://127.0.0.1:1", lambda: self.room)
+
+    def note_failures(self, times=20):
+        for _ in range(times):
+            self.health.note(False, 1.0, "task_failed")
+
+    def test_when_it_is_ejected(self):
+        cases = [
+            ("all fail", [False] * 20, True, True),
+            ("few outcomes", [False] * (MIN_OUTCOMES - 1), True, False),
+            ("one in four fails", [True, True, True, False] * 20, True, False),
+            ("no room under the cap", [False] * 20, False, False),
+        ]
+        for name, outcomes, room, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.room = room
+                for ok in outcomes:
+                    self.health.note(ok, 1.0, "" if ok else "task_failed")
+                self.assertEqual(self.health.is_ejected, expected)
+
+    def test_refused_connections_eject_soon(self):
+        for _ in range(4):
+            self.health.note(False, 1.0, NotStarted.code)
+        self.assertTrue(self.health.is_ejected)
+
+    def test_probe_and_restore(self):
+        """One task at a time, at growing intervals; successes restore it."""
+        self.note_failures()
+        self.assertFalse(self.health.admits(0))
+        self.clock.advance(PROBE_AFTER_MS)
+        self.assertTrue(self.health.is_probe_due)
+        self.assertFalse(self.health.admits(1))
+        self.assertTrue(self.health.admits(0))
+        self.note_failures(1)
+        self.clock.advance(PROBE_AFTER_MS)
+        self.assertFalse(self.health.admits(0))
+        self.clock.advance(PROBE_AFTER_MS)
+        for _ in range(PROBES_TO_RESTORE):
+            self.assertTrue(self.health.admits(0))
+            self.health.note(True, 50.0, "")
+        self.assertFalse(self.health.is_ejected)
