--- a/benchmarks/experiment_base.py
+++ b/benchmarks/experiment_base.py
@@ -17,7 +17,8 @@
 
 from benchmarks.counts import NO_COUNTS, Counts, Meter, is_alive
 from geraniumspool.client import OUTCOME_COMPLETE, OUTCOME_MAY_HAVE_RUN, OUTCOME_NOT_RUN
-from geraniumspool.load import OUTCOME_UNANSWERED, JobOutcome, Load, LoadOptions, LoadReport
+from geraniumspool.load import Load, LoadOptions
+from geraniumspool.loadreport import OUTCOME_UNANSWERED, JobOutcome, LoadReport
 from geraniumspool.ticket import Keyring
 from geraniumspool.workload import JobPlan, ideal_ms
 from tests.processes import SERVICE, TEAM, TICKET_KEY, TOKEN, Fleet, Program
--- a/geraniumspool/demo.py
+++ b/geraniumspool/demo.py
@@ -25,7 +25,8 @@
 from geraniumspool.contracts import Clock
 from geraniumspool.entry import Entry, build_entry
 from geraniumspool.link import SCOPE_CROSS
-from geraniumspool.load import JobOutcome, Load, LoadOptions, LoadReport
+from geraniumspool.load import Load, LoadOptions
+from geraniumspool.loadreport import JobOutcome, LoadReport
 from geraniumspool.messages import STATE_NOT_RUN
 from geraniumspool.settings import AgentSettings, EntrySettings
 from geraniumspool.standin_minion import StandinMinion
--- a/geraniumspool/load.py
+++ b/geraniumspool/load.py
@@ -7,14 +7,13 @@
 
 import contextlib
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import eventlet
 import msgspec
 import urllib3
-from hdrh.histogram import HdrHistogram
 
 from geraniumspool.client import (
     NO_ENTRY,
@@ -25,6 +24,14 @@
 from geraniumspool.clock import MS_PER_SECOND, SystemClock
 from geraniumspool.contracts import Clock
 from geraniumspool.errors import Finding, InvalidInput
+from geraniumspool.loadreport import (
+    OUTCOME_REJECTED,
+    OUTCOME_UNANSWERED,
+    RANKED_OUTCOMES,
+    JobOutcome,
+    LoadReport,
+    Tally,
+)
 from geraniumspool.workload import (
     MIXES,
     Burst,
@@ -35,16 +42,6 @@
     rate_for_share,
 )
 
-OUTCOME_REJECTED = "rejected"
-OUTCOME_UNANSWERED = "unanswered"
-RANKED_OUTCOMES = (
-    OUTCOME_COMPLETE,
-    OUTCOME_NOT_RUN,
-    OUTCOME_MAY_HAVE_RUN,
-    OUTCOME_REJECTED,
-    OUTCOME_UNANSWERED,
-)
-
 DEFAULT_SLOTS = 88
 DEFAULT_TICKETS_AHEAD = 16
 TICKET_MAX_AGE_MS = 5_000.0
@@ -55,10 +52,6 @@
 TIMER_LATENESS_MS = 1.5
 CONNECTIONS_PER_ENTRY = 2_000
 JOBS_IN_FLIGHT = 20_000
-RATIO_SCALE = 1_000
-MAX_RATIO = 1_000_000
-MAX_LATENCY_MS = 600_000
-DIGITS = 3
 
 
 class CancelWave(NamedTuple):
@@ -72,22 +65,6 @@
     share: float
 
 
-class JobOutcome(NamedTuple):
-    """What became of one job, for observers.
-
-    :param ticket: its ticket, or empty where it got none
-    :param outcome: one of ``RANKED_OUTCOMES``
-    :param code: code of the refusal or failure, or empty
-    :param response_ms: time from its arrival to the answer
-    """
-
-    plan: JobPlan
-    ticket: str
-    outcome: str
-    code: str
-    response_ms: float
-
-
 class LoadOptions(NamedTuple):
     """What load to send; either ``rate`` or ``load_share`` is given.
 
@@ -126,57 +103,6 @@
     tickets_ahead: int = DEFAULT_TICKETS_AHEAD
 
 
-class LoadReport(NamedTuple):
-    """How the jobs fared; ratios and times are None where nothing was measured.
-
-    :param failed: jobs answered "not run" or "may have run"
-    :param unanswered: jobs without any answer by their deadline and a grace
-    :param rejected: jobs whose request was called wrong
-    :param wrong_answers: complete answers with a result that is missing or not
-        the task's own, and pairs of answers that contradict each other
-    :param tasks: tasks of all jobs
-    :param work_ms_complete: slot time of complete jobs
-    :param refused_ms_p50: time to the answer of jobs answered "not run",
-        without those that were cancelled
-    :param refusals: jobs answered with a failure, by code
-    :param elapsed_ms: time from the begin to the last answer
-    :param goodput_share: work of complete jobs by all slots' time in ``elapsed_ms``
-    :param deadline_missed: jobs not complete within their deadline, refused ones left out
-    :param resubmitted: jobs submitted through two entries at once
-    :param cancelled: jobs that were asked to be cancelled
-    """
-
-    jobs: int
-    complete: int
-    failed: int
-    failed_not_run: int
-    failed_may_have_run: int
-    unanswered: int
-    rejected: int
-    wrong_answers: int
-    tasks: int
-    work_ms_complete: float
-    response_over_ideal_p50: float | None
-    response_over_ideal_p90: float | None
-    response_over_ideal_p99: float | None
-    response_over_ideal_narrow_p50: float | None
-    response_over_ideal_narrow_p99: float | None
-    response_over_ideal_wide_p50: float | None
-    response_over_ideal_wide_p99: float | None
-    refused_ms_p50: float | None
-    refused_ms_p99: float | None
-    refusals: dict[str, int]
-    elapsed_ms: float
-    goodput_share: float
-    deadline_missed: int
-    resubmitted: int
-    cancelled: int
-
-    def as_json(self) -> dict[str, Any]:
-        """Return the report as JSON can say it."""
-        return self._asdict()
-
-
 class _Answer(NamedTuple):
     status: int
     document: dict[str, Any]
@@ -304,83 +230,6 @@
         return [_value_of(result) for result in results] == self.values
 
 
-class _Tally:
-    """Counts and histograms of one load."""
-
-    def __init__(self, options: LoadOptions):
-        self._options = options
-        self.jobs = 0
-        self.tasks = 0
-        self.outcomes: Counter[str] = Counter()
-        self.refusals: Counter[str] = Counter()
-        self.wrong_answers = 0
-        self.work_ms = 0.0
-        self.deadline_missed = 0
-        self.resubmitted = 0
-        self.cancelled = 0
-        self.ratios = _ratio_histogram()
-        self.narrow = _ratio_histogram()
-        self.wide = _ratio_histogram()
-        self.refused = HdrHistogram(1, MAX_LATENCY_MS, DIGITS)
-
-    def note(self, job: _Job, verdict: _Verdict) -> JobOutcome:
-        plan = job.plan
-        response_ms = verdict.at_ms - job.due_ms
-        self.outcomes[verdict.outcome] += 1
-        self.cancelled += job.is_cancelled
-        if verdict.code:
-            self.refusals[verdict.code] += 1
-        if verdict.outcome == OUTCOME_COMPLETE:
-            self._note_complete(plan, response_ms)
-        elif verdict.outcome in (OUTCOME_MAY_HAVE_RUN, OUTCOME_UNANSWERED):
-            self.deadline_missed += 1
-        elif verdict.outcome == OUTCOME_NOT_RUN and not job.is_cancelled:
-            self.refused.record_value(max(1, min(MAX_LATENCY_MS, round(response_ms))))
-        return JobOutcome(plan, job.ticket, verdict.outcome, verdict.code, response_ms)
-
-    def report(self, elapsed_ms: float) -> LoadReport:
-        not_run = self.outcomes[OUTCOME_NOT_RUN]
-        may_have_run = self.outcomes[OUTCOME_MAY_HAVE_RUN]
-        return LoadReport(
-            jobs=self.jobs,
-            complete=self.outcomes[OUTCOME_COMPLETE],
-            failed=not_run + may_have_run,
-            failed_not_run=not_run,
-            failed_may_have_run=may_have_run,
-            unanswered=self.outcomes[OUTCOME_UNANSWERED],
-            rejected=self.outcomes[OUTCOME_REJECTED],
-            wrong_answers=self.wrong_answers,
-            tasks=self.tasks,
-            work_ms_complete=round(self.work_ms, 1),
-            response_over_ideal_p50=_read(self.ratios, 50, RATIO_SCALE),
-            response_over_ideal_p90=_read(self.ratios, 90, RATIO_SCALE),
-            response_over_ideal_p99=_read(self.ratios, 99, RATIO_SCALE),
-            response_over_ideal_narrow_p50=_read(self.narrow, 50, RATIO_SCALE),
-            response_over_ideal_narrow_p99=_read(self.narrow, 99, RATIO_SCALE),
-            response_over_ideal_wide_p50=_read(self.wide, 50, RATIO_SCALE),
-            response_over_ideal_wide_p99=_read(self.wide, 99, RATIO_SCALE),
-            refused_ms_p50=_read(self.refused, 50),
-            refused_ms_p99=_read(self.refused, 99),
-            refusals=dict(sorted(self.refusals.items())),
-            elapsed_ms=round(elapsed_ms, 1),
-            goodput_share=round(self.work_ms / max(1.0, self._options.slots * elapsed_ms), 4),
-            deadline_missed=self.deadline_missed,
-            resubmitted=self.resubmitted,
-            cancelled=self.cancelled,
-        )
-
-    def _note_complete(self, plan: JobPlan, response_ms: float) -> None:
-        self.work_ms += plan.work_ms
-        self.deadline_missed += response_ms > plan.deadline_ms
-        ideal = ideal_ms(plan, self._options.slots, self._options.trip_ms)
-        ratio = max(1, min(MAX_RATIO, round(response_ms / ideal * RATIO_SCALE)))
-        self.ratios.record_value(ratio)
-        if plan.is_narrow:
-            self.narrow.record_value(ratio)
-        if plan.is_wide:
-            self.wide.record_value(ratio)
-
-
 class Load:
     """One load, sent by :meth:`run`."""
 
@@ -414,7 +263,7 @@
             for team in self._teams
         }
         self._in_flight: dict[str, _Job] = {}
-        self._tally = _Tally(options)
+        self._tally = Tally(options.slots, options.trip_ms)
         self._is_stopped = False
 
     @property
@@ -477,7 +326,9 @@
             self._in_flight[job.ticket] = job
             verdict = self._run_ticket(job, entry, delay_share if is_double else None)
             del self._in_flight[job.ticket]
-        outcome = self._tally.note(job, verdict)
+        response_ms = verdict.at_ms - job.due_ms
+        outcome = JobOutcome(job.plan, job.ticket, verdict.outcome, verdict.code, response_ms)
+        self._tally.note(outcome, job.is_cancelled)
         if self._observer:
             self._observer(outcome)
 
@@ -617,13 +468,3 @@
     wrong = sum(verdict.is_wrong for verdict in verdicts)
     outcomes = {verdict.outcome for verdict in verdicts}
     return wrong + ({OUTCOME_COMPLETE, OUTCOME_NOT_RUN} <= outcomes)
-
-
-def _ratio_histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_RATIO, DIGITS)
-
-
-def _read(histogram: HdrHistogram, percentile: float, scale: int = 1) -> float | None:
-    if not histogram.get_total_count():
-        return None
-    return histogram.get_value_at_percentile(percentile) / scale
--- a/geraniumspool/settings.py
+++ b/geraniumspool/settings.py
@@ -7,18 +7,9 @@
 from jsonschema import Draft202012Validator
 
 from geraniumspool.contracts import Announcement
-from geraniumspool.documents import (
-    BYTES,
-    COUNT,
-    DURATION,
-    NAME_PATTERN,
-    Reading,
-    make_validator,
-    normalize,
-    read_yaml,
-    show_path,
-)
+from geraniumspool.documents import BYTES, COUNT, DURATION, NAME_PATTERN
 from geraniumspool.errors import Finding, InvalidInput
+from geraniumspool.yamldoc import Reading, make_validator, normalize, read_yaml, show_path
 
 ENTRY = "entry"
 AGENT = "agent"
--- a/geraniumspool/store.py
+++ b/geraniumspool/store.py
@@ -31,30 +31,30 @@
     StoreUnknown,
 )
 from geraniumspool.etcd import (
-    RANGE_PATH,
-    TXN_PATH,
+    DELETE_EVENT,
     GRANT_PATH,
     KEEPALIVE_PATH,
-    WATCH_PATH,
     NOT_FOUND,
+    RANGE_PATH,
     REJECTED,
-    DELETE_EVENT,
-    WirePair,
-    RangeRequest,
-    RangeReply,
+    TXN_PATH,
+    WATCH_PATH,
     Compare,
-    PutRequest,
     DeleteRequest,
-    Operation,
-    TxnRequest,
-    TxnReply,
-    Lease,
     ErrorReply,
     KeepAliveLine,
+    Lease,
+    Operation,
+    PutRequest,
+    RangeReply,
+    RangeRequest,
+    TxnReply,
+    TxnRequest,
     WatchCreate,
-    WatchRequest,
-    WatchReply,
     WatchLine,
+    WatchReply,
+    WatchRequest,
+    WirePair,
     prefix_range,
 )
 
@@ -76,7 +76,6 @@
 
 Reply = TypeVar("Reply")
 
-
 _OPENED = object()
 
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -22,10 +22,12 @@
     """One process, started and ended by its id.
 
     :ivar ready: the ready line that it printed
+    :ivar domain: failure domain it was started in, or empty
     """
 
-    def __init__(self, *arguments: str, log: str = os.devnull):
+    def __init__(self, *arguments: str, log: str = os.devnull, domain: str = ""):
         """Start ``geraniumspool`` with these arguments and wait until it is ready."""
+        self.domain = domain
         self._log = open(log, "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
             [sys.executable, "-m", "geraniumspool", *arguments],
@@ -119,7 +121,7 @@
             "heartbeat_timeout_ms": 2000,
             "registration_ttl_ms": 3000,
         }
-        entry = self._start("entry", self._write(settings))
+        entry = self._start("entry", self._write(settings), domain=domain)
         self.entries.append(entry)
         return entry
 
@@ -132,7 +134,7 @@
             "heartbeat_period_ms": 500,
             **self._agent_settings,
         }
-        agent = self._start("agent", self._write(settings))
+        agent = self._start("agent", self._write(settings), domain=domain)
         self.agents.append(agent)
         if with_minion:
             self.minions.append(self.add_minion(agent))
@@ -175,23 +177,26 @@
         for minion in self.minions:
             if minion.process.poll() is not None:
                 continue
-            reply = self.http.request("GET", f"{minion.ready['minion']}/starts", timeout=10)
-            for name, value in reply.json().items():
+            for name, value in self.count_starts(minion).items():
                 total[name] = total.get(name, 0) + value
         return total
 
+    def count_starts(self, minion: Program) -> dict[str, int]:
+        """Return one minion's counts of starts."""
+        return self.http.request("GET", f"{minion.ready['minion']}/starts", timeout=10).json()
+
     def stop(self) -> None:
         """End every process that is left."""
         for program in [*self.entries, *self.minions, *self.agents, self.store]:
             program.kill()
         self._folder.cleanup()
 
-    def _start(self, *arguments: str) -> Program:
+    def _start(self, *arguments: str, domain: str = "") -> Program:
         self._count += 1
         log = os.devnull
         if self._logs:
             log = os.path.join(self._logs, f"{self._count}-{arguments[0]}.log")
-        return Program(*arguments, log=log)
+        return Program(*arguments, log=log, domain=domain)
 
     def _write(self, settings: dict) -> str:
         path = os.path.join(self._folder.name, f"{self._count}.yaml")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 import eventlet
 import urllib3
 
-from geraniumspool.client import Client, TaskRequest
+from geraniumspool.client import Client, JobError, TaskRequest
 from tests.processes import SERVICE, TEAM, Fleet
 
 WAIT_S = 20.0
@@ -74,3 +74,35 @@
         self.assertEqual([row["value"] for row in answer["results"]], list(range(24)))
         starts = self.fleet.starts()
         self.assertEqual((starts["starts"], starts["started_more_than_once"]), (24, 0))
+
+    def test_planned_restart(self):
+        """Every agent and entry is replaced under load; no job fails."""
+        outcomes = []
+        stopping = []
+        callers = [eventlet.spawn(self.keep_calling, outcomes, stopping) for _ in range(3)]
+        starts = []
+        for old, minion in zip(list(self.fleet.agents), list(self.fleet.minions), strict=True):
+            self.fleet.add_agent(old.domain)
+            self.assertEqual(old.terminate(), 0)
+            starts.append(self.fleet.count_starts(minion))
+            minion.kill()
+        old_entry = self.fleet.entries[0]
+        self.fleet.add_entry(old_entry.domain)
+        self.assertEqual(old_entry.terminate(), 0)
+        stopping.append(True)
+        for caller in callers:
+            caller.wait()
+        self.assertGreater(len(outcomes), 0)
+        self.assertEqual([outcome for outcome in outcomes if outcome != "complete"], [])
+        starts.append(self.fleet.starts())
+        self.assertEqual(sum(row["started_more_than_once"] for row in starts), 0)
+
+    def keep_calling(self, outcomes, stopping):
+        """Run jobs through whatever entry answers until told to stop."""
+        client = Client(self.fleet.callers(), SERVICE, TEAM)
+        while not stopping:
+            try:
+                client.run([TaskRequest({"run_ms": 60, "value": 1})] * 6, deadline_ms=15000)
+                outcomes.append("complete")
+            except JobError as error:
+                outcomes.append(f"{error.code} {error.detail}")
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -17,7 +17,7 @@
     place_table,
 )
 from geraniumspool.client import OUTCOME_COMPLETE, OUTCOME_MAY_HAVE_RUN, OUTCOME_NOT_RUN
-from geraniumspool.load import JobOutcome
+from geraniumspool.loadreport import JobOutcome
 from geraniumspool.messages import Peer
 from geraniumspool.ticket import Keyring
 from geraniumspool.workload import JobPlan, TaskPlan
