--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -63,7 +63,8 @@
 
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 HOUSEKEEPING_MS = 500.0
-DISCOVERY_MS = 2_000.0
+DISCOVERY_MS = 500.0
+MAX_DISCOVERY_MS = 10_000.0
 STOP_GRACE_MS = 300.0
 ABANDON_LIMIT_MS = 2 * REVOKE_WAIT_MS
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
@@ -278,7 +279,8 @@
         self.request_exit()
 
     def _discover(self) -> None:
-        """Read the entries from the store until some are known."""
+        """Read the entries from the store until some are known, ever more seldom."""
+        pause_ms = DISCOVERY_MS
         while True:
             try:
                 for member in discover_entries(self._store):
@@ -287,7 +289,8 @@
                     return
             except StoreError as error:
                 _LOG.warning("entries not read: %s", error)
-            self._clock.sleep(self._random.uniform(0.5, 1.5) * DISCOVERY_MS)
+            self._clock.sleep(self._random.uniform(0.5, 1.5) * pause_ms)
+            pause_ms = min(MAX_DISCOVERY_MS, pause_ms * 2)
 
     def _keep_house(self) -> None:
         while True:
--- a/geraniumspool/archive.py
+++ b/geraniumspool/archive.py
@@ -8,7 +8,7 @@
 from geraniumspool.ticket import Ticket, read_ticket
 
 MAX_ARCHIVES = 200
-MAX_ARCHIVE_BYTES = 64 * 1024 * 1024
+MAX_ARCHIVE_BYTES = 32 * 1024 * 1024
 NEW_TICKET_RETRY_MS = 1.0
 CODE_GONE = "home_gone"
 CODE_NEVER_SUBMITTED = "job_never_submitted"
--- a/geraniumspool/operations.py
+++ b/geraniumspool/operations.py
@@ -5,6 +5,7 @@
 :mod:`geraniumspool.cli`. Modules of the programs are loaded only when needed.
 """
 
+import gc
 import json
 import logging
 import signal
@@ -27,6 +28,7 @@
 
 OK = 0
 FAILED = 1
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
 
 CONNECT_TIMEOUT_MS = 3000.0
 READ_TIMEOUT_MS = 20000.0
@@ -366,6 +368,7 @@
     previous = _watch_signals(lambda number, _frame: received.append(number))
     try:
         app.start()
+        _calm_collector()
         print(json.dumps(app.ready_line()), file=output or sys.stdout, flush=True)
         _poll(lambda: received or getattr(app, "exit_requested", False))
         drained = _drain(app, received)
@@ -375,6 +378,13 @@
     return OK if drained else FAILED
 
 
+def _calm_collector() -> None:
+    """Keep what was loaded at the start out of the garbage collector's rounds."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def run_entry(path: str) -> int:
     """Run an entry with the settings in a file, and return the exit code."""
     from geraniumspool.entry import build_entry
--- a/geraniumspool/settings.py
+++ b/geraniumspool/settings.py
@@ -94,7 +94,7 @@
     heartbeat_period_ms: float = 1_000
     announcement_timeout_ms: float = 10_000
     peer_timeout_ms: float = 4_000
-    max_record_bytes: int = 64 << 20
+    max_record_bytes: int = 32 << 20
     max_record_age_ms: float = 600_000
     drain_limit_ms: float = 30_000
     queue_per_slot: int = 16
