--- /dev/null
+++ b/tests/test_archive.py
@@ -0,0 +1,55 @@
+"""Tests of archives of homes that left."""
+
+import unittest
+
+from geraniumspool.archive import CODE_GONE, CODE_NEVER_SUBMITTED, Archives
+from geraniumspool.messages import STATE_COMPLETE, Answer, Handover, Peer, Record
+from geraniumspool.ticket import Keyring, Ticket
+
+HOME = Peer("tcp://127.0.0.1:7000", 7)
+OTHER = Peer("tcp://127.0.0.1:7000", 8)
+KEYRING = Keyring(["a-key-for-the-tests"])
+MARK = (1_000, 50)
+
+
+def make_record(ticket):
+    """Return the record of a complete job."""
+    text = KEYRING.sign(ticket)
+    return Record(text, b"digest", Answer(0, text, STATE_COMPLETE, results=(b"1",)))
+
+
+class ArchivesTest(unittest.TestCase):
+    """What a missing record proves, and what it does not."""
+
+    def setUp(self):
+        self.archives = Archives()
+        self.kept = Ticket(HOME, "fitting", 2_000, 1)
+        first = Handover(HOME, 0, *MARK, (make_record(self.kept),), False)
+        self.last = Handover(HOME, 1, *MARK, (), True)
+        self.archives.take(first)
+
+    def judge(self, home, issued_ms, job):
+        return self.archives.judge_missing(Ticket(home, "fitting", issued_ms, job), "text").code
+
+    def test_missing_records(self):
+        cases = [
+            ("newer than the watermark, archive whole", True, HOME, 2_000, 9, CODE_NEVER_SUBMITTED),
+            ("just above it", True, HOME, 1_000, 51, CODE_NEVER_SUBMITTED),
+            ("at the watermark", True, HOME, 1_000, 50, CODE_GONE),
+            ("below the watermark", True, HOME, 999, 99, CODE_GONE),
+            ("a batch is missing", False, HOME, 2_000, 9, CODE_GONE),
+            ("another life of the address", True, OTHER, 2_000, 9, CODE_GONE),
+        ]
+        for name, is_whole, home, issued_ms, job, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                if is_whole:
+                    self.archives.take(self.last)
+                self.assertEqual(self.judge(home, issued_ms, job), expected)
+
+    def test_kept_answers(self):
+        """A record is found also before the archive is whole, and batches may repeat."""
+        self.archives.take(self.last)
+        self.archives.take(self.last)
+        self.assertEqual(self.archives.find(self.kept).answer.results, (b"1",))
+        self.assertIsNone(self.archives.find(self.kept._replace(home=OTHER)))
