Admission: wider jobs may plan with less of their deadline

Change: the predicted finish may take 0.4 of the deadline for wide jobs (0.5 before) and 0.5 for middle ones (0.6).

--- a/geraniumspool/admission.py
+++ b/geraniumspool/admission.py
@@ -17,7 +17,7 @@
 
 # How much of the deadline the predicted finish may take: the wider a job, the
 # more later ones overtake it.
-DEADLINE_SHARE = {Width.NARROW: 0.9, Width.MEDIUM: 0.6, Width.WIDE: 0.5}
+DEADLINE_SHARE = {Width.NARROW: 0.9, Width.MEDIUM: 0.5, Width.WIDE: 0.4}
 
 
 class Verdict(NamedTuple):
