--- a/geraniumspool/operations.py
+++ b/geraniumspool/operations.py
@@ -25,6 +25,7 @@
 from geraniumspool.decisions import DecisionDocument, parse_decision_id
 from geraniumspool.errors import DispatchError, Finding, InvalidInput, LinkDown
 from geraniumspool.messages import STATE_MAY_HAVE_RUN, STATE_NOT_RUN
+from geraniumspool.status import DomainStatus
 
 OK = 0
 FAILED = 1
@@ -55,20 +56,6 @@
     state: str
 
 
-class DomainStatus(TypedDict):
-    """What an entry knows of one failure domain."""
-
-    domain: str
-    agents: int
-    ready: int
-    leaving: int
-    ejected: int
-    slots: int
-    free: int
-    queued: int
-    config_revision: int
-
-
 class StoreStatus(TypedDict):
     """How the entry gets on with the platform's store."""
 
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -3,7 +3,6 @@
 import hmac
 import logging
 from collections.abc import Callable
-from typing import TypedDict
 
 import msgspec
 
@@ -17,6 +16,7 @@
 from geraniumspool.metrics import Metrics
 from geraniumspool.registry import Registry
 from geraniumspool.roster import ROLE_AGENT, Roster, is_final, peer_of
+from geraniumspool.status import DomainStatus
 from geraniumspool.submission import Findings
 from geraniumspool.web import Reply, Request, Route, reply_json
 
@@ -27,20 +27,6 @@
 HTTP_ACCEPTED = 202
 
 
-class DomainStatus(TypedDict):
-    """Summary of one failure domain."""
-
-    domain: str
-    agents: int
-    ready: int
-    leaving: int
-    ejected: int
-    slots: int
-    free: int
-    queued: int
-    config_revision: int
-
-
 class ChangeRequest(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a configuration change."""
 
