One message dispatch for entry and agent; two unused errors settled

Handing a message to its handler and taking an operator's drain stood twice, in agent and entry; the application base has them now. JobConflict's code is used where its text stood again; UnexpectedMessage was never raised and goes, such messages are counted as before.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -29,7 +29,6 @@
     MEMBER_STARTING,
     Cancel,
     Decline,
-    Delivery,
     Drain,
     Handover,
     HandoverReceipt,
@@ -83,11 +82,10 @@
         metrics: Metrics,
     ):
         """Connect the parts; nothing runs before :meth:`start`."""
-        super().__init__(clock)
+        super().__init__(clock, metrics)
         self._settings = settings
         self._messenger = messenger
         self._store = store
-        self.metrics = metrics
         self._random = random.Random(messenger.me.incarnation)
         self._version = 0
         self._left = False
@@ -252,13 +250,6 @@
             Drain: self._take_drain,
         }
 
-    def _receive(self, delivery: Delivery) -> None:
-        handler = self._handlers.get(type(delivery.message))
-        if handler is None:
-            self.metrics.add("messages_rejected", reason="unexpected")
-            return
-        handler(delivery.sender, delivery.message)
-
     def _take_offer(self, sender: Peer, offer: Offer) -> None:
         self.home.hint(sender, offer.load)
         self.runner.take_offer(sender, offer)
@@ -274,10 +265,6 @@
         self.home.take_rejection(sender, rejection)
         self.runner.forget_home(Peer(sender.address, rejection.meant))
 
-    def _take_drain(self, _sender: Peer, drain: Drain) -> None:
-        _LOG.info("drain asked for", extra={"fields": (("who", drain.who), ("why", drain.why))})
-        self.request_exit()
-
     def _discover(self) -> None:
         """Read the entries from the store until some are known, ever more seldom."""
         pause_ms = DISCOVERY_MS
--- a/geraniumspool/application.py
+++ b/geraniumspool/application.py
@@ -1,5 +1,6 @@
 """What every program owns: parts, green tasks, and their life cycle."""
 
+import logging
 import secrets
 from collections.abc import Callable
 from typing import TypedDict
@@ -7,10 +8,16 @@
 import eventlet
 
 from geraniumspool.contracts import Clock
+from geraniumspool.messages import Delivery, Drain, Message, Peer
+from geraniumspool.metrics import Metrics
+
+_LOG = logging.getLogger(__name__)
 
 INCARNATION_BITS = 63
 POLL_MS = 20.0
 
+Handler = Callable[[Peer, Message], None]
+
 
 class ReadyLine(TypedDict, total=False):
     """What a program prints once it is ready: its addresses."""
@@ -30,12 +37,15 @@
 class Application:
     """Base of the programs: owns green tasks and the order of shutdown.
 
+    :ivar metrics: counts of what the program did
     :ivar exit_requested: whether an operator asked the process to leave
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, metrics: Metrics):
         """Own nothing yet."""
         self._clock = clock
+        self.metrics = metrics
+        self._handlers: dict[type, Handler] = {}
         self._tasks: list = []
         self.exit_requested = False
 
@@ -61,6 +71,18 @@
         """Ask whoever runs this application to drain and stop it."""
         self.exit_requested = True
 
+    def _receive(self, delivery: Delivery) -> None:
+        """Hand a message to the handler of its type."""
+        handler = self._handlers.get(type(delivery.message))
+        if handler is None:
+            self.metrics.add("messages_rejected", reason="unexpected")
+            return
+        handler(delivery.sender, delivery.message)
+
+    def _take_drain(self, _sender: Peer, drain: Drain) -> None:
+        _LOG.info("drain asked for", extra={"fields": (("who", drain.who), ("why", drain.why))})
+        self.request_exit()
+
     def _run(self, body: Callable[[], None]) -> None:
         """Run a green task for as long as the application lives."""
         self._tasks.append(eventlet.spawn(body))
--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -19,7 +19,7 @@
     DecisionLog,
     describe,
 )
-from geraniumspool.errors import Finding, ForeignService, InvalidInput
+from geraniumspool.errors import Finding, ForeignService, InvalidInput, JobConflict
 from geraniumspool.homes import Homes, NoHome
 from geraniumspool.messages import (
     STATE_COMPLETE,
@@ -50,7 +50,6 @@
     "job_cancelled": 409,
 }
 STATUS_OF_OUTCOME = {STATE_NOT_RUN: 503, STATE_MAY_HAVE_RUN: 502}
-CODE_CONFLICT = "job_conflict"
 CODE_HOME_GONE = "home_gone"
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
 
@@ -298,7 +297,7 @@
             return self._reply_complete(text, ticket, answer)
         if answer.state == STATE_CONFLICT:
             detail = "another job was submitted under this ticket; it is untouched"
-            return reply_problem(409, answer.code or CODE_CONFLICT, detail)
+            return reply_problem(409, answer.code or JobConflict.code, detail)
         if answer.state not in STATUS_OF_OUTCOME:
             return reply_json(200, {"job": text, "state": answer.state})
         return self._reply_failed(text, ticket, answer)
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -24,7 +24,6 @@
     MEMBER_LEFT,
     MEMBER_READY,
     Answer,
-    Delivery,
     Digest,
     Document,
     Drain,
@@ -62,10 +61,9 @@
         metrics: Metrics,
     ):
         """Connect the parts; nothing runs before :meth:`start`."""
-        super().__init__(clock)
+        super().__init__(clock, metrics)
         self._settings = settings
         self._messenger = messenger
-        self.metrics = metrics
         self._state = MEMBER_READY
         self.decisions = DecisionLog(messenger.me.incarnation, clock, _LOG)
         self.roster = Roster(clock, settings.domain)
@@ -207,13 +205,6 @@
             Drain: self._take_drain,
         }
 
-    def _receive(self, delivery: Delivery) -> None:
-        handler = self._handlers.get(type(delivery.message))
-        if handler is None:
-            self.metrics.add("messages_rejected", reason="unexpected")
-            return
-        handler(delivery.sender, delivery.message)
-
     def _take_digest(self, sender: Peer, digest: Digest) -> None:
         before = self.configuration.revision
         self.registry.take_digest(sender, digest)
@@ -231,10 +222,6 @@
         self.calls.take_rejection(sender, rejection.meant)
         self.registry.take_rejection(sender, rejection.meant)
 
-    def _take_drain(self, _sender: Peer, drain: Drain) -> None:
-        _LOG.info("drain asked for", extra={"fields": (("who", drain.who), ("why", drain.why))})
-        self.request_exit()
-
     def _member_changed(self, member: Member) -> None:
         if is_final(member):
             self.calls.wake(peer_of(member))
--- a/geraniumspool/errors.py
+++ b/geraniumspool/errors.py
@@ -92,12 +92,6 @@
     code = "message_malformed"
 
 
-class UnexpectedMessage(DispatchError):
-    """A process received a kind of message that it does not handle."""
-
-    code = "message_unexpected"
-
-
 class LinkDown(DispatchError):
     """A peer could not be reached in time."""
 
