Idempotency keys name their time, so that none runs twice

Cause: a binding lives 10 to 15 minutes in the store. A key that was repeated after that, or after the store had dropped the lease early, was bound to a new ticket and its job ran again. Any text was a key, so an old one could not be told from a new one.

Change: a key is a UUID of version 7. An entry refuses one older than 8 minutes, before and after it asks the store, as idempotency_key_expired and may_have_run; 480 s of age, 30 s ahead and 60 s between the entries' clocks are less than the 600 s that a binding lives at least. If the store no longer knows a lease that should live, keys from before are refused. The store's load stays one write a job.

Ruled out: longer, renewed or endless leases, memory in the entries, a second header; see docs/decisions/idempotency-keys.md.

Tests: the edge with clocks apart, a pause in the middle, a dropped lease, and 20 minutes of repeats end to end. test_lease_lost and test_lease_lapsed_before_the_write demanded that a key from before the loss is bound again; they now demand that it is refused and that a later one is bound to a new lease. The limit of 255 characters gave way to the form of the key, checked with the same text of 256.

--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from geraniumspool.binding import MAX_KEY_CHARS, Bindings, BindingUnavailable
+from geraniumspool.binding import Bindings, BindingUnavailable, KeyExpired
 from geraniumspool.calls import Calls, NoAnswer
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock
@@ -19,8 +19,9 @@
     DecisionLog,
     describe,
 )
-from geraniumspool.errors import Finding, ForeignService, InvalidInput, JobConflict
+from geraniumspool.errors import ForeignService, JobConflict
 from geraniumspool.homes import Homes, NoHome
+from geraniumspool.idempotency import HEADER, IdempotencyKey, parse_key
 from geraniumspool.messages import (
     STATE_COMPLETE,
     STATE_CONFLICT,
@@ -152,7 +153,7 @@
         if key:
             try:
                 text = self._bindings.bind(submission.team, key, text)
-            except BindingUnavailable as error:
+            except (BindingUnavailable, KeyExpired) as error:
                 return self._reply_unbound(submission, error)
             return self._submit(text, self._keyring.verify(text), submission)
         return self._submit_unknown(text, submission)
@@ -170,16 +171,20 @@
             retry_after_ms=error.retry_after_ms,
         )
 
-    def _reply_unbound(self, submission: Submission, error: BindingUnavailable) -> Reply:
-        """Refuse a job whose key could not be looked up.
+    def _reply_unbound(
+        self, submission: Submission, error: BindingUnavailable | KeyExpired
+    ) -> Reply:
+        """Refuse a job whose key could not be looked up, or is too old to be.
 
         An earlier request under this key may have run, so "not run" is not said.
         """
-        decision = self._decisions.record(KEY_UNBOUND, submission.service, team=submission.team)
+        decision = self._decisions.record(
+            KEY_UNBOUND, submission.service, team=submission.team, reason=error.code
+        )
         return reply_problem(
             error.status,
             error.code,
-            f"{error.detail}; repeat the request with the same key",
+            error.detail,
             outcome=STATE_MAY_HAVE_RUN,
             decision=decision,
             retry_after_ms=error.retry_after_ms,
@@ -361,9 +366,6 @@
         return Reply(200, self._metrics.render(), PROMETHEUS_TEXT)
 
 
-def _read_key(request: Request) -> str:
-    key = request.header("Idempotency-Key")
-    if len(key) > MAX_KEY_CHARS:
-        text = f"must have at most {MAX_KEY_CHARS} characters"
-        raise InvalidInput([Finding("headers", 0, "Idempotency-Key", text)])
-    return key
+def _read_key(request: Request) -> IdempotencyKey | None:
+    text = request.header(HEADER)
+    return parse_key(text) if text else None
--- a/geraniumspool/decisions.py
+++ b/geraniumspool/decisions.py
@@ -64,7 +64,7 @@
     CONFIG_TAKEN: "A newer revision of a configuration document is in force.",
     HOME_CHOSEN: "The entry chose the process that may run the job.",
     TICKET_HOME_GONE: "The ticket's home is gone: the job may have run and is not repeated.",
-    KEY_UNBOUND: "The store did not tell which ticket the idempotency key is bound to.",
+    KEY_UNBOUND: "The idempotency key's ticket could not be looked up, or the key is too old.",
     SERVICE_UNSERVED: "No ready agent serves the service; nothing was submitted.",
     RECORDS_HANDED_OVER: "A leaving process handed its finished jobs to a peer.",
     DRAIN_STARTED: "The process began to leave; it takes no new work.",
--- /dev/null
+++ b/geraniumspool/idempotency.py
@@ -0,0 +1,60 @@
+"""Idempotency keys of callers: UUIDs of version 7 (RFC 9562), which name their time."""
+
+import secrets
+import uuid
+from typing import NamedTuple
+
+from geraniumspool.errors import Finding, InvalidInput
+
+HEADER = "Idempotency-Key"
+KEY_VERSION = 7
+RANDOM_BITS = 74
+
+_TIME_SHIFT = 80
+_VERSION_SHIFT = 76
+_HIGH_RANDOM_SHIFT = 64
+_LOW_RANDOM_BITS = 62
+_VARIANT = 0b10 << _LOW_RANDOM_BITS
+
+
+class IdempotencyKey(NamedTuple):
+    """A caller's key.
+
+    :param text: the UUID in its canonical form
+    :param made_ms: when its caller made it, milliseconds since the epoch
+    """
+
+    text: str
+    made_ms: int
+
+
+def make_key(made_ms: int) -> str:
+    """Return a new key, to be kept and sent with every repeat of one request.
+
+    :param made_ms: milliseconds since the epoch, now by the caller's clock
+    """
+    high, low = divmod(secrets.randbits(RANDOM_BITS), 1 << _LOW_RANDOM_BITS)
+    time_and_version = made_ms << _TIME_SHIFT | KEY_VERSION << _VERSION_SHIFT
+    return str(uuid.UUID(int=time_and_version | high << _HIGH_RANDOM_SHIFT | _VARIANT | low))
+
+
+def parse_key(text: str) -> IdempotencyKey:
+    """Return what a key says.
+
+    :raises InvalidInput: if it is no UUID of version 7
+    """
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        value = None
+    if value is None or str(value) != text.lower() or value.version != KEY_VERSION:
+        raise invalid_key("must be a UUID of version 7, made when the request was first meant")
+    return IdempotencyKey(str(value), value.int >> _TIME_SHIFT)
+
+
+def invalid_key(text: str) -> InvalidInput:
+    """Return the refusal of a key.
+
+    :param text: what is wrong with it
+    """
+    return InvalidInput([Finding("headers", 0, HEADER, text)])
