--- a/geraniumspool/configuration.py
+++ b/geraniumspool/configuration.py
@@ -78,6 +78,7 @@
         self._rejections: dict[str, Rejection] = {}
         self._ordered: tuple[Document, ...] = ()
         self._listed_revision = 0
+        self._stored_revisions: dict[str, int] = {}
         self._store_went_back = False
         self.changed_ms: float | None = None
 
@@ -127,6 +128,7 @@
                 finding = Finding(key, 0, "", "was not written by a configuration change")
                 self._reject(key, pair.revision, [finding])
                 continue
+            self._stored_revisions[key] = pair.revision
             body = envelope.body if envelope else None
             documents.append(Document(key, pair.revision, (body or "").encode()))
         return self.apply(documents)
@@ -134,27 +136,45 @@
     def apply_snapshot(self, snapshot: Snapshot, known_revision: int) -> list[Document]:
         """Take all documents of the store.
 
-        A key that is held but missing was deleted, unless the store was set
-        back to an older state.
+        A key that was seen in the store as it is held, and is missing now, was
+        deleted, unless the store was set back to an older state. A document
+        that only other processes told of is kept: absence says nothing of it.
 
         :param snapshot: all keys under ``CONFIG_PREFIX``
         :param known_revision: :attr:`store_revision` before they were read
         :returns: what was taken, in the order of the revisions
         """
-        if snapshot.revision < known_revision:
+        if snapshot.revision < known_revision or self._is_behind(snapshot):
             self._store_went_back = True
         self._listed_revision = max(self._listed_revision, snapshot.revision)
         missing: list[Change] = []
         if not self._store_went_back:
-            listed = {pair.key for pair in snapshot.pairs}
-            known = {document.key for document in self.documents()} | self._rejections.keys()
             missing = [
                 Change(CONFIG_PREFIX + key, None, snapshot.revision)
-                for key in known
-                if CONFIG_PREFIX + key not in listed
+                for key in self._find_missing(snapshot)
             ]
         return self.apply_stored([*snapshot.pairs, *missing])
 
+    def _is_behind(self, snapshot: Snapshot) -> bool:
+        """Return whether a key is older in the store than its revision says it must be."""
+        for pair in snapshot.pairs:
+            held = self._held.get(pair.key.removeprefix(CONFIG_PREFIX))
+            if held and pair.revision < held.revision <= snapshot.revision:
+                return True
+        return False
+
+    def _find_missing(self, snapshot: Snapshot) -> set[str]:
+        """Return the keys that were in the store as they are held, and are not any more."""
+        listed = {pair.key.removeprefix(CONFIG_PREFIX) for pair in snapshot.pairs}
+        in_force = {document.key: document.revision for document in self.documents()}
+        stored = {
+            key
+            for key, revision in in_force.items()
+            if self._stored_revisions.get(key, 0) >= revision
+        }
+        rejected = self._rejections.keys() - in_force.keys()
+        return (stored | rejected) - listed
+
     def since(self, revision: int, limit_bytes: int) -> tuple[Document, ...]:
         """Return documents and deletions that are newer than a revision.
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.event import Event
 
-from geraniumspool.audit import CONFIG_PREFIX, AuditTrail
+from geraniumspool.audit import CONFIG_PREFIX, AuditTrail, ChangeEnvelope, encode_envelope
 from geraniumspool.clock import ManualClock
 from geraniumspool.configuration import (
     WATCH_WAITING,
@@ -16,7 +16,7 @@
     Configuration,
     ConfigurationWatcher,
 )
-from geraniumspool.contracts import Snapshot
+from geraniumspool.contracts import KeyValue, Snapshot
 from geraniumspool.documents import DEFAULT_TEAM
 from geraniumspool.errors import ChangeUnknown, DispatchError, InvalidInput, StaleRevision
 from geraniumspool.messages import Document
@@ -128,19 +128,37 @@
         self.assertEqual(["team/a", "team/c", "team/d"], in_force)
 
     def test_snapshot_of_an_older_store(self):
+        """What is missing was deleted only if it was there and the store did not go back."""
         cases = [
-            ("missing is deleted", 9, DEFAULT_TEAM.weight),
-            ("store went back", 4, 5),
+            ("missing is deleted", self.store_pair(KEY, 5), 9, DEFAULT_TEAM.weight),
+            ("store went back", self.store_pair(KEY, 5), 4, 5),
+            ("told of by another process", self.store_pair(KEY, 3), 9, 5),
+            ("never seen in the store", None, 9, 5),
         ]
-        for name, revision, weight in cases:
-            with self.subTest(name):
-                configuration = Configuration(ManualClock(), self.counters)
-                configuration.apply([Document(KEY, 5, weigh(5))])
-                configuration.apply_snapshot(Snapshot(revision, ()), configuration.store_revision)
-                self.assertEqual(weight, configuration.team("opticians").weight)
-                later = Snapshot(revision + 9, ())
-                configuration.apply_snapshot(later, configuration.store_revision)
-                self.assertEqual(weight, configuration.team("opticians").weight)
+        for name, pair, revision, weight in cases:
+            for other in ((), (self.store_pair(OTHER, 2),)):
+                with self.subTest(name, other=other):
+                    configuration = Configuration(ManualClock(), self.counters)
+                    configuration.apply_stored([pair] if pair else [])
+                    configuration.apply([Document(KEY, 5, weigh(5))])
+                    for later in (revision, revision + 9):
+                        snapshot = Snapshot(later, other)
+                        configuration.apply_snapshot(snapshot, configuration.store_revision)
+                        self.assertEqual(weight, configuration.team("opticians").weight)
+
+    def test_older_document_in_a_newer_store(self):
+        """A document older than its revision in force shows that the store went back."""
+        configuration = Configuration(ManualClock(), self.counters)
+        configuration.apply_stored([self.store_pair(KEY, 5), self.store_pair(OTHER, 6)])
+        snapshot = Snapshot(20, (self.store_pair(OTHER, 2),))
+        configuration.apply_snapshot(snapshot, configuration.store_revision)
+        self.assertEqual(5, configuration.team("opticians").weight)
+
+    @staticmethod
+    def store_pair(key: str, revision: int) -> KeyValue:
+        """Return a document as a change stores it, of a weight like its revision."""
+        envelope = ChangeEnvelope("c", "ann", "why", 0, weigh(revision).decode(), 0, None)
+        return KeyValue(CONFIG_PREFIX + key, encode_envelope(envelope), revision)
 
 
 class WatcherTest(unittest.TestCase):
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -567,6 +567,9 @@
                     world.network.clear()
                     marks = (world.network.count(m.Offer, gone.peer), len(world.calls))
                     self.load(world)
+                    others = [one for one in world.processes if one is not gone]
+                    told = {one.application.roster.get(gone.peer).state for one in others}
+                    self.assertLessEqual(told, {m.MEMBER_LEAVING, m.MEMBER_LEFT})
                     self.assertEqual(sum(gone.minion.starts.values()), begun)
                     self.assertEqual(world.network.count(m.Offer, gone.peer), marks[0])
                     homes = [row[1] for row in world.network.sent if isinstance(row[2], m.Submit)]
@@ -692,21 +695,21 @@
 
     WITHIN_MS = 4_000.0
 
-    def change(self, world, entry, weight, expected, name):
+    def change(self, world, entry, weight, expected, name, team=TEAM):
         body = json.dumps({"weight": weight}).encode()
         desk = entry.application.desk
-        return desk.propose(f"team/{TEAM}", body, expected, name, "nomin", "weights").revision
+        return desk.propose(f"team/{team}", body, expected, name, "nomin", "weights").revision
 
-    def weights(self, world):
-        return {process.application.configuration.team(TEAM).weight for process in world.processes}
+    def weights(self, world, team):
+        return {process.application.configuration.team(team).weight for process in world.processes}
 
-    def settled(self, world, weight):
+    def settled(self, world, weight, team=TEAM):
         """Check that a weight is in force everywhere, and stays so."""
         world.run(self.WITHIN_MS)
-        self.assertEqual(self.weights(world), {weight})
+        self.assertEqual(self.weights(world, team), {weight})
         for _ in range(10):
             world.run(1_000.0)
-            self.assertEqual(self.weights(world), {weight})
+            self.assertEqual(self.weights(world, team), {weight})
 
     def accept_two(self, world):
         first = self.change(world, world.entries[0], 2.0, 0, "change-1")
@@ -762,12 +765,13 @@
         self.settled(world, 3.0)
 
     def test_stale_store(self):
-        """A store set back to an older state takes nothing out of force."""
+        """A store set back takes nothing out of force, and no change that would not come in."""
         world = self.make()
         first = self.change(world, world.entries[0], 2.0, 0, "change-1")
         world.run(self.WITHIN_MS)
         saved = (dict(world.store._pairs), world.store._revision)
-        self.change(world, world.entries[1], 3.0, first, "change-2")
+        second = self.change(world, world.entries[1], 3.0, first, "change-2")
+        self.change(world, world.entries[1], 4.0, 0, "change-3", "archers")
         world.run(self.WITHIN_MS)
         world.store.down = True
         world.store._pairs, world.store._revision = saved
@@ -775,6 +779,18 @@
         world.store.down = False
         world.replace(world.entries[0])
         self.settled(world, 3.0)
+        self.settled(world, 4.0, "archers")
+        for entry in world.entries:
+            with self.assertRaises(ChangeUnknown):
+                self.change(world, entry, 5.0, second, "change-4")
+        for _ in range(20):
+            world.store.swap("other", 0, b"")
+            world.store.delete("other", world.store.revision)
+        world.store.down = True
+        world.run(1_000.0)
+        world.store.down = False
+        self.settled(world, 3.0)
+        self.settled(world, 4.0, "archers")
 
     def test_watch_falls_behind(self):
         """An entry that slept through changes whose history is gone takes them all."""
