Store: its real client, its fake and what they share in modules of their own

The client of etcd's gateway is now etcd_store, the store in memory is memory_store, beside each other under the contract in contracts; store keeps the kinds of calls and the queue of a watch. Nothing else changes but names that are shared now and so public.

--- a/benchmarks/slope_jobs.py
+++ b/benchmarks/slope_jobs.py
@@ -19,6 +19,7 @@
 from geraniumspool.clock import SystemClock
 from geraniumspool.contracts import Announcement
 from geraniumspool.decisions import DecisionLog
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import (
     Answer,
     Load,
@@ -38,7 +39,6 @@
 from geraniumspool.records import Records
 from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, peer_of
 from geraniumspool.settings import AgentSettings
-from geraniumspool.store import MemoryStore
 from geraniumspool.ticket import Keyring, read_ticket
 
 JOB_SIZES = (1, 8, 40, 340)
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -16,6 +16,7 @@
     DecisionLog,
 )
 from geraniumspool.errors import InvalidInput, StoreError
+from geraniumspool.etcd_store import EtcdStore
 from geraniumspool.handover import Handing
 from geraniumspool.health import Health
 from geraniumspool.heartbeat import Heartbeater
@@ -53,7 +54,6 @@
 from geraniumspool.runner import Runner
 from geraniumspool.scope import scope_by
 from geraniumspool.settings import AgentSettings
-from geraniumspool.store import EtcdStore
 from geraniumspool.submission import collect
 from geraniumspool.web import Application as WebApplication
 from geraniumspool.web import Reply, Request, Route, WebServer, reply_json
--- a/geraniumspool/contracts.py
+++ b/geraniumspool/contracts.py
@@ -93,8 +93,9 @@
 
 
 class Store(Protocol):
-    """The platform's key-value service; see :mod:`geraniumspool.store`.
+    """The platform's key-value service.
 
+    See :mod:`geraniumspool.etcd_store` and, in memory, :mod:`geraniumspool.memory_store`.
     Every call may raise ``StoreUnavailable`` (nothing was written) or
     ``StoreUnknown`` (a write may have taken effect).
     """
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -17,6 +17,7 @@
     DecisionLog,
     encode_decisions,
 )
+from geraniumspool.etcd_store import EtcdStore
 from geraniumspool.homes import Homes
 from geraniumspool.link import NngMessenger
 from geraniumspool.messages import (
@@ -41,7 +42,6 @@
 from geraniumspool.roster import ROLE_ENTRY, Roster, is_final, peer_of
 from geraniumspool.scope import scope_by
 from geraniumspool.settings import EntrySettings
-from geraniumspool.store import EtcdStore
 from geraniumspool.ticket import Keyring
 from geraniumspool.web import Application as WebApplication
 from geraniumspool.web import Route, WebServer
--- /dev/null
+++ b/geraniumspool/etcd_store.py
@@ -0,0 +1,308 @@
+"""Client of the platform's key-value service through etcd's JSON gateway."""
+
+import math
+import socket
+from collections import deque
+from collections.abc import Iterator
+from typing import TypeVar
+
+import eventlet
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from geraniumspool.clock import MS_PER_SECOND
+from geraniumspool.contracts import Change, Clock, Counters, KeyValue, Snapshot, SwapOutcome
+from geraniumspool.errors import (
+    CompactedRevision,
+    LeaseExpired,
+    StoreError,
+    StoreUnavailable,
+    StoreUnknown,
+)
+from geraniumspool.etcd import (
+    DELETE_EVENT,
+    NOT_FOUND,
+    REJECTED,
+    Compare,
+    DeleteRequest,
+    ErrorReply,
+    KeepAliveLine,
+    Lease,
+    Operation,
+    PutRequest,
+    RangeReply,
+    RangeRequest,
+    TxnReply,
+    TxnRequest,
+    WatchCreate,
+    WatchLine,
+    WatchReply,
+    WatchRequest,
+    WirePair,
+    prefix_range,
+)
+from geraniumspool.store import (
+    GRANT,
+    KEEPALIVE,
+    RANGE,
+    TXN,
+    WATCH,
+    WATCH_POLL_MS,
+    Mailbox,
+    StoreCall,
+)
+
+DEFAULT_TIMEOUT_MS = 2_000.0
+
+_HTTP_OK = 200
+_HTTP_SERVER_ERROR = 500
+_CONNECTIONS = 16
+# TCP keepalive ends a silent watch whose host vanished.
+_SOCKET_OPTIONS = [
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 10),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+]
+
+Reply = TypeVar("Reply")
+
+_OPENED = object()
+
+
+class EtcdStore:
+    """Client for the subset of etcd's v3 JSON gateway that the dispatcher uses.
+
+    No call is retried, except at another address after a refused connection.
+    After any other fault of a member, the next call begins with another one.
+    """
+
+    def __init__(
+        self,
+        urls: list[str],
+        clock: Clock,
+        counters: Counters,
+        timeout_ms: float = DEFAULT_TIMEOUT_MS,
+        poll_ms: float = WATCH_POLL_MS,
+    ):
+        """Prepare the client without connecting.
+
+        :param urls: base addresses of the store's members, in order of preference
+        :param clock: source of time for watches
+        :param counters: where calls and failures are counted
+        :param timeout_ms: longest wait for a connection and for an answer
+        :param poll_ms: how often an idle watch yields None
+        """
+        self._urls = deque(url.rstrip("/") for url in urls)
+        self._clock = clock
+        self._counters = counters
+        self._timeout_ms = timeout_ms
+        self._poll_ms = poll_ms
+        self._pool = urllib3.PoolManager(
+            maxsize=_CONNECTIONS, retries=False, socket_options=_SOCKET_OPTIONS
+        )
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return one key, or None where there is none."""
+        reply = self._call(RANGE, RangeRequest(key.encode()), RangeReply)
+        return _first_pair(reply)
+
+    def list(self, prefix: str) -> Snapshot:
+        """Return all keys under a prefix at one revision."""
+        reply = self._call(RANGE, prefix_range(prefix), RangeReply)
+        pairs = tuple(_key_value(pair) for pair in reply.kvs)
+        return Snapshot(int(reply.header.revision), pairs)
+
+    def swap(self, key: str, expected_revision: int, value: bytes, lease: int = 0) -> SwapOutcome:
+        """Write ``value`` if the key's revision is ``expected_revision``.
+
+        :param expected_revision: modification revision, 0 where the key must not exist
+        :param lease: lease to bind the key to, or 0
+        :raises LeaseExpired: if the lease lapsed; nothing was written
+        :raises StoreUnavailable: if nothing was written
+        :raises StoreUnknown: if the value may have been written
+        """
+        put = PutRequest(key.encode(), value, str(lease) if lease else 0)
+        reply = self._transact(key, expected_revision, Operation(request_put=put))
+        if reply.succeeded:
+            return SwapOutcome(True, int(reply.header.revision), None)
+        return _lost_swap(reply)
+
+    def delete(self, key: str, expected_revision: int) -> SwapOutcome:
+        """Delete the key if its revision is ``expected_revision``.
+
+        :returns: the outcome, with revision 0 where the key was deleted
+        :raises StoreUnavailable: if nothing was deleted
+        :raises StoreUnknown: if the key may have been deleted
+        """
+        removal = DeleteRequest(key.encode())
+        reply = self._transact(key, expected_revision, Operation(request_delete_range=removal))
+        if reply.succeeded:
+            return SwapOutcome(True, 0, None)
+        return _lost_swap(reply)
+
+    def grant_lease(self, ttl_ms: float) -> int:
+        """Return a new lease that lapses unless it is kept alive.
+
+        :param ttl_ms: time to live in milliseconds, rounded up to whole seconds
+        """
+        seconds = max(1, math.ceil(ttl_ms / MS_PER_SECOND))
+        reply = self._call(GRANT, Lease(ttl=str(seconds)), Lease)
+        return int(reply.id)
+
+    def keep_alive(self, lease: int) -> float:
+        """Renew a lease and return its time to live in milliseconds.
+
+        :raises LeaseExpired: if it lapsed
+        """
+        reply = self._call(KEEPALIVE, Lease(id=str(lease)), KeepAliveLine)
+        seconds = int(reply.result.ttl)
+        if seconds <= 0:
+            raise LeaseExpired(f"lease {lease} lapsed")
+        return seconds * MS_PER_SECOND
+
+    def watch(self, prefix: str, revision: int) -> Iterator[Change | None]:
+        """Yield changes under a prefix after ``revision``, until a fault.
+
+        None is yielded while nothing changes. One call is made however long
+        the watch lives.
+
+        :raises CompactedRevision: if the store no longer has that revision
+        :raises StoreUnavailable: if the stream breaks
+        """
+        self._counters.add("store_calls", kind=WATCH.kind)
+        mailbox = Mailbox()
+        reader = eventlet.spawn(self._read_watch, prefix, revision, mailbox)
+        try:
+            if mailbox.take(self._clock, self._timeout_ms) is None:
+                raise StoreUnavailable("the watch was not opened in time")
+            while True:
+                yield mailbox.take(self._clock, self._poll_ms)
+        except StoreUnavailable:
+            self._counters.add("store_failures", kind=WATCH.kind)
+            raise
+        finally:
+            reader.kill()
+
+    def _transact(self, key: str, expected_revision: int, operation: Operation) -> TxnReply:
+        encoded = key.encode()
+        request = TxnRequest(
+            compare=[Compare(encoded, str(expected_revision))],
+            success=[operation],
+            failure=[Operation(request_range=RangeRequest(encoded))],
+        )
+        return self._call(TXN, request, TxnReply)
+
+    def _call(self, call: StoreCall, request: msgspec.Struct, reply_type: type[Reply]) -> Reply:
+        self._counters.add("store_calls", kind=call.kind)
+        try:
+            return self._exchange(call, request, reply_type)
+        except (StoreUnavailable, StoreUnknown):
+            self._counters.add("store_failures", kind=call.kind)
+            raise
+
+    def _exchange(self, call: StoreCall, request: msgspec.Struct, reply_type: type[Reply]) -> Reply:
+        timeout = urllib3.Timeout(total=self._timeout_ms / MS_PER_SECOND)
+        response = self._post(call, request, timeout)
+        if response.status != _HTTP_OK:
+            raise _refusal(call, response.status, response.data)
+        try:
+            return msgspec.json.decode(response.data, type=reply_type)
+        except msgspec.DecodeError as error:
+            raise call.doubt(f"unreadable answer: {error}") from error
+
+    def _post(self, call: StoreCall, request: msgspec.Struct, timeout: urllib3.Timeout, **options):
+        body = msgspec.json.encode(request)
+        headers = {"Content-Type": "application/json"}
+        for url in tuple(self._urls):
+            try:
+                response = self._pool.request(
+                    "POST",
+                    url + call.path,
+                    body=body,
+                    headers=headers,
+                    timeout=timeout,
+                    redirect=False,
+                    **options,
+                )
+            except NewConnectionError:
+                self._demote(url)
+            except ConnectTimeoutError as error:
+                self._demote(url)
+                raise StoreUnavailable(f"no connection in time: {error}") from error
+            except (HTTPError, OSError) as error:
+                self._demote(url)
+                raise call.doubt(f"no answer: {error}") from error
+            else:
+                if response.status >= _HTTP_SERVER_ERROR:
+                    self._demote(url)
+                return response
+        raise StoreUnavailable("connections refused")
+
+    def _demote(self, url: str) -> None:
+        """Let the next call begin with another address."""
+        if self._urls[0] == url:
+            self._urls.rotate(-1)
+
+    def _read_watch(self, prefix: str, revision: int, mailbox: Mailbox) -> None:
+        """Read one watch's stream into its mailbox, error included."""
+        try:
+            self._follow(prefix, revision, mailbox)
+        except StoreError as error:
+            mailbox.put(error)
+        except (HTTPError, OSError, ValueError, msgspec.DecodeError) as error:
+            mailbox.put(StoreUnavailable(f"watch broken: {error}"))
+
+    def _follow(self, prefix: str, revision: int, mailbox: Mailbox) -> None:
+        span = prefix_range(prefix)
+        create = WatchCreate(span.key, span.range_end, str(revision + 1), progress_notify=True)
+        timeout = urllib3.Timeout(connect=self._timeout_ms / MS_PER_SECOND, read=None)
+        response = self._post(WATCH, WatchRequest(create), timeout, preload_content=False)
+        try:
+            if response.status != _HTTP_OK:
+                raise _refusal(WATCH, response.status, response.read())
+            for line in response:
+                _deliver(msgspec.json.decode(line, type=WatchLine).result, mailbox)
+        finally:
+            response.close()
+        raise StoreUnavailable("watch ended")
+
+
+def _deliver(reply: WatchReply, mailbox: Mailbox) -> None:
+    if int(reply.compact_revision):
+        raise CompactedRevision(f"compacted up to revision {reply.compact_revision}")
+    if reply.canceled:
+        raise StoreUnavailable("watch cancelled by the store")
+    if reply.created:
+        mailbox.put(_OPENED)
+    for event in reply.events:
+        value = None if event.type == DELETE_EVENT else event.kv.value
+        mailbox.put(Change(event.kv.key.decode(), value, int(event.kv.mod_revision)))
+
+
+def _refusal(call: StoreCall, status: int, body: bytes) -> StoreError:
+    try:
+        reply = msgspec.json.decode(body, type=ErrorReply)
+    except msgspec.DecodeError:
+        reply = ErrorReply()
+    if reply.code == NOT_FOUND and "lease" in reply.message:
+        return LeaseExpired(reply.message)
+    kind = StoreUnavailable if reply.code in REJECTED else call.doubt
+    return kind(f"HTTP {status}: {reply.message}")
+
+
+def _key_value(pair: WirePair) -> KeyValue:
+    return KeyValue(pair.key.decode(), pair.value, int(pair.mod_revision))
+
+
+def _first_pair(reply: RangeReply) -> KeyValue | None:
+    return _key_value(reply.kvs[0]) if reply.kvs else None
+
+
+def _lost_swap(reply: TxnReply) -> SwapOutcome:
+    found = reply.responses[0].response_range if reply.responses else None
+    current = _first_pair(found) if found else None
+    return SwapOutcome(False, current.revision if current else 0, current)
--- a/geraniumspool/standin_store.py
+++ b/geraniumspool/standin_store.py
@@ -48,7 +48,7 @@
     WirePair,
     prefix_range,
 )
-from geraniumspool.store import HISTORY_LIMIT, MemoryStore
+from geraniumspool.memory_store import HISTORY_LIMIT, MemoryStore
 
 FAULTS_PATH = "/faults"
 CALLS_PATH = "/calls"
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -12,7 +12,7 @@
 )
 from geraniumspool.clock import ManualClock
 from geraniumspool.errors import StoreError
-from geraniumspool.store import MemoryStore
+from geraniumspool.memory_store import MemoryStore
 
 KEY = "team/opticians"
 
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -18,7 +18,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.errors import InvalidInput, StoreUnavailable, StoreUnknown
 from geraniumspool.idempotency import IdempotencyKey, make_key, parse_key
-from geraniumspool.store import MemoryStore
+from geraniumspool.memory_store import MemoryStore
 
 
 class FaultyStore:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -19,9 +19,9 @@
 from geraniumspool.contracts import KeyValue, Snapshot
 from geraniumspool.documents import DEFAULT_TEAM
 from geraniumspool.errors import ChangeUnknown, DispatchError, InvalidInput, StaleRevision
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Document
 from geraniumspool.metrics import MemoryCounters
-from geraniumspool.store import MemoryStore
 
 KEY = "team/opticians"
 OTHER = "team/phones"
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -3,10 +3,10 @@
 import unittest
 
 from geraniumspool.clock import ManualClock
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Member
 from geraniumspool.registrar import Registrar, discover_entries
 from geraniumspool.roster import Roster
-from geraniumspool.store import MemoryStore
 
 
 class RegistrarTest(unittest.TestCase):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -18,8 +18,9 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from geraniumspool.etcd_store import EtcdStore
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.standin_store import StandinStore
-from geraniumspool.store import EtcdStore, MemoryStore
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_MS = 400.0
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,11 +20,11 @@
 from geraniumspool.errors import NotStarted
 from geraniumspool.idempotency import make_key
 from geraniumspool.link import MemoryMessenger, MemoryNetwork
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer, encode
 from geraniumspool.metrics import Metrics
 from geraniumspool.minion import MemoryMinionClient
 from geraniumspool.settings import AgentSettings, EntrySettings
-from geraniumspool.store import MemoryStore
 from geraniumspool.ticket import Keyring
 from geraniumspool.web import Application as WebApplication
 
