Operations: a thin module that mirrors the commands, over parts with one job

Now entry_client asks an entry, operator_answers names what it answers, program runs a daemon until a signal, standins are the two stand-ins as programs, and operations is left with one function for each command. Behaviour is as it was. The tests only name the new places.

--- a/geraniumspool/cli.py
+++ b/geraniumspool/cli.py
@@ -34,14 +34,20 @@
 from fire.decorators import SetParseFn
 from tabulate import tabulate
 
-from geraniumspool import __version__, operations
+from geraniumspool import __version__, operations, operator_answers, program
 from geraniumspool.clock import MS_PER_SECOND
 from geraniumspool.decisions import EXPLANATIONS
+from geraniumspool.entry_client import (
+    ENTRY_UNREACHABLE,
+    OUTCOME_UNKNOWN,
+    EntryAddress,
+    EntryClient,
+)
 from geraniumspool.errors import DispatchError, InvalidInput
 from geraniumspool.messages import STATE_CONFLICT, STATE_MAY_HAVE_RUN, STATE_NOT_RUN, STATE_UNKNOWN
 
-EXIT_OK = operations.OK
-EXIT_FAILED = operations.FAILED
+EXIT_OK = program.OK
+EXIT_FAILED = program.FAILED
 EXIT_USAGE = 2
 EXIT_NOT_FOUND = 3
 EXIT_CONFLICT = 4
@@ -57,8 +63,8 @@
     "ticket_foreign_service": EXIT_CONFLICT,
     "config_change_unknown": EXIT_UNKNOWN,
     "store_unknown": EXIT_UNKNOWN,
-    operations.OUTCOME_UNKNOWN: EXIT_UNKNOWN,
-    operations.ENTRY_UNREACHABLE: EXIT_UNREACHABLE,
+    OUTCOME_UNKNOWN: EXIT_UNKNOWN,
+    ENTRY_UNREACHABLE: EXIT_UNREACHABLE,
     "unauthorized": EXIT_UNAUTHORIZED,
     "invalid_input": EXIT_INVALID,
     "ticket_malformed": EXIT_INVALID,
@@ -132,7 +138,7 @@
         entry = _find_entry(target)
 
         def run() -> int:
-            answer = call(operations.EntryClient(entry), *arguments)
+            answer = call(EntryClient(entry), *arguments)
             text = json.dumps(answer, indent=2) if target.as_json else show(answer)
             print(text, flush=True)
             return judge(answer)
@@ -431,11 +437,11 @@
     return Target(entry, token, as_json == "True")
 
 
-def _find_entry(target: Target) -> operations.EntryAddress:
+def _find_entry(target: Target) -> EntryAddress:
     address = target.entry or os.environ.get(ENTRY_VARIABLE, "")
     if not address:
         raise _UsageFault(f"no entry given: add --entry HOST:PORT or set {ENTRY_VARIABLE}")
-    return operations.EntryAddress(address, target.token or os.environ.get(TOKEN_VARIABLE, ""))
+    return EntryAddress(address, target.token or os.environ.get(TOKEN_VARIABLE, ""))
 
 
 def _key(text: str) -> str:
@@ -520,7 +526,7 @@
     return tabulate(rows, tablefmt="plain", disable_numparse=True) or "done"
 
 
-def _show_status(answer: operations.Status) -> str:
+def _show_status(answer: operator_answers.Status) -> str:
     entry, store = answer["entry"], answer["store"]
     head = {
         "entry": f"{entry['address']} {entry['state']}",
@@ -529,38 +535,38 @@
         "store": f"{store['state']}, last contact {store['last_contact_ms']} ms",
         "config revision": answer["config_revision"],
     }
-    columns = list(operations.DomainStatus.__annotations__)
+    columns = list(operator_answers.DomainStatus.__annotations__)
     parts = [_show_pairs(head), _table(answer["domains"], columns)]
     if answer.get("counters"):
         parts.append(_show_pairs(answer["counters"]))
     return "\n\n".join(parts)
 
 
-def _show_roster(answer: operations.Roster) -> str:
-    return _table(answer["members"], list(operations.MemberStatus.__annotations__))
+def _show_roster(answer: operator_answers.Roster) -> str:
+    return _table(answer["members"], list(operator_answers.MemberStatus.__annotations__))
 
 
-def _show_documents(answer: operations.ConfigDocuments) -> str:
-    return _table(answer["documents"], list(operations.ConfigDocument.__annotations__))
+def _show_documents(answer: operator_answers.ConfigDocuments) -> str:
+    return _table(answer["documents"], list(operator_answers.ConfigDocument.__annotations__))
 
 
-def _show_document(answer: operations.ConfigDocument) -> str:
+def _show_document(answer: operator_answers.ConfigDocument) -> str:
     body = answer["body"]
     text = body if isinstance(body, str) else json.dumps(body, indent=2)
     return f"# {answer['key']} revision {answer['revision']}\n{text}"
 
 
-def _show_history(answer: operations.ConfigHistory) -> str:
+def _show_history(answer: operator_answers.ConfigHistory) -> str:
     rows = [{**change, "at": _time(change["at_ms"])} for change in answer["changes"]]
     return _table(rows, ["revision", "at", "who", "why", "change_id", "before", "after"])
 
 
-def _show_config_status(answer: operations.ConfigStatus) -> str:
-    columns = list(operations.DomainRevision.__annotations__)
+def _show_config_status(answer: operator_answers.ConfigStatus) -> str:
+    columns = list(operator_answers.DomainRevision.__annotations__)
     return f"newest {answer['newest']}\n\n{_table(answer['domains'], columns)}"
 
 
-def _show_decisions(answer: operations.Decisions) -> str:
+def _show_decisions(answer: operator_answers.Decisions) -> str:
     lines = []
     for decision in answer["decisions"]:
         figures = " ".join(f"{name}={value}" for name, value in decision["figures"].items())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,8 @@
 import eventlet
 from eventlet import wsgi
 
-from geraniumspool import cli, operations
+from geraniumspool import cli, program
+from geraniumspool.operator_answers import DomainStatus, MemberStatus
 
 TOKEN = "a-token-for-tests"
 TICKET = "-" + "tIcket_" * 10
@@ -139,7 +140,7 @@
                 self.assertEqual(self.entry.requests.pop(), request)
 
     def test_status_as_table_and_json(self):
-        domain = dict.fromkeys(operations.DomainStatus.__annotations__, 3) | {"domain": "Olinda"}
+        domain = dict.fromkeys(DomainStatus.__annotations__, 3) | {"domain": "Olinda"}
         answer = {
             "entry": {"address": "h:1", "domain": "Recife", "incarnation": "ab", "state": "ready"},
             "domains": [domain],
@@ -155,7 +156,7 @@
         self.assertRegex(output, r"failure domain +Recife")
 
     def test_roster_and_why_for_people(self):
-        member = dict.fromkeys(operations.MemberStatus.__annotations__, "x")
+        member = dict.fromkeys(MemberStatus.__annotations__, "x")
         self.entry.answer = (200, {"members": [member]})
         self.assertRegex(run("roster")[1], r"address +incarnation +domain")
         self.entry.answer = (200, {"decisions": [DECISION]})
@@ -313,15 +314,15 @@
 
     def test_life_cycle(self):
         for app, expected in (
-            (FakeApplication(), operations.OK),
-            (FakeApplication(drained=None), operations.OK),
-            (FakeApplication(drained=False), operations.FAILED),
-            (FakeApplication(hangs=True), operations.FAILED),
+            (FakeApplication(), program.OK),
+            (FakeApplication(drained=None), program.OK),
+            (FakeApplication(drained=False), program.FAILED),
+            (FakeApplication(hangs=True), program.FAILED),
         ):
             with self.subTest(app=vars(app)):
                 output = io.StringIO()
                 before = signal.getsignal(signal.SIGTERM)
-                self.assertEqual(operations.run_application(app, output), expected)
+                self.assertEqual(program.run_application(app, output), expected)
                 self.assertEqual(app.calls, ["start", "drain", "stop"])
                 self.assertEqual(output.getvalue(), '{"ready": "entry"}\n')
                 self.assertIs(signal.getsignal(signal.SIGTERM), before)
