Command line: commands alone; arguments, tables and exit codes apart

Behaviour is as it was; the tests name the new places and check the same values. Tests of the command line, the pages, the operators' interface and the demo passed.

--- /dev/null
+++ b/geraniumspool/exit_codes.py
@@ -0,0 +1,80 @@
+"""Exit codes of the command line, which tell scripts what came of it.
+
+==== =========================================================
+0    done
+1    failed, or the job failed without having run
+2    the command line was wrong; nothing was done
+3    the thing asked for does not exist
+4    conflict: it was changed meanwhile
+5    outcome unknown: it may or may not have been done
+6    the entry could not be reached; nothing was done
+7    the operators' token is missing or wrong
+8    invalid input; findings are on standard error, one a line
+==== =========================================================
+"""
+
+from typing import Any
+
+from geraniumspool import program
+from geraniumspool.entry_client import ENTRY_UNREACHABLE, OUTCOME_UNKNOWN
+from geraniumspool.errors import DispatchError
+from geraniumspool.messages import STATE_CONFLICT, STATE_MAY_HAVE_RUN, STATE_NOT_RUN, STATE_UNKNOWN
+
+EXIT_OK = program.OK
+EXIT_FAILED = program.FAILED
+EXIT_USAGE = 2
+EXIT_NOT_FOUND = 3
+EXIT_CONFLICT = 4
+EXIT_UNKNOWN = 5
+EXIT_UNREACHABLE = 6
+EXIT_UNAUTHORIZED = 7
+EXIT_INVALID = 8
+
+EXIT_BY_CODE = {
+    "not_found": EXIT_NOT_FOUND,
+    "config_stale_revision": EXIT_CONFLICT,
+    "job_conflict": EXIT_CONFLICT,
+    "ticket_foreign_service": EXIT_CONFLICT,
+    "config_change_unknown": EXIT_UNKNOWN,
+    "store_unknown": EXIT_UNKNOWN,
+    OUTCOME_UNKNOWN: EXIT_UNKNOWN,
+    ENTRY_UNREACHABLE: EXIT_UNREACHABLE,
+    "unauthorized": EXIT_UNAUTHORIZED,
+    "invalid_input": EXIT_INVALID,
+    "ticket_malformed": EXIT_INVALID,
+    "ticket_forged": EXIT_INVALID,
+    "payload_too_large": EXIT_INVALID,
+}
+EXIT_BY_STATUS = {
+    400: EXIT_INVALID,
+    401: EXIT_UNAUTHORIZED,
+    404: EXIT_NOT_FOUND,
+    409: EXIT_CONFLICT,
+    413: EXIT_INVALID,
+}
+EXIT_BY_JOB_STATE = {
+    STATE_NOT_RUN: EXIT_FAILED,
+    STATE_MAY_HAVE_RUN: EXIT_UNKNOWN,
+    STATE_UNKNOWN: EXIT_NOT_FOUND,
+    STATE_CONFLICT: EXIT_CONFLICT,
+}
+
+
+def choose_exit_code(error: DispatchError) -> int:
+    """Return the exit code that tells scripts of an error."""
+    if error.code in EXIT_BY_CODE:
+        return EXIT_BY_CODE[error.code]
+    return EXIT_BY_STATUS.get(error.status, EXIT_FAILED)
+
+
+def judge_job(answer: Any) -> int:
+    """Return the exit code that tells of a job's state."""
+    state = answer.get("outcome") or answer.get("state") or ""
+    return EXIT_BY_JOB_STATE.get(state, EXIT_OK)
+
+
+def judge_cancel(answer: Any) -> int:
+    """Return the exit code that tells of a cancelled job's state."""
+    code = judge_job(answer)
+    cancelled = answer.get("code") in ("job_cancelled", "cancelled")
+    return EXIT_OK if cancelled and code == EXIT_FAILED else code
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,8 @@
 import eventlet
 from eventlet import wsgi
 
-from geraniumspool import cli, program
+from geraniumspool import cli, exit_codes, program
+from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
 from geraniumspool.operator_answers import DomainStatus, MemberStatus
 
 TOKEN = "a-token-for-tests"
@@ -71,7 +72,7 @@
     def setUp(self):
         self.entry = ScriptedEntry()
         self.addCleanup(self.entry.stop)
-        variables = {cli.ENTRY_VARIABLE: self.entry.address, cli.TOKEN_VARIABLE: TOKEN}
+        variables = {ENTRY_VARIABLE: self.entry.address, TOKEN_VARIABLE: TOKEN}
         patch = mock.patch.dict(os.environ, variables)
         patch.start()
         self.addCleanup(patch.stop)
@@ -136,7 +137,7 @@
         ):
             with self.subTest(argv=argv):
                 self.entry.answer = (200, answer)
-                self.assertEqual(run(*argv)[0], cli.EXIT_OK)
+                self.assertEqual(run(*argv)[0], exit_codes.EXIT_OK)
                 self.assertEqual(self.entry.requests.pop(), request)
 
     def test_status_as_table_and_json(self):
@@ -150,7 +151,7 @@
         }
         self.entry.answer = (200, answer)
         code, output, _ = run("status", "--json")
-        self.assertEqual((code, json.loads(output)), (cli.EXIT_OK, answer))
+        self.assertEqual((code, json.loads(output)), (exit_codes.EXIT_OK, answer))
         _, output, _ = run("status")
         self.assertRegex(output, r"Olinda +3 +3")
         self.assertRegex(output, r"failure domain +Recife")
@@ -204,12 +205,12 @@
                 self.assertEqual(run("job", TICKET, "--json")[0], expected)
 
     def test_token_and_address(self):
-        self.assertEqual(run("roster", "--token", "wrong")[0], cli.EXIT_UNAUTHORIZED)
+        self.assertEqual(run("roster", "--token", "wrong")[0], exit_codes.EXIT_UNAUTHORIZED)
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
             address = f"127.0.0.1:{unused.getsockname()[1]}"
             code, _, errors = run(*self.apply_arguments("--entry", address))
-        self.assertEqual(code, cli.EXIT_UNREACHABLE)
+        self.assertEqual(code, exit_codes.EXIT_UNREACHABLE)
         self.assertIn("entry_unreachable", errors)
 
     def test_lost_answer(self):
@@ -225,10 +226,12 @@
         self.addCleanup(server.kill)
         flags = ("--entry", f"127.0.0.1:{listener.getsockname()[1]}")
         code, _, errors = run(*self.apply_arguments("--change-id", "c9", *flags))
-        self.assertEqual(code, cli.EXIT_UNKNOWN)
+        self.assertEqual(code, exit_codes.EXIT_UNKNOWN)
         self.assertIn("--change-id c9", errors)
-        self.assertEqual(run("drain", "a", "--who", "b", "--why", "c", *flags)[0], cli.EXIT_UNKNOWN)
-        self.assertEqual(run("status", *flags)[0], cli.EXIT_UNREACHABLE)
+        self.assertEqual(
+            run("drain", "a", "--who", "b", "--why", "c", *flags)[0], exit_codes.EXIT_UNKNOWN
+        )
+        self.assertEqual(run("status", *flags)[0], exit_codes.EXIT_UNREACHABLE)
 
     def test_usage_errors_do_nothing(self):
         for argv in (
@@ -257,11 +260,11 @@
         ):
             with self.subTest(argv=argv):
                 code, _, errors = run(*argv)
-                self.assertEqual(code, cli.EXIT_USAGE)
+                self.assertEqual(code, exit_codes.EXIT_USAGE)
                 self.assertTrue(errors.strip())
                 self.assertNotIn("Traceback", errors)
-        with mock.patch.dict(os.environ, {cli.ENTRY_VARIABLE: ""}):
-            self.assertEqual(run("status")[0], cli.EXIT_USAGE)
+        with mock.patch.dict(os.environ, {ENTRY_VARIABLE: ""}):
+            self.assertEqual(run("status")[0], exit_codes.EXIT_USAGE)
         self.assertEqual(self.entry.requests, [])
 
     def test_help_and_version(self):
@@ -273,13 +276,13 @@
         ):
             with self.subTest(argv=argv):
                 code, output, errors = run(*argv)
-                self.assertEqual((code, errors), (cli.EXIT_OK, ""))
+                self.assertEqual((code, errors), (exit_codes.EXIT_OK, ""))
                 self.assertIn(text, output)
                 self.assertNotIn("METADATA", output)
 
     def test_check_reports_findings(self):
         code, _, errors = run("check", self.file)
-        self.assertEqual(code, cli.EXIT_INVALID)
+        self.assertEqual(code, exit_codes.EXIT_INVALID)
         self.assertIn(self.file, errors)
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,7 +10,8 @@
 
 import eventlet
 
-from geraniumspool import cli
+from geraniumspool import cli, exit_codes
+from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
 from geraniumspool.messages import MEMBER_LEFT, MEMBER_READY, Peer
 from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY
 from tests.small import SERVICE, TEAM, TOKEN, Small, make_task, wait_until
@@ -314,12 +315,12 @@
     def setUp(self):
         """Point the commands at the first entry."""
         address = self.small.entries[0].ready_line()["operators"]
-        variables = {cli.ENTRY_VARIABLE: address, cli.TOKEN_VARIABLE: TOKEN}
+        variables = {ENTRY_VARIABLE: address, TOKEN_VARIABLE: TOKEN}
         patch = mock.patch.dict(os.environ, variables)
         patch.start()
         self.addCleanup(patch.stop)
 
-    def run_command(self, *argv, expected=cli.EXIT_OK):
+    def run_command(self, *argv, expected=exit_codes.EXIT_OK):
         """Run a command with --json; return what it printed."""
         output, errors = io.StringIO(), io.StringIO()
         with (
@@ -331,10 +332,10 @@
         self.assertEqual(stopped.exception.code, expected, (argv, errors.getvalue()))
         if output.getvalue():
             return json.loads(output.getvalue())
-        self.assertNotEqual(expected, cli.EXIT_OK)
+        self.assertNotEqual(expected, exit_codes.EXIT_OK)
         return errors.getvalue()
 
-    def apply(self, key, text, revision, change_id, expected=cli.EXIT_OK):
+    def apply(self, key, text, revision, change_id, expected=exit_codes.EXIT_OK):
         """Run ``config apply`` with a document's text."""
         with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
             file.write(text)
@@ -351,7 +352,7 @@
         self.assertEqual(status["entry"]["domain"], "north")
         roster = self.run_command("roster")
         self.assertEqual(roster, self.small.operate("GET", "/v1/roster").body)
-        self.run_command("status", "--token", "wrong", expected=cli.EXIT_UNAUTHORIZED)
+        self.run_command("status", "--token", "wrong", expected=exit_codes.EXIT_UNAUTHORIZED)
 
     def test_config(self):
         """Apply, get, list, history, status; stale and invalid changes."""
@@ -363,38 +364,38 @@
         history = self.run_command("config", "history", key)["changes"]
         self.assertEqual([row["change_id"] for row in history], ["g1"])
         self.assertGreaterEqual(self.run_command("config", "status")["newest"], revision)
-        stale = self.apply(key, "max_tasks: 5\n", 0, "g2", cli.EXIT_CONFLICT)
+        stale = self.apply(key, "max_tasks: 5\n", 0, "g2", exit_codes.EXIT_CONFLICT)
         self.assertIn("config_stale_revision", stale)
-        invalid = self.apply(key, "max_tasks: x\nodd: 1\n", revision, "g3", cli.EXIT_INVALID)
+        invalid = self.apply(key, "max_tasks: x\nodd: 1\n", revision, "g3", exit_codes.EXIT_INVALID)
         self.assertIn(f"{key}:1: max_tasks", invalid)
         self.assertIn(f"{key}:2: odd", invalid)
-        self.run_command("config", "get", "service/none", expected=cli.EXIT_NOT_FOUND)
+        self.run_command("config", "get", "service/none", expected=exit_codes.EXIT_NOT_FOUND)
 
     def test_config_without_store(self):
         """The outcome is unknown, by exit code as well."""
         self.store_down()
-        unknown = self.apply("team/weavers", "weight: 2\n", 0, "h1", cli.EXIT_UNKNOWN)
+        unknown = self.apply("team/weavers", "weight: 2\n", 0, "h1", exit_codes.EXIT_UNKNOWN)
         self.assertIn("config_change_unknown", unknown)
 
     def test_jobs(self):
         """State, reasons and cancellation of jobs."""
         ticket = self.small.ticket()
-        self.run_command("job", ticket, expected=cli.EXIT_NOT_FOUND)
+        self.run_command("job", ticket, expected=exit_codes.EXIT_NOT_FOUND)
         self.small.put(ticket, [TASK])
         self.assertEqual(self.run_command("job", ticket)["outcome"], "complete")
         rows = self.run_command("why", ticket)["decisions"]
         self.assertEqual(rows[-1]["code"], "job_complete")
         one = self.run_command("why", rows[0]["id"])["decisions"]
         self.assertEqual(one, rows[:1])
-        self.run_command("why", "d-1-1", expected=cli.EXIT_NOT_FOUND)
+        self.run_command("why", "d-1-1", expected=exit_codes.EXIT_NOT_FOUND)
         unused = self.small.ticket()
         self.assertEqual(self.run_command("cancel", unused)["outcome"], "not_run")
-        self.run_command("job", "A" * 60, expected=cli.EXIT_INVALID)
+        self.run_command("job", "A" * 60, expected=exit_codes.EXIT_INVALID)
 
     def test_drain(self):
         """An unknown address is not found; a known one is asked."""
         flags = ("--who", "tester", "--why", "a test")
-        self.run_command("drain", "tcp://127.0.0.1:1", *flags, expected=cli.EXIT_NOT_FOUND)
+        self.run_command("drain", "tcp://127.0.0.1:1", *flags, expected=exit_codes.EXIT_NOT_FOUND)
         entry = self.small.entries[1]
         answer = self.run_command("drain", entry.ready_line()["inbox"], *flags)
         self.assertEqual(answer["state"], "asked")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -14,6 +14,7 @@
 
 from geraniumspool import cli
 from geraniumspool.agent import parse_announcement
+from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
 from geraniumspool.decisions import EXPLANATIONS
 from geraniumspool.documents import DEFAULT_SERVICE, DEFAULT_TEAM, parse_document
 from geraniumspool.settings import AgentSettings, EntrySettings, check_file
@@ -102,7 +103,7 @@
         before = os.getcwd()
         os.chdir(EXAMPLES / "batbayar")
         self.addCleanup(os.chdir, before)
-        patch = mock.patch.dict(os.environ, {cli.ENTRY_VARIABLE: "h:1", cli.TOKEN_VARIABLE: "t"})
+        patch = mock.patch.dict(os.environ, {ENTRY_VARIABLE: "h:1", TOKEN_VARIABLE: "t"})
         patch.start()
         self.addCleanup(patch.stop)
 
