Configuration: what is in force, its watch and its changes in three modules

It keeps what is in force; configuration_watcher follows the store, change_desk accepts operators' changes. Behaviour is as it was. Tests of the configuration, the operators' interface, audit, home, quota and the proofs of configuration passed.

--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -7,8 +7,10 @@
 from geraniumspool.binding import Bindings
 from geraniumspool.callers import Callers
 from geraniumspool.calls import Calls
+from geraniumspool.change_desk import ChangeDesk
 from geraniumspool.clock import SystemClock
-from geraniumspool.configuration import ChangeDesk, Configuration, ConfigurationWatcher
+from geraniumspool.configuration import Configuration
+from geraniumspool.configuration_watcher import ConfigurationWatcher
 from geraniumspool.contracts import Clock, Messenger, Store
 from geraniumspool.decisions import (
     CONFIG_TAKEN,
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from geraniumspool.calls import Calls
-from geraniumspool.configuration import ChangeDesk, Configuration, ConfigurationWatcher
+from geraniumspool.change_desk import ChangeDesk
+from geraniumspool.configuration import Configuration
+from geraniumspool.configuration_watcher import ConfigurationWatcher
 from geraniumspool.contracts import Clock, Messenger
 from geraniumspool.decisions import DecisionLog, describe, parse_decision_id
 from geraniumspool.documents import check_key
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,14 +8,10 @@
 from eventlet.event import Event
 
 from geraniumspool.audit import CONFIG_PREFIX, AuditTrail, ChangeEnvelope, encode_envelope
+from geraniumspool.change_desk import ChangeDesk
 from geraniumspool.clock import ManualClock
-from geraniumspool.configuration import (
-    WATCH_WAITING,
-    WATCH_WATCHING,
-    ChangeDesk,
-    Configuration,
-    ConfigurationWatcher,
-)
+from geraniumspool.configuration import Configuration
+from geraniumspool.configuration_watcher import WATCH_WAITING, WATCH_WATCHING, ConfigurationWatcher
 from geraniumspool.contracts import KeyValue, Snapshot
 from geraniumspool.documents import DEFAULT_TEAM
 from geraniumspool.errors import ChangeUnknown, DispatchError, InvalidInput, StaleRevision
