The setting region goes, as nothing used it

Cause: region was checked at start and then read by nobody. Putting it to use in placement or status needs the regions of other processes, which members do not tell; that is a change of the messages and of what prices mean, to be made whole when regions are.

--- a/geraniumspool/settings.py
+++ b/geraniumspool/settings.py
@@ -24,7 +24,6 @@
     :param operators_token: what operators must present
     :param ticket_keys: secrets for tickets; the first signs, all verify
     :param store_urls: base addresses of the platform's store
-    :param region: region it runs in, or empty
     :param inbox: address for messages of other processes
     :param callers_listen: address of the callers' HTTP listener
     :param operators_listen: address of the operators' HTTP listener
@@ -44,7 +43,6 @@
     operators_token: str
     ticket_keys: tuple[str, ...]
     store_urls: tuple[str, ...]
-    region: str = ""
     inbox: str = "tcp://127.0.0.1:0"
     callers_listen: str = "127.0.0.1:0"
     operators_listen: str = "127.0.0.1:0"
@@ -65,7 +63,6 @@
 
     :param domain: failure domain it runs in
     :param store_urls: base addresses of the platform's store
-    :param region: region it runs in, or empty
     :param inbox: address for messages of other processes
     :param minion_listen: address of the listener where its minion announces itself
     :param entries: inbox addresses of entries to try where the store gives none
@@ -86,7 +83,6 @@
 
     domain: str
     store_urls: tuple[str, ...]
-    region: str = ""
     inbox: str = "tcp://127.0.0.1:0"
     minion_listen: str = "127.0.0.1:0"
     entries: tuple[str, ...] = ()
@@ -111,7 +107,6 @@
 _URL = {"type": "string", "format": "url", "maxLength": 1_000}
 _COMMON = {
     "domain": _NAME,
-    "region": {"type": "string", "pattern": rf"^\Z|{NAME_PATTERN}"},
     "inbox": {"type": "string", "format": "inbox"},
     "store_urls": {
         "type": "array",
