Tests: one base class, one change, one command runner for the interface tests

The tests of the callers' and the operators' interface, the golden sessions, the command line and the pages each had their own start of a system, check of a problem, body of a change, leaving agent, environment and run of a command. They now share those in tests/small. Problems of the operators' interface are checked as strictly as those of the callers' (type, status and outcome as well). "Run as a script" blocks are gone from eight files: tests run by python -m unittest. All cases and assertions stay.

--- a/tests/small.py
+++ b/tests/small.py
@@ -1,16 +1,24 @@
 """A small whole system in one process over loopback, for interface tests."""
 
+import contextlib
+import io
 import json
 import logging
+import os
 import time
+import unittest
 from collections import namedtuple
+from unittest import mock
 
 import eventlet
 import urllib3
 
+from geraniumspool import cli
 from geraniumspool.agent import build_agent
+from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
 from geraniumspool.clock import SystemClock
 from geraniumspool.entry import build_entry
+from geraniumspool.messages import MEMBER_LEFT, Peer
 from geraniumspool.settings import AgentSettings, EntrySettings
 from geraniumspool.standin_minion import StandinMinion
 from geraniumspool.standin_store import StandinStore
@@ -34,6 +42,31 @@
     return {"service": SERVICE, "team": TEAM, "deadline_ms": 15_000, "tasks": tasks} | fields
 
 
+def make_change(expected, body, change_id, **fields) -> dict:
+    """Return the body of a configuration change."""
+    change = {"change_id": change_id, "expected_revision": expected, "body": body}
+    return change | {"who": "tester", "why": "a test"} | fields
+
+
+def point_commands(test: unittest.TestCase, address: str, token: str) -> None:
+    """Let operators' commands of one test ask an entry."""
+    variables = {ENTRY_VARIABLE: address, TOKEN_VARIABLE: token}
+    patch = mock.patch.dict(os.environ, variables)
+    patch.start()
+    test.addCleanup(patch.stop)
+
+
+def run_command(*argv: str) -> tuple[int, str, str]:
+    """Return exit code, standard output and standard error of a command line."""
+    output, errors = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+        try:
+            cli.main(list(argv))
+        except SystemExit as stop:
+            return stop.code, output.getvalue(), errors.getvalue()
+    raise AssertionError("main returned")
+
+
 def wait_until(condition, limit_s: float = WAIT_S) -> None:
     """Wait for a condition; fail where it stays false."""
     end = time.monotonic() + limit_s
@@ -118,3 +151,36 @@
     def starts(self) -> int:
         """Return how many tasks the minions started."""
         return sum(minion.report()["starts"] for minion in self.minions)
+
+    def leave(self, number: int) -> None:
+        """Let an agent that was asked to leave do so, and wait until both entries know."""
+        agent = self.agents[number]
+        wait_until(lambda: agent.exit_requested)
+        assert agent.drain(), "work was given up"
+        agent.stop()
+        peer = Peer(agent.ready_line()["inbox"], agent.describe().incarnation)
+        for entry in self.entries:
+            wait_until(lambda entry=entry: entry.roster.get(peer).state == MEMBER_LEFT)
+
+
+class SystemTest(unittest.TestCase):
+    """Base: one system for all tests of a class."""
+
+    SETTINGS: dict = {}
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the system."""
+        cls.small = Small(**cls.SETTINGS)
+        cls.addClassCleanup(cls.small.stop)
+
+    def assert_problem(self, answered, status, code, outcome=None):
+        """Check a failure's status, code, type and outcome."""
+        self.assertEqual((answered.status, answered.body.get("code")), (status, code), answered)
+        self.assertEqual(answered.headers["Content-Type"], "application/problem+json")
+        self.assertEqual(answered.body["type"], f"urn:geraniumspool:{code}")
+        self.assertEqual(answered.body["status"], status)
+        self.assertTrue(answered.body["detail"])
+        self.assertEqual(answered.body.get("outcome"), outcome)
+        if outcome is not None:
+            self.assertRegex(answered.body.get("decision") or "none", r"\Ad-[0-9a-f]+-[0-9]+\Z")
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -77,7 +77,3 @@
         for value in (b"", b"{}", b"[]", b"\xff", b'{"change_id": 1}', b"weight: 2"):
             with self.subTest(value):
                 self.assertIsNone(decode_envelope(value))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,7 +1,5 @@
 """Contract of the callers' interface, against a whole running system."""
 
-import unittest
-
 import eventlet
 
 from geraniumspool.binding import MAX_KEY_AGE_MS, MAX_KEY_AHEAD_MS
@@ -14,6 +12,8 @@
     TEAM,
     TICKET_KEY,
     Small,
+    SystemTest,
+    make_change,
     make_job,
     make_task,
     wait_until,
@@ -28,25 +28,10 @@
     return [row["value"] for row in answered.body["results"]]
 
 
-class CallersCase(unittest.TestCase):
-    """Base: one system for all tests of a class."""
-
-    @classmethod
-    def setUpClass(cls):
-        """Start the system."""
-        cls.small = Small(max_body_bytes=MAX_BODY_BYTES)
-        cls.addClassCleanup(cls.small.stop)
+class CallersCase(SystemTest):
+    """Base: a system that takes no large bodies."""
 
-    def assert_problem(self, answered, status, code, outcome=None):
-        """Check a failure's status, code, type and outcome."""
-        self.assertEqual((answered.status, answered.body.get("code")), (status, code), answered)
-        self.assertEqual(answered.headers["Content-Type"], "application/problem+json")
-        self.assertEqual(answered.body["type"], f"urn:geraniumspool:{code}")
-        self.assertEqual(answered.body["status"], status)
-        self.assertTrue(answered.body["detail"])
-        self.assertEqual(answered.body.get("outcome"), outcome)
-        if outcome is not None:
-            self.assertRegex(answered.body.get("decision") or "none", r"\Ad-[0-9a-f]+-[0-9]+\Z")
+    SETTINGS = {"max_body_bytes": MAX_BODY_BYTES}
 
 
 class BadInputTest(CallersCase):
@@ -372,13 +357,7 @@
 
     def test_quota(self):
         """A team over its quota is refused; others and known jobs are not."""
-        change = {
-            "change_id": "q1",
-            "expected_revision": 0,
-            "body": "running_tasks: 2\n",
-            "who": "tester",
-            "why": "a tight quota",
-        }
+        change = make_change(0, "running_tasks: 2\n", "q1")
         ticket = self.small.ticket()
         tasks = [make_task(number) for number in range(3)]
         self.assertEqual(len(values(self.small.put(ticket, tasks, team="tight"))), 3)
@@ -400,13 +379,7 @@
         ticket = self.small.ticket()
         first = self.small.put(ticket, [make_task("first")], team="narrow")
         self.assertEqual(values(first), ["first"])
-        change = {
-            "change_id": "n1",
-            "expected_revision": 0,
-            "body": "running_tasks: 1\n",
-            "who": "tester",
-            "why": "a tight quota",
-        }
+        change = make_change(0, "running_tasks: 1\n", "n1")
         self.assertEqual(self.small.operate("PUT", "/v1/config/team/narrow", change).status, 200)
         other = [make_task("other"), make_task("other")]
         self.assert_problem(self.small.put(ticket, other, team="narrow"), 409, "job_conflict")
@@ -426,14 +399,10 @@
         self.assertEqual(values(fits), ["good"])
 
 
-class LimitsTest(CallersCase):
+class LimitsTest(SystemTest):
     """An entry that may hold one job, with a short deadline of its own."""
 
-    @classmethod
-    def setUpClass(cls):
-        """Start the system."""
-        cls.small = Small(max_running_jobs=1, default_deadline_ms=300)
-        cls.addClassCleanup(cls.small.stop)
+    SETTINGS = {"max_running_jobs": 1, "default_deadline_ms": 300}
 
     def test_overload(self):
         """New jobs are refused for good, the one that runs is joined still."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,5 @@
 """Tests of the command line and of running programs."""
 
-import contextlib
 import io
 import json
 import os
@@ -14,8 +13,10 @@
 from eventlet import wsgi
 
 from geraniumspool import cli, exit_codes, program
-from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
+from geraniumspool.arguments import ENTRY_VARIABLE
 from geraniumspool.operator_answers import DomainStatus, MemberStatus
+from tests.small import point_commands
+from tests.small import run_command as run
 
 TOKEN = "a-token-for-tests"
 TICKET = "-" + "tIcket_" * 10
@@ -55,27 +56,13 @@
         self.listener.close()
 
 
-def run(*argv):
-    """Return exit code, standard output and standard error of a command line."""
-    output, errors = io.StringIO(), io.StringIO()
-    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
-        try:
-            cli.main(list(argv))
-        except SystemExit as stop:
-            return stop.code, output.getvalue(), errors.getvalue()
-    raise AssertionError("main returned")
-
-
 class CliTest(unittest.TestCase):
     """Commands against a scripted entry."""
 
     def setUp(self):
         self.entry = ScriptedEntry()
         self.addCleanup(self.entry.stop)
-        variables = {ENTRY_VARIABLE: self.entry.address, TOKEN_VARIABLE: TOKEN}
-        patch = mock.patch.dict(os.environ, variables)
-        patch.start()
-        self.addCleanup(patch.stop)
+        point_commands(self, self.entry.address, TOKEN)
         with tempfile.NamedTemporaryFile("w", suffix=".yaml", delete=False) as file:
             file.write("service: fitting\n")
         self.addCleanup(os.unlink, file.name)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -351,7 +351,3 @@
         for call in (self.bench.desk.current, self.bench.desk.history):
             with self.subTest(call), self.assertRaises(DispatchError):
                 call("nothing/here")
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -84,7 +84,3 @@
         for file in files:
             with self.subTest(file.name):
                 parse_document(file.stem.replace("-", "/", 1), file.read_bytes())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,6 @@
 """Tests of the whole system as real separate processes."""
 
 import json
-import time
 import unittest
 
 import eventlet
@@ -9,18 +8,7 @@
 
 from geraniumspool.client import Client, JobError, TaskRequest
 from tests.processes import SERVICE, TEAM, Fleet
-
-WAIT_S = 20.0
-
-
-def wait_until(condition, limit_s=WAIT_S):
-    """Wait for a condition; return whether it came true in time."""
-    end = time.monotonic() + limit_s
-    while time.monotonic() < end:
-        if condition():
-            return True
-        eventlet.sleep(0.05)
-    return False
+from tests.small import wait_until
 
 
 class FleetTest(unittest.TestCase):
@@ -30,7 +18,7 @@
         self.fleet = Fleet(["north", "south"], [1, 1])
         self.addCleanup(self.fleet.stop)
         for entry in self.fleet.entries:
-            self.assertTrue(wait_until(lambda entry=entry: self.fleet.ready_agents(entry) == 2))
+            wait_until(lambda entry=entry: self.fleet.ready_agents(entry) == 2)
 
     def put(self, entry, ticket, tasks, deadline_ms=15000):
         body = {"service": SERVICE, "team": TEAM, "deadline_ms": deadline_ms, "tasks": tasks}
@@ -66,7 +54,7 @@
         ticket = self.issue(first)
         tasks = [{"payload": {"run_ms": 600, "value": number}} for number in range(24)]
         lost = eventlet.spawn(self.put_and_lose, first, ticket, tasks)
-        self.assertTrue(wait_until(lambda: self.fleet.starts().get("starts", 0) > 0))
+        wait_until(lambda: self.fleet.starts().get("starts", 0) > 0)
         first.kill()
         self.assertTrue(lost.wait())
         status, answer = self.put(second, ticket, tasks)
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -15,7 +15,6 @@
 
 from geraniumspool.clock import SystemClock
 from geraniumspool.idempotency import make_key
-from geraniumspool.messages import MEMBER_LEFT, Peer
 from geraniumspool.ticket import Keyring, read_ticket
 from tests.small import (
     ALL_SLOTS,
@@ -23,6 +22,7 @@
     TEAM,
     TOKEN,
     Small,
+    make_change,
     make_job,
     make_task,
     wait_until,
@@ -215,17 +215,11 @@
         session = self.session
         done, unused = session.ticket(), session.ticket()
         session.put(done, ["kept"])
-        agent = self.small.agents[0]
-        address = agent.ready_line()["inbox"]
+        address = self.small.agents[0].ready_line()["inbox"]
         self.assertEqual(read_ticket(unused).home.address, address)
         order = {"address": address, "who": "tester", "why": "new kernel"}
         session.operate("POST", "/v1/drain", order)
-        wait_until(lambda: agent.exit_requested)
-        self.assertTrue(agent.drain())
-        agent.stop()
-        peer = Peer(address, agent.describe().incarnation)
-        for entry in self.small.entries:
-            wait_until(lambda entry=entry: entry.roster.get(peer).state == MEMBER_LEFT)
+        self.small.leave(0)
         for entry in (0, 1):
             session.call("GET", f"/v1/jobs/{done}", entry=entry)
             session.put(done, ["kept"], entry)
@@ -249,13 +243,7 @@
         session.call("GET", "/v1/nothing")
         session.call("POST", "/v1/tickets", {"service": "sawing", "team": TEAM})
         session.call("POST", "/v1/jobs", make_job([make_task(1)], service="sawing"))
-        change = {
-            "change_id": "c1",
-            "expected_revision": 0,
-            "body": "running_tasks: 1\n",
-            "who": "tester",
-            "why": "a tight quota",
-        }
+        change = make_change(0, "running_tasks: 1\n", "c1", why="a tight quota")
         session.operate("PUT", "/v1/config/team/tight", change)
         session.operate("PUT", "/v1/config/team/tight", change | {"change_id": "c2"}, 1)
         session.operate("PUT", "/v1/config/team/odd", change | {"body": "weight: x\nodd: 1\n"})
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -159,7 +159,3 @@
     def test_agents_by_domain(self):
         found = [DOMAINS.index(domain_of(index)) for index in (0, 3, 4, 7, 8, 10)]
         self.assertEqual(found, [0, 0, 1, 1, 2, 2])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,20 +1,26 @@
 """Contract of the operators' interface, by HTTP and by the command line."""
 
-import contextlib
-import io
 import json
-import os
 import tempfile
 import unittest
-from unittest import mock
 
 import eventlet
 
-from geraniumspool import cli, exit_codes
-from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
-from geraniumspool.messages import MEMBER_LEFT, MEMBER_READY, Peer
+from geraniumspool import exit_codes
+from geraniumspool.messages import MEMBER_READY
 from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY
-from tests.small import SERVICE, TEAM, TOKEN, Small, make_task, wait_until
+from tests.small import (
+    SERVICE,
+    TEAM,
+    TOKEN,
+    Small,
+    SystemTest,
+    make_change,
+    make_task,
+    point_commands,
+    run_command,
+    wait_until,
+)
 
 TASK = make_task("good")
 PATHS = (
@@ -33,32 +39,8 @@
 )
 
 
-def make_change(expected, body, change_id, **fields):
-    """Return the body of a configuration change."""
-    change = {
-        "change_id": change_id,
-        "expected_revision": expected,
-        "body": body,
-        "who": "tester",
-        "why": "a test",
-    }
-    return change | fields
-
-
-class OperatorsCase(unittest.TestCase):
-    """Base: one system for all tests of a class."""
-
-    @classmethod
-    def setUpClass(cls):
-        """Start the system."""
-        cls.small = Small()
-        cls.addClassCleanup(cls.small.stop)
-
-    def assert_problem(self, answered, status, code):
-        """Check a failure's status, code and type."""
-        self.assertEqual((answered.status, answered.body.get("code")), (status, code), answered)
-        self.assertEqual(answered.headers["Content-Type"], "application/problem+json")
-        self.assertTrue(answered.body["detail"])
+class OperatorsCase(SystemTest):
+    """Base: a system whose store is taken away."""
 
     def store_down(self):
         """Take the store away until the test ends."""
@@ -269,17 +251,11 @@
         """It leaves; its jobs' answers come from the archive; nothing runs again."""
         done, unused = self.small.ticket(0), self.small.ticket(0)
         results = self.small.put(done, [TASK]).body["results"]
-        agent = self.small.agents[0]
-        address = agent.ready_line()["inbox"]
+        address = self.small.agents[0].ready_line()["inbox"]
         order = {"address": address, "who": "tester", "why": "new kernel"}
         answered = self.small.operate("POST", "/v1/drain", order, entry=1)
         self.assertEqual((answered.status, answered.body["state"]), (202, "asked"))
-        wait_until(lambda: agent.exit_requested)
-        self.assertTrue(agent.drain())
-        agent.stop()
-        peer = Peer(address, agent.describe().incarnation)
-        for entry in self.small.entries:
-            wait_until(lambda entry=entry: entry.roster.get(peer).state == MEMBER_LEFT)
+        self.small.leave(0)
         starts = self.small.starts()
         for entry in (0, 1):
             kept = self.small.call("GET", f"/v1/jobs/{done}", entry=entry)
@@ -315,25 +291,16 @@
     def setUp(self):
         """Point the commands at the first entry."""
         address = self.small.entries[0].ready_line()["operators"]
-        variables = {ENTRY_VARIABLE: address, TOKEN_VARIABLE: TOKEN}
-        patch = mock.patch.dict(os.environ, variables)
-        patch.start()
-        self.addCleanup(patch.stop)
+        point_commands(self, address, TOKEN)
 
     def run_command(self, *argv, expected=exit_codes.EXIT_OK):
         """Run a command with --json; return what it printed."""
-        output, errors = io.StringIO(), io.StringIO()
-        with (
-            contextlib.redirect_stdout(output),
-            contextlib.redirect_stderr(errors),
-            self.assertRaises(SystemExit) as stopped,
-        ):
-            cli.main([*argv, "--json"])
-        self.assertEqual(stopped.exception.code, expected, (argv, errors.getvalue()))
-        if output.getvalue():
-            return json.loads(output.getvalue())
+        code, output, errors = run_command(*argv, "--json")
+        self.assertEqual(code, expected, (argv, errors))
+        if output:
+            return json.loads(output)
         self.assertNotEqual(expected, exit_codes.EXIT_OK)
-        return errors.getvalue()
+        return errors
 
     def apply(self, key, text, revision, change_id, expected=exit_codes.EXIT_OK):
         """Run ``config apply`` with a document's text."""
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,17 +8,16 @@
 import tempfile
 import unittest
 from pathlib import Path
-from unittest import mock
 
 import yaml
 
 from geraniumspool import cli
 from geraniumspool.agent import parse_announcement
-from geraniumspool.arguments import ENTRY_VARIABLE, TOKEN_VARIABLE
 from geraniumspool.decisions import EXPLANATIONS
 from geraniumspool.documents import DEFAULT_SERVICE, DEFAULT_TEAM, parse_document
 from geraniumspool.settings import AgentSettings, EntrySettings, check_file
 from geraniumspool.submission import parse_submission, parse_ticket_order
+from tests.small import point_commands
 
 ROOT = Path(__file__).parent.parent
 EXAMPLES = ROOT / "examples"
@@ -103,9 +102,7 @@
         before = os.getcwd()
         os.chdir(EXAMPLES / "batbayar")
         self.addCleanup(os.chdir, before)
-        patch = mock.patch.dict(os.environ, {ENTRY_VARIABLE: "h:1", TOKEN_VARIABLE: "t"})
-        patch.start()
-        self.addCleanup(patch.stop)
+        point_commands(self, "h:1", "t")
 
     def test_commands_in_blocks_are_understood(self):
         seen = 0
@@ -229,7 +226,3 @@
         file.write(text)
         file.flush()
         return check_file(file.name)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -84,7 +84,3 @@
     def test_malformed_key_is_passed_over(self):
         self.store.swap("entries/broken", 0, b"{")
         self.assertEqual(discover_entries(self.store), (self.other,))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -166,7 +166,3 @@
                 self.assertEqual(len(listeners), len(set(listeners)))
                 inboxes = {each.inbox for each in entries}
                 self.assertTrue(all(set(each.entries) == inboxes for each in agents))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -436,7 +436,3 @@
         self.assertEqual(store.lose_answers, 2)
         self.assertEqual(self.send("PUT", "/faults", '{"dwon": true}')[0], 400)
         self.assertEqual(self.send("GET", "/calls"), (200, {"grant": 1, "txn": 1, "range": 2}))
-
-
-if __name__ == "__main__":
-    unittest.main()
