Tests: the store's own faults and counters in place of fakes of them

The tests of bindings had a store of their own that lost answers, which the store in memory does itself; those of the store had counters of their own beside MemoryCounters; those of the registrar had a function for each fault. All cases and assertions stay.

--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import eventlet
 
@@ -21,42 +22,6 @@
 from geraniumspool.memory_store import MemoryStore
 
 
-class FaultyStore:
-    """A store whose next answers are faults, before or after the write."""
-
-    def __init__(self, store, clock):
-        """Start without faults."""
-        self._store = store
-        self._clock = clock
-        self.swap_fault = None
-        self.written = True
-        self.get_fault = None
-        self.pauses = {}
-
-    def swap(self, *arguments):
-        """Write, unless told not to, and lose the answer."""
-        self._pause("swap")
-        if self.swap_fault is None:
-            return self._store.swap(*arguments)
-        if self.written:
-            self._store.swap(*arguments)
-        raise self.swap_fault
-
-    def get(self, key):
-        """Read, unless told not to."""
-        if self.get_fault is not None:
-            raise self.get_fault
-        return self._store.get(key)
-
-    def grant_lease(self, ttl_ms):
-        """Pass on."""
-        self._pause("grant_lease")
-        return self._store.grant_lease(ttl_ms)
-
-    def _pause(self, call):
-        self._clock.advance(self.pauses.pop(call, 0.0))
-
-
 class ClockBehind:
     """The clock of an entry whose wall clock is as far behind as is allowed for."""
 
@@ -73,8 +38,7 @@
         """Start with an empty store and two entries."""
         self.clock = ManualClock()
         self.memory = MemoryStore(self.clock)
-        self.store = FaultyStore(self.memory, self.clock)
-        self.one = Bindings(self.store, self.clock)
+        self.one = Bindings(self.memory, self.clock)
         self.two = Bindings(self.memory, self.clock)
 
     def key(self, text: str, age_ms: float = 0.0) -> IdempotencyKey:
@@ -125,12 +89,16 @@
 
     def test_pause(self):
         """A key that grew too old while the store was asked is refused."""
-        for call in ("grant_lease", "swap"):
-            with self.subTest(paused_before=call):
-                key = self.key("k")
+        for name in ("grant_lease", "swap"):
+            with self.subTest(paused_before=name):
+                key, call = self.key("k"), getattr(self.memory, name)
                 self.two.bind("t", key, "A")
-                self.store.pauses[call] = LEASE_MS * 2
-                with self.assertRaises(KeyExpired):
+
+                def pause(*arguments, call=call):
+                    self.clock.advance(LEASE_MS * 2)
+                    return call(*arguments)
+
+                with mock.patch.object(self.memory, name, pause), self.assertRaises(KeyExpired):
                     self.one.bind("t", key, "B")
 
     def test_dropped(self):
@@ -167,9 +135,10 @@
 
     def test_answer_lost(self):
         """A write with a lost answer is read back."""
-        self.store.swap_fault = StoreUnknown()
+        self.memory.lose_answers = 1
         self.assertEqual(self.one.bind("t", self.key("k"), "A"), "A")
         self.two.bind("t", self.key("k2"), "B")
+        self.memory.lose_answers = 1
         self.assertEqual(self.one.bind("t", self.key("k2"), "C"), "B")
 
     def test_lost_and_unclear(self):
@@ -180,12 +149,26 @@
             (True, StoreUnavailable()),
         ):
             with self.subTest(written=written, get_fault=get_fault):
-                self.store.swap_fault = StoreUnknown()
-                self.store.written, self.store.get_fault = written, get_fault
-                with self.assertRaises(BindingUnavailable) as caught:
+                swap = self.fail_after(self.memory.swap if written else None, StoreUnknown())
+                get = self.fail_after(None, get_fault) if get_fault else self.memory.get
+                with (
+                    mock.patch.multiple(self.memory, swap=swap, get=get),
+                    self.assertRaises(BindingUnavailable) as caught,
+                ):
                     self.one.bind("t", self.key(f"k{written}{get_fault}"), "A")
                 self.assertGreater(caught.exception.retry_after_ms, 0)
 
+    @staticmethod
+    def fail_after(call, fault):
+        """Return a call that fails, after it was done if there is a call."""
+
+        def fail(*arguments):
+            if call:
+                call(*arguments)
+            raise fault
+
+        return fail
+
     def test_down(self):
         """A store that refuses binds nothing; once it is back the key is free."""
         self.memory.down = True
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -24,40 +24,30 @@
     def make(self, member, roster):
         return Registrar(self.store, roster, self.clock, lambda: member, 10_000)
 
-    def set_down(self, down):
-        self.store.down = down
-
-    def lose_answer(self):
-        self.store.lose_answers = 1
-
-    def refuse(self):
-        self.store.refuse_leases = True
-
     def test_faults(self):
-        """Each case: a fault, whether registered with it, and how it is mended."""
+        """Each case: a fault, what it sets at the store, and whether registered with it."""
         cases = (
-            ("none", lambda: None, True, lambda: None),
-            ("store down", lambda: self.set_down(True), False, lambda: self.set_down(False)),
-            ("lost answer", self.lose_answer, False, lambda: None),
-            (
-                "leases refused",
-                self.refuse,
-                False,
-                lambda: setattr(self.store, "refuse_leases", False),
-            ),
+            ("none", {}, True),
+            ("store down", {"down": True}, False),
+            ("lost answer", {"lose_answers": 1}, False),
+            ("leases refused", {"refuse_leases": True}, False),
         )
-        for name, break_store, registered, mend in cases:
+        for name, fault, registered in cases:
             with self.subTest(name):
                 self.setUp()
-                break_store()
+                self.set_store(fault)
                 self.registrar.refresh()
                 self.assertEqual(self.registrar.registered, registered)
-                mend()
+                self.set_store(dict.fromkeys(fault, 0))
                 self.registrar.refresh()
                 self.assertTrue(self.registrar.registered)
                 self.assertEqual(set(discover_entries(self.store)), {self.me, self.other})
                 self.assertEqual(self.roster.entries(), [self.other])
 
+    def set_store(self, values):
+        for name, value in values.items():
+            setattr(self.store, name, value)
+
     def test_outage_keeps_what_is_known(self):
         self.registrar.refresh()
         self.store.down = True
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,7 +3,6 @@
 import json
 import socket
 import unittest
-from collections import Counter
 
 import eventlet
 import eventlet.wsgi
@@ -20,6 +19,7 @@
 )
 from geraniumspool.etcd_store import EtcdStore
 from geraniumspool.memory_store import MemoryStore
+from geraniumspool.metrics import MemoryCounters
 from geraniumspool.standin_store import StandinStore
 
 LOOPBACK = "127.0.0.1"
@@ -30,19 +30,6 @@
 GUARD_S = 10
 
 
-class FakeCounters:
-    """Counts by name and kind."""
-
-    def __init__(self):
-        self.counts = Counter()
-
-    def add(self, name, amount=1, **labels):
-        self.counts[name, labels["kind"]] += amount
-
-    def get(self, name, **labels):
-        return self.counts[name, labels["kind"]]
-
-
 def take(changes, count):
     """Return the next changes of a watch, without its pauses."""
     found = []
@@ -69,7 +56,7 @@
 
     def setUp(self):
         self.clock = ManualClock()
-        self.counters = FakeCounters()
+        self.counters = MemoryCounters()
         self.open()
 
     def tearDown(self):
@@ -272,10 +259,8 @@
         self.store.list("")
         expected = {"grant": 1, "keepalive": 1, "txn": 3, "range": 2}
         self.assertEqual(self.backing.calls, expected)
-        self.assertEqual(
-            self.counters.counts,
-            {("store_calls", kind): count for kind, count in expected.items()},
-        )
+        counted = {f"store_calls{{kind={kind}}}": count for kind, count in expected.items()}
+        self.assertEqual(self.counters.snapshot(), counted)
 
     def switch(self, faults):
         for name, value in faults.items():
@@ -359,7 +344,7 @@
         server = eventlet.spawn(eventlet.wsgi.server, listener, self.answer, log_output=False)
         self.addCleanup(server.kill)
         url = f"http://{LOOPBACK}:{listener.getsockname()[1]}"
-        store = EtcdStore([url], SystemClock(), FakeCounters(), TIMEOUT_MS)
+        store = EtcdStore([url], SystemClock(), MemoryCounters(), TIMEOUT_MS)
         rows = [
             ("400 Bad", b'{"code":3,"message":"bad"}', StoreUnavailable, StoreUnavailable),
             ("403 No", b'{"code":7,"message":"denied"}', StoreUnavailable, StoreUnavailable),
