Tests: servers, cases of the proofs and rows of the command line written once

Four files served a WSGI application on loopback, and three waited for a condition, each in its own way; small has one of both. A table of the proofs names its world and its last check once; the tables of configuration faults now hold their worlds too. Long rows of the command line's requests have a short name.

--- a/tests/small.py
+++ b/tests/small.py
@@ -12,6 +12,7 @@
 
 import eventlet
 import urllib3
+from eventlet import wsgi
 
 from geraniumspool import cli
 from geraniumspool.agent import build_agent
@@ -67,6 +68,15 @@
     raise AssertionError("main returned")
 
 
+def serve(test: unittest.TestCase, application) -> str:
+    """Serve a WSGI application on loopback until the test ends; return its address."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    test.addCleanup(listener.close)
+    server = eventlet.spawn(wsgi.server, listener, application, log_output=False, debug=False)
+    test.addCleanup(server.kill)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
 def wait_until(condition, limit_s: float = WAIT_S) -> None:
     """Wait for a condition; fail where it stays false."""
     end = time.monotonic() + limit_s
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -21,6 +21,7 @@
 
 MAX_BODY_BYTES = 64 << 10
 TASK = make_task("good")
+ORDER = {"service": SERVICE, "team": TEAM}
 
 
 def values(answered):
@@ -45,7 +46,7 @@
         swapped = ticket[:30] + ("A" if ticket[30] != "A" else "B") + ticket[31:]
         other = Keyring([TICKET_KEY]).issue(said.home, "sawing", said.issued_ms)
         url, job = f"/v1/jobs/{ticket}", make_job([TASK])
-        invalid = (400, "invalid_input")
+        invalid, oversize = (400, "invalid_input"), b" " * (MAX_BODY_BYTES + 1)
 
         def put(name, body, path):
             return name, ("PUT", url, body), *invalid, path
@@ -70,15 +71,8 @@
             put("service number", make_job([TASK], service=1), "service"),
             put("empty team", make_job([TASK], team=""), "team"),
             put("team not UTF-8", b'{"service":"s","team":"\xff","tasks":[{"payload":1}]}', ""),
-            (
-                "oversize",
-                ("PUT", url, b" " * (MAX_BODY_BYTES + 1)),
-                413,
-                "payload_too_large",
-                None,
-            ),
-            ("count", ("POST", "/v1/tickets", {"service": "s", "team": "t", "count": 0}), *invalid)
-            + ("count",),
+            ("oversize", ("PUT", url, oversize), 413, "payload_too_large", None),
+            ("count", ("POST", "/v1/tickets", ORDER | {"count": 0}), *invalid, "count"),
             ("unknown path", ("GET", "/v1/nothing", None), 404, "not_found", None),
             ("operators' path", ("GET", "/v1/status", None), 404, "not_found", None),
             ("wrong method", ("PATCH", url, job), 405, "method_not_allowed", None),
@@ -171,10 +165,9 @@
 
     def test_tickets(self):
         """As many different ones as asked for; none where nobody serves."""
-        order = {"service": SERVICE, "team": TEAM, "count": 100}
-        answered = self.small.call("POST", "/v1/tickets", order)
+        answered = self.small.call("POST", "/v1/tickets", ORDER | {"count": 100})
         self.assertEqual((answered.status, len(set(answered.body["tickets"]))), (201, 100))
-        answered = self.small.call("POST", "/v1/tickets", order | {"service": "sawing"})
+        answered = self.small.call("POST", "/v1/tickets", ORDER | {"service": "sawing"})
         self.assert_problem(answered, 503, "no_home")
         self.assertEqual(answered.headers["Retry-After"], "1")
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,12 +10,11 @@
 from unittest import mock
 
 import eventlet
-from eventlet import wsgi
 
 from geraniumspool import cli, exit_codes, program
 from geraniumspool.arguments import ENTRY_VARIABLE
 from geraniumspool.operator_answers import DomainStatus, MemberStatus
-from tests.small import point_commands
+from tests.small import point_commands, serve
 from tests.small import run_command as run
 
 TOKEN = "a-token-for-tests"
@@ -35,11 +34,8 @@
     def __init__(self):
         self.requests = []
         self.answer = (200, {})
-        self.listener = eventlet.listen(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.server = eventlet.spawn(wsgi.server, self.listener, self.respond, log_output=False)
 
-    def respond(self, environ, start_response):
+    def __call__(self, environ, start_response):
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = environ["wsgi.input"].read(length) if length else b""
         path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
@@ -51,18 +47,13 @@
         start_response(f"{status} Scripted", [("Content-Length", str(len(data)))])
         return [data]
 
-    def stop(self):
-        self.server.kill()
-        self.listener.close()
-
 
 class CliTest(unittest.TestCase):
     """Commands against a scripted entry."""
 
     def setUp(self):
         self.entry = ScriptedEntry()
-        self.addCleanup(self.entry.stop)
-        point_commands(self, self.entry.address, TOKEN)
+        point_commands(self, serve(self, self.entry), TOKEN)
         with tempfile.NamedTemporaryFile("w", suffix=".yaml", delete=False) as file:
             file.write("service: fitting\n")
         self.addCleanup(os.unlink, file.name)
@@ -82,45 +73,32 @@
         }
         drain = {"address": "tcp://h:1", "who": "Bat", "why": "new kernel"}
         document = {"key": "service/fitting", "revision": 7, "body": "service: fitting"}
+        domains = [{"domain": "a", "revision": 8}]
+        cancelled = {"outcome": "not_run", "code": "job_cancelled"}
+        decisions = {"decisions": [DECISION]}
+
+        def get(path):
+            return "GET", path, None
+
         for argv, answer, request in (
-            (("config", "list"), {"documents": [document]}, ("GET", "/v1/config", None)),
-            (
-                ("config", "get", "service/fitting"),
-                document,
-                ("GET", "/v1/config/service/fitting", None),
-            ),
+            (("config", "list"), {"documents": [document]}, get("/v1/config")),
+            (("config", "get", "service/fitting"), document, get("/v1/config/service/fitting")),
             (
                 self.apply_arguments("--change-id", "c1"),
                 {"status": "accepted", "revision": 8},
                 ("PUT", "/v1/config/service/fitting", change),
             ),
-            (
-                ("config", "history", "team/x"),
-                {"changes": []},
-                ("GET", "/v1/config/team/x/history", None),
-            ),
-            (
-                ("config", "status"),
-                {"newest": 8, "domains": [{"domain": "a", "revision": 8}]},
-                ("GET", "/v1/config-status", None),
-            ),
+            (("config", "history", "team/x"), {"changes": []}, get("/v1/config/team/x/history")),
+            (("config", "status"), {"newest": 8, "domains": domains}, get("/v1/config-status")),
             (
                 ("drain", "tcp://h:1", "--who", "Bat", "--why", "new kernel"),
                 {},
                 ("POST", "/v1/drain", drain),
             ),
-            (("job", TICKET), {"state": "running"}, ("GET", f"/v1/jobs/{TICKET}", None)),
-            (
-                ("cancel", "--json", TICKET),
-                {"outcome": "not_run", "code": "job_cancelled"},
-                ("DELETE", f"/v1/jobs/{TICKET}", None),
-            ),
-            (
-                ("why", TICKET),
-                {"decisions": [DECISION]},
-                ("GET", f"/v1/jobs/{TICKET}/decisions", None),
-            ),
-            (("why", "d-ab-1"), DECISION, ("GET", "/v1/decisions/d-ab-1", None)),
+            (("job", TICKET), {"state": "running"}, get(f"/v1/jobs/{TICKET}")),
+            (("cancel", "--json", TICKET), cancelled, ("DELETE", f"/v1/jobs/{TICKET}", None)),
+            (("why", TICKET), decisions, get(f"/v1/jobs/{TICKET}/decisions")),
+            (("why", "d-ab-1"), DECISION, get("/v1/decisions/d-ab-1")),
         ):
             with self.subTest(argv=argv):
                 self.entry.answer = (200, answer)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -10,6 +10,7 @@
 from geraniumspool.errors import InvalidInput
 from geraniumspool.load import CancelWave, Load, LoadOptions, run_load
 from geraniumspool.workload import DECLARED_EXACT, MIXES, RandomMix, RunTimes, Widths
+from tests.small import serve
 
 MIX = RandomMix(Widths(1, 6), RunTimes(5, 5), DECLARED_EXACT, deadline_ms=400)
 JOBS = 40
@@ -27,15 +28,6 @@
         self.deleted = []
         self.held = 0
         self.most_held = 0
-        self.listener = eventlet.listen(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.server = eventlet.spawn(
-            wsgi.server, self.listener, self, log_output=False, debug=False
-        )
-
-    def stop(self):
-        self.server.kill()
-        self.listener.close()
 
     def __call__(self, environ, start_response):
         body = environ["wsgi.input"].read()
@@ -91,10 +83,8 @@
 
     def load(self, *scripts, hold_ms=0, observer=None, **options):
         self.entries = [ScriptedEntry(script, hold_ms) for script in scripts]
-        for entry in self.entries:
-            self.addCleanup(entry.stop)
         chosen = {"seconds": 0.2, "rate": JOBS / 0.2, "mix": MIX, **options}
-        addresses = [entry.address for entry in self.entries]
+        addresses = [serve(self, entry) for entry in self.entries]
         return run_load(addresses, "fitting", "opticians,guests", observer=observer, **chosen)
 
     def test_complete_jobs(self):
@@ -168,9 +158,9 @@
 
     def test_no_entry(self):
         """Jobs that never left are not run, and nothing is raised."""
-        entry = ScriptedEntry(complete)
-        entry.stop()
-        report = run_load([entry.address], "fitting", "opticians", 0.1, 100, MIX)
+        with eventlet.listen(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        report = run_load([address], "fitting", "opticians", 0.1, 100, MIX)
         self.assertEqual(report.refusals, {"no_entry": report.jobs})
         self.assertEqual(report.failed_not_run, report.jobs)
 
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -4,6 +4,7 @@
 time, and then holds all answers against the starts that the minions counted.
 """
 
+import contextlib
 import json
 import logging
 import random
@@ -38,6 +39,14 @@
         self.addCleanup(world.stop)
         return world
 
+    @contextlib.contextmanager
+    def case(self, settings=None, **names):
+        """Play one case of a table in a world of its own, then hold it."""
+        with self.subTest(**names):
+            world = self.make(**settings or {})
+            yield world
+            self.hold(world)
+
     def hold(self, world: World):
         """End all faults and hold the answers against the starts."""
         world.quiet()
@@ -254,8 +263,7 @@
             ("doubled answers meet an entry replaced", double(m.Answer, 900.0), True),
         )
         for name, switch, is_replaced in cases:
-            with self.subTest(fault=name):
-                world = self.make()
+            with self.case(fault=name) as world:
                 entry = world.entries[0]
                 switch(world.network)
                 homes = [*world.agents, *world.agents]
@@ -268,7 +276,6 @@
                 again = [world.submit(entry, world.job(home, (400.0, 90.0))) for home in homes]
                 world.run(2_000.0)
                 self.assertEqual({call.outcome for call in again}, {"complete"})
-                self.hold(world)
 
     def test_other_body_under_one_ticket(self):
         """The second body is a conflict; the first one's answer is untouched."""
@@ -300,8 +307,7 @@
         """An entry that refuses says "not run" of no job that runs elsewhere."""
         for name in ("overload", "quota"):
             for moment_ms in (0.0, 1.5, 100.0, 2_000.0):
-                with self.subTest(refusal=name, moment_ms=moment_ms):
-                    world = self.make()
+                with self.case(refusal=name, moment_ms=moment_ms) as world:
                     first, second = world.entries
                     job = world.job(world.agents[0], WIDE)
                     if name == "quota":
@@ -313,7 +319,6 @@
                     world.submit(first, job)
                     world.run(moment_ms)
                     world.submit(second, job)
-                    self.hold(world)
 
     def test_refusal_stays(self):
         """What was refused never runs, also when its late submission arrives."""
@@ -333,8 +338,7 @@
         """Before submission, while queued, while offered, while running, after."""
         for moment_ms in (None, 0.0, 1.1, 2.1, 3.1, 50.0, 299.0, 5_000.0):
             for fault in ("none", "runner cut off", "runner frozen", "revokes lost"):
-                with self.subTest(moment_ms=moment_ms, fault=fault):
-                    world = self.make()
+                with self.case(moment_ms=moment_ms, fault=fault) as world:
                     home, runner = world.agents
                     job = world.job(home, WIDE)
                     if moment_ms is not None:
@@ -349,13 +353,11 @@
                     world.cancel(world.entries[1], job)
                     world.run(3_000.0)
                     world.submit(world.entries[1], job)
-                    self.hold(world)
 
     def test_drain_that_gives_up(self):
         """A home that leaves with jobs unfinished leaves no false archive."""
         for fault in ("none", "cut off", "revokes lost"):
-            with self.subTest(fault=fault):
-                world = self.make(agents=2, drain_limit_ms=1_000.0)
+            with self.case({"agents": 2, "drain_limit_ms": 1_000.0}, fault=fault) as world:
                 home = world.agents[0]
                 others = world.agents[1:]
                 blocker = world.job(home, (20_000.0,) * 2, 60_000.0)
@@ -379,7 +381,6 @@
                 for entry in world.entries:
                     world.submit(entry, job)
                     world.submit(entry, blocker)
-                self.hold(world)
 
     def test_archive(self):
         """An archive says "not run" of a ticket never submitted, and runs nothing."""
@@ -598,8 +599,7 @@
         """Jobs of a leaving home, and tasks at a leaving runner, are finished."""
         for role in ("home", "runner"):
             for name, switch in self.FAULTS:
-                with self.subTest(role=role, fault=name):
-                    world = self.make(agents=2)
+                with self.case({"agents": 2}, role=role, fault=name) as world:
                     home = world.agents[0]
                     jobs = [world.job(home, (600.0,) * 4) for _ in range(2)]
                     calls = [world.submit(world.entries[0], job) for job in jobs]
@@ -619,7 +619,6 @@
                     again = [world.submit(entry, job) for entry in world.entries for job in jobs]
                     world.run(500.0)
                     self.assertEqual({call.outcome for call in again}, {"complete"})
-                    self.hold(world)
 
     def test_all_agents_in_turn(self):
         """A planned restart of every agent, one after another, fails no job."""
@@ -727,8 +726,7 @@
             ("digests late", delay(m.Digest, 900.0)),
         )
         for name, switch in faults:
-            with self.subTest(fault=name):
-                world = self.make()
+            with self.case(fault=name) as world:
                 switch(world.network)
                 self.accept_two(world)
                 self.settled(world, 3.0)
@@ -742,8 +740,7 @@
             ("a domain's entry and agent are replaced", self.replace_domain),
         )
         for name, strike in cases:
-            with self.subTest(case=name):
-                world = self.make()
+            with self.case(case=name) as world:
                 self.accept_two(world)
                 world.run(self.WITHIN_MS)
                 world.store.down = True
@@ -808,8 +805,7 @@
     def test_operators_race(self):
         """Of two changes on one revision one is accepted, also with answers lost."""
         for lost in (0, 1, 2):
-            with self.subTest(answers_lost=lost):
-                world = self.make()
+            with self.case(answers_lost=lost) as world:
                 world.store.slow_ms = 30.0
                 world.store.lose_answers = lost
                 outcomes = {}
--- a/tests/test_standin_minion.py
+++ b/tests/test_standin_minion.py
@@ -5,10 +5,10 @@
 
 import eventlet
 import urllib3
-from eventlet import wsgi
 
 from geraniumspool.clock import ManualClock, SystemClock
 from geraniumspool.standin_minion import ANNOUNCE_PERIOD_MS, StandinMinion
+from tests.small import serve, wait_until
 
 
 class StandinTest(unittest.TestCase):
@@ -81,10 +81,7 @@
 
     def setUp(self):
         self.calls = []
-        listener = eventlet.listen(("127.0.0.1", 0))
-        server = eventlet.spawn(wsgi.server, listener, self.agent, log_output=False)
-        self.addCleanup(server.kill)
-        self.agent_url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        self.agent_url = f"http://{serve(self, self.agent)}"
 
     def agent(self, environ, start_response):
         call = environ["REQUEST_METHOD"], environ["PATH_INFO"], environ["wsgi.input"].read()
@@ -92,11 +89,6 @@
         start_response("204 No Content", [])
         return []
 
-    def wait_for_calls(self, count):
-        with eventlet.Timeout(5):
-            while len(self.calls) < count:
-                eventlet.sleep(0.001)
-
     def test_announces_until_it_leaves(self):
         clock = ManualClock()
         standin = StandinMinion("booking", 8, 64, clock, max_size=2.5)
@@ -104,10 +96,10 @@
         self.addCleanup(standin.stop)
         self.assertFalse(standin.leave())
         standin.announce(self.agent_url)
-        self.wait_for_calls(1)
+        wait_until(lambda: len(self.calls) >= 1)
         eventlet.sleep(0.05)
         clock.advance(ANNOUNCE_PERIOD_MS)
-        self.wait_for_calls(2)
+        wait_until(lambda: len(self.calls) >= 2)
         eventlet.sleep(0.05)
         self.assertTrue(standin.leave())
         clock.advance(10 * ANNOUNCE_PERIOD_MS)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,7 +5,6 @@
 import unittest
 
 import eventlet
-import eventlet.wsgi
 import urllib3
 
 from geraniumspool.clock import ManualClock, SystemClock
@@ -21,6 +20,7 @@
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.metrics import MemoryCounters
 from geraniumspool.standin_store import StandinStore
+from tests.small import serve, wait_until
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_MS = 400.0
@@ -72,11 +72,6 @@
         self.tearDown()
         self.setUp()
 
-    def wait_until(self, condition):
-        with eventlet.Timeout(GUARD_S):
-            while not condition():
-                eventlet.sleep(0.005)
-
     def test_swap(self):
         first = self.store.swap("a", 0, b"1")
         rows = [
@@ -244,7 +239,7 @@
                 self.assertIs(attempt.wait(), error)
                 self.switch(dict.fromkeys(faults, 0))
                 self.clock.advance(LATER_MS)
-                self.wait_until(lambda value=value: self.value_of("k") == value)
+                wait_until(lambda value=value: self.value_of("k") == value)
                 self.assertEqual(self.store.list("").revision, 2 if value == old else 3)
                 failures = self.counters.get("store_failures", kind=kinds.get(name, name))
                 self.assertEqual(failures, 1 if error else 0)
@@ -340,10 +335,7 @@
         return [self.body]
 
     def test_answers(self):
-        listener = eventlet.listen((LOOPBACK, 0))
-        server = eventlet.spawn(eventlet.wsgi.server, listener, self.answer, log_output=False)
-        self.addCleanup(server.kill)
-        url = f"http://{LOOPBACK}:{listener.getsockname()[1]}"
+        url = f"http://{serve(self, self.answer)}"
         store = EtcdStore([url], SystemClock(), MemoryCounters(), TIMEOUT_MS)
         rows = [
             ("400 Bad", b'{"code":3,"message":"bad"}', StoreUnavailable, StoreUnavailable),
