Audit and tests: each record, constant and late delivery written once

The stored objects of the audit trail take their fields from the named tuples instead of repeating them. Tests share the constants of processes, the late delivery of the faulty network, the wait for a process that ends and the leaving of an agent in the proofs. All cases and assertions stay.

--- a/geraniumspool/audit.py
+++ b/geraniumspool/audit.py
@@ -71,30 +71,9 @@
     fresh: bool
 
 
-class _EnvelopeObject(TypedDict):
-    change_id: str
-    who: str
-    why: str
-    at_ms: int
-    body: str | None
-    previous: int
-    before: str | None
-
-
-class _RecordObject(TypedDict):
-    key: str
-    revision: int
-    who: str
-    at_ms: int
-    why: str
-    change_id: str
-    previous: int
-    before: str | None
-    after: str | None
-
-
-_ENVELOPES = msgspec.json.Decoder(_EnvelopeObject)
-_RECORDS = msgspec.json.Decoder(_RecordObject)
+# Stored as objects, while msgspec reads a named tuple from an array.
+_ENVELOPES = msgspec.json.Decoder(TypedDict("_EnvelopeObject", ChangeEnvelope.__annotations__))
+_RECORDS = msgspec.json.Decoder(TypedDict("_RecordObject", AuditRecord.__annotations__))
 
 
 def encode_envelope(envelope: ChangeEnvelope) -> bytes:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -48,13 +48,14 @@
         """End the process at once."""
         if self.process.poll() is None:
             self.process.kill()
-        self.process.wait(STOP_LIMIT_S)
-        self.process.stdout.close()
-        self._log.close()
+        self._wait()
 
     def terminate(self) -> int:
         """Ask the process to leave gracefully and return its exit code."""
         self.send(signal.SIGTERM)
+        return self._wait()
+
+    def _wait(self) -> int:
         code = self.process.wait(STOP_LIMIT_S)
         self.process.stdout.close()
         self._log.close()
--- a/tests/small.py
+++ b/tests/small.py
@@ -23,10 +23,9 @@
 from geraniumspool.settings import AgentSettings, EntrySettings
 from geraniumspool.standin_minion import StandinMinion
 from geraniumspool.standin_store import StandinStore
+from tests.processes import SERVICE, TEAM, TICKET_KEY, TOKEN
 
-TOKEN = "operators-token-for-tests"
-TICKET_KEY = "ticket-key-for-tests-0001"
-SERVICE, TEAM, DOMAINS = "fitting", "opticians", ("north", "south")
+DOMAINS = ("north", "south")
 SLOTS, ALL_SLOTS = 2, 2 * len(DOMAINS)
 WAIT_S, POLL_S = 20.0, 0.02
 BEAT = {"heartbeat_period_ms": 200}
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -52,6 +52,12 @@
         world.quiet()
         self.assertEqual(world.find_violations(), [])
 
+    def leave(self, world: World, process, limit_ms: float):
+        """Let a process leave, and finish all it has, within a time."""
+        leaving = eventlet.spawn(process.application.drain)
+        world.run(limit_ms)
+        self.assertTrue(leaving.wait())
+
 
 def resubmit(world: World, job: Job, entries, pauses=(250.0, 1_000.0, 4_000.0)):
     """Submit a job, and again after each pause through the next entry."""
@@ -389,19 +395,14 @@
         done, unused = world.job(home), world.job(home)
         world.submit(world.entries[0], done)
         world.run(1_000.0)
-        self.leave(world, home)
+        self.leave(world, home, 5_000.0)
+        world.kill(home)
         calls = [world.submit(world.entries[1], job) for job in (done, unused)]
         world.run(500.0)
         self.assertEqual([call.outcome for call in calls], ["complete", "not_run"])
         self.hold(world)
         self.assertEqual((world.started(done), world.started(unused)), (3, 0))
 
-    def leave(self, world, home):
-        leaving = eventlet.spawn(home.application.drain)
-        world.run(5_000.0)
-        self.assertTrue(leaving.wait())
-        world.kill(home)
-
     def test_evicted_record(self):
         """A ticket whose record may be gone may have run."""
         world = self.make(max_record_bytes=2_000)
@@ -629,9 +630,7 @@
                 kept.append(world.job(home, (200.0,) * 3))
                 world.submit(world.entries[0], kept[-1])
             world.run(60.0)
-            leaving = eventlet.spawn(leaver.application.drain)
-            world.run(3_000.0)
-            self.assertTrue(leaving.wait())
+            self.leave(world, leaver, 3_000.0)
             world.replace(leaver)
             world.run(3_000.0)
         again = [world.submit(world.entries[1], job) for job in kept]
--- a/tests/world.py
+++ b/tests/world.py
@@ -27,11 +27,8 @@
 from geraniumspool.settings import AgentSettings, EntrySettings
 from geraniumspool.ticket import Keyring
 from geraniumspool.web import Application as WebApplication
+from tests.processes import SERVICE, TEAM, TICKET_KEY, TOKEN
 
-SERVICE = "fitting"
-TEAM = "opticians"
-TOKEN = "operators-token-for-tests"
-TICKET_KEY = "ticket-key-for-tests-0001"
 JOIN_MS = 3_500.0
 QUIET_MS = 60_000.0
 END_MS = 5_000.0
@@ -171,9 +168,7 @@
             return
         if kind in self.delay_kinds and (sender.address, receiver.address) not in self.cut:
             self.sent.append((sender, receiver, message))
-            data = encode(sender, receiver.incarnation, message)
-            late = self.delay_ms + self.delay_kinds[kind]
-            self._clock.after(late, lambda: self._deliver(receiver.address, data))
+            self._carry_late(sender, receiver, message, self.delay_kinds[kind])
             return
         super().carry(sender, receiver, message)
 
@@ -182,12 +177,15 @@
         draw = self.storm.random()
         if draw < self.STORM_LOSS or (sender.address, receiver.address) in self.cut:
             return
-        data = encode(sender, receiver.incarnation, message)
         copies = 2 if draw < self.STORM_LOSS + self.STORM_DOUBLE else 1
         for _ in range(copies):
             is_late = self.storm.random() < self.STORM_LATE
-            late = self.storm.expovariate(1 / 1_500.0) if is_late else self.storm.random()
-            self._clock.after(self.delay_ms + late, lambda: self._deliver(receiver.address, data))
+            late_ms = self.storm.expovariate(1 / 1_500.0) if is_late else self.storm.random()
+            self._carry_late(sender, receiver, message, late_ms)
+
+    def _carry_late(self, sender, receiver, message, late_ms: float) -> None:
+        data = encode(sender, receiver.incarnation, message)
+        self._clock.after(self.delay_ms + late_ms, lambda: self._deliver(receiver.address, data))
 
     def clear(self) -> None:
         """Switch every fault off."""
