Stand-in minion: a task runs its whole time

Cause: timers of the hub fire up to 1.2 ms late, so the stand-in asked for 1.2 ms less.

Change: the stand-in waits until 1.2 ms before the end and for the rest by yielding, as the load tool does for its arrivals. The test moves a manual clock and failed before: at 49 ms the task was over.

Ruled out: sleeping without yielding for the rest, which would hold up the other tasks of that minion; a larger allowance, which only moves the error.

--- a/geraniumspool/standin_minion.py
+++ b/geraniumspool/standin_minion.py
@@ -34,7 +34,8 @@
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
-# epoll waits in whole milliseconds, rounded up, so a timer fires this much late.
+# epoll waits in whole milliseconds, rounded up, so timers fire up to this much
+# late; the rest is waited for by yielding, so that no task ends early either.
 TIMER_LATENESS_MS = 1.2
 
 
@@ -251,25 +252,31 @@
         self.peak_running = max(self.peak_running, self.running)
         runs = self._runs.setdefault(task_id, [])
         runs.append(done)
-        wait_ms = max(0.0, run_ms - TIMER_LATENESS_MS)
-        timer = self._clock.after(wait_ms, lambda: _send_once(done, False)) if run_ms else None
         try:
-            return done.wait() if timer else False
+            return self._wait_until(self._clock.now() + run_ms, done)
         finally:
-            if timer:
-                timer.cancel()
             self.running -= 1
             runs.remove(done)
             if not runs:
                 self._runs.pop(task_id, None)
 
+    def _wait_until(self, due_ms: float, done: Event) -> bool:
+        """Wait until a task's time is over; return whether it was stopped before."""
+        left_ms = due_ms - self._clock.now() - TIMER_LATENESS_MS
+        if left_ms > 0:
+            self._clock.wait(done, left_ms)
+        while not done.ready() and self._clock.now() < due_ms:
+            eventlet.sleep(0)
+        return done.ready()
+
     def _stop_task(self, task_id: str, start_response: StartResponse) -> list[bytes]:
         self._wait_while_frozen()
         runs = self._runs.get(task_id, [])
         if not runs:
             return _refuse(start_response, "404 Not Found", "not_running")
         for done in runs:
-            _send_once(done, True)
+            if not done.ready():
+                done.send()
         start_response("204 No Content", [])
         return []
 
@@ -351,11 +358,6 @@
         return 200 <= response.status < 300
 
 
-def _send_once(event: Event, value: bool) -> None:
-    if not event.ready():
-        event.send(value)
-
-
 def _last_part(environ: dict) -> str:
     return unquote(environ["RAW_PATH_INFO"].rpartition("/")[2])
 
--- a/tests/test_standin_minion.py
+++ b/tests/test_standin_minion.py
@@ -64,6 +64,18 @@
         self.call(standin, "PUT", "/faults", b"{}")
         self.assertEqual(200, frozen.wait()[0])
 
+    def test_runs_its_whole_time(self):
+        clock = ManualClock()
+        standin = self.start(clock=clock)
+        run = eventlet.spawn(self.post, standin, "whole", b'{"run_ms": 50}')
+        with eventlet.Timeout(5):
+            while not standin.running:
+                eventlet.sleep(0.001)
+        for passed, running in ((49.0, 1), (0.9, 1), (0.1, 0)):
+            clock.advance(passed)
+            self.assertEqual(running, standin.running)
+        self.assertEqual(200, run.wait()[0])
+
     def test_failures_repeat_with_the_seed(self):
         def statuses(seed):
             standin = self.start(seed)
