Inbox: one registration at the hub for all waits

Cause: each message made the inbox ask nng for its descriptor, register it at the hub and take it off again.

Change: the reader keeps its registration. While a handler is suspended it is taken back, so that the hub does not spin on what waits to be read.

Ruled out: handing messages over from the hub's own callback, where a handler that waits would break the inbox.

--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -8,8 +8,9 @@
 
 import eventlet
 import pynng
-from eventlet.hubs import trampoline
+from eventlet.hubs import get_hub, trampoline
 from eventlet.timeout import Timeout
+from greenlet import getcurrent
 
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.errors import MalformedMessage
@@ -143,6 +144,49 @@
         return True
 
 
+class _Arrivals:
+    """Waits for a descriptor again and again on one registration at the hub.
+
+    Registering for each wait, as ``trampoline`` does, costs more than the
+    rest of the wait.
+    """
+
+    def __init__(self, descriptor: int):
+        self._descriptor = descriptor
+        self._hub = get_hub()
+        self._listener = None
+        self._waiter = None
+
+    def wait(self) -> None:
+        """Suspend the calling green task until there is something to read."""
+        if self._listener is None:
+            self._listener = self._hub.add(
+                self._hub.READ, self._descriptor, self._wake, self._throw, None
+            )
+        self._waiter = getcurrent()
+        try:
+            self._hub.switch()
+        finally:
+            self._waiter = None
+
+    def close(self) -> None:
+        """Take the registration back; the next wait makes a new one."""
+        if self._listener is not None:
+            self._hub.remove(self._listener)
+            self._listener = None
+
+    def _wake(self, _descriptor: int) -> None:
+        # Nobody waits while a handler is suspended; the hub must not spin meanwhile.
+        if self._waiter is None:
+            self.close()
+        else:
+            self._waiter.switch()
+
+    def _throw(self, *error: object) -> None:
+        if self._waiter is not None:
+            self._waiter.throw(*error)
+
+
 class NngMessenger:
     """One Pull inbox and one Push link per peer, on eventlet's hub.
 
@@ -215,12 +259,19 @@
         return link
 
     def _read(self) -> None:
+        arrivals = _Arrivals(self._socket.recv_fd)
+        try:
+            self._read_all(arrivals)
+        finally:
+            arrivals.close()
+
+    def _read_all(self, arrivals: _Arrivals) -> None:
         burst = 0
         while True:
             try:
                 data = self._socket.recv(block=False)
             except pynng.TryAgain:
-                trampoline(self._socket.recv_fd, read=True)
+                arrivals.wait()
                 burst = 0
                 continue
             self._inbound.take(data)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -162,6 +162,21 @@
             self.one.send(three.me, Inquire(number, "t"))
         self.wait(lambda: len(received) == 2)
 
+    def test_handler_that_waits(self):
+        """Messages that arrive meanwhile are handed over after it, in order."""
+        received = []
+
+        def receive(delivery):
+            eventlet.sleep(0.02)
+            received.append(delivery.message.request)
+
+        three = self.start(33, receive=receive)
+        for number in range(5):
+            self.one.send(three.me, Inquire(number, "t"))
+            eventlet.sleep(0.01)
+        self.wait(lambda: len(received) == 5)
+        self.assertEqual(received, list(range(5)))
+
     def test_absent_then_present(self):
         """Messages to a peer that is not up yet arrive once it is."""
         address = self.two.me.address
