HTTP layer cut into modules with one job each

It keeps the application; `routes` has requests and routes, `reply` replies and problem details, `connection` one connection with its limits, `webserver` the server and its drain. Behaviour is unchanged; of the tests only the imports changed.

Nothing was measured.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -50,13 +50,15 @@
 from geraniumspool.placement import choose_placement
 from geraniumspool.records import Records
 from geraniumspool.registrar import discover_entries
+from geraniumspool.reply import Reply, reply_json
 from geraniumspool.roster import ROLE_AGENT, Roster
+from geraniumspool.routes import Request, Route
 from geraniumspool.runner import Runner
 from geraniumspool.scope import scope_by
 from geraniumspool.settings import AgentSettings
 from geraniumspool.submission import collect
 from geraniumspool.web import Application as WebApplication
-from geraniumspool.web import Reply, Request, Route, WebServer, reply_json
+from geraniumspool.webserver import WebServer
 
 _LOG = logging.getLogger(__name__)
 
--- a/geraniumspool/callers.py
+++ b/geraniumspool/callers.py
@@ -36,9 +36,10 @@
 )
 from geraniumspool.metrics import Metrics
 from geraniumspool.quota import Quotas, Shortage
+from geraniumspool.reply import Reply, reply_json, reply_problem
+from geraniumspool.routes import Request, Route
 from geraniumspool.submission import Submission, check_limits, parse_submission, parse_ticket_order
 from geraniumspool.ticket import Keyring, Ticket
-from geraniumspool.web import Reply, Request, Route, reply_json, reply_problem
 
 _LOG = logging.getLogger(__name__)
 
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -42,11 +42,12 @@
 from geraniumspool.registrar import Registrar
 from geraniumspool.registry import Registry
 from geraniumspool.roster import ROLE_ENTRY, Roster, is_final, peer_of
+from geraniumspool.routes import Route
 from geraniumspool.scope import scope_by
 from geraniumspool.settings import EntrySettings
 from geraniumspool.ticket import Keyring
 from geraniumspool.web import Application as WebApplication
-from geraniumspool.web import Route, WebServer
+from geraniumspool.webserver import WebServer
 
 _LOG = logging.getLogger(__name__)
 
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -17,10 +17,11 @@
 from geraniumspool.messages import Answer, Drain, Inquire, Member, Peer
 from geraniumspool.metrics import Metrics
 from geraniumspool.registry import Registry
+from geraniumspool.reply import Reply, reply_json
 from geraniumspool.roster import ROLE_AGENT, Roster, is_final, peer_of
+from geraniumspool.routes import Request, Route
 from geraniumspool.status import DomainStatus
 from geraniumspool.submission import Findings
-from geraniumspool.web import Reply, Request, Route, reply_json
 
 _LOG = logging.getLogger(__name__)
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -17,7 +17,10 @@
 )
 from geraniumspool.clock import ManualClock, SystemClock
 from geraniumspool.errors import LinkDown
-from geraniumspool.web import Application, Reply, Route, WebServer, reply_json, reply_problem
+from geraniumspool.reply import Reply, reply_json, reply_problem
+from geraniumspool.routes import Route
+from geraniumspool.web import Application
+from geraniumspool.webserver import WebServer
 
 DEADLINE_MS = 5000.0
 TASKS = [TaskRequest({"face": 1}, size=2.0), TaskRequest("b", run_ms=50.0)]
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -11,7 +11,10 @@
 
 from geraniumspool.clock import ManualClock, SystemClock
 from geraniumspool.errors import Finding, InvalidInput, LinkDown
-from geraniumspool.web import Application, Route, WebServer, reply_json, retry_after_s
+from geraniumspool.reply import reply_json, retry_after_s
+from geraniumspool.routes import Route
+from geraniumspool.web import Application
+from geraniumspool.webserver import WebServer
 
 MAX_BODY = 1000
 WAIT_S = 10
