Setting max_header_bytes is in force

Cause: the setting was checked and not used; the HTTP library's own bounds were in force: 8 KiB a line and 64 KiB a head, answered with 400, without problem details.

Change: a connection bounds the head, request line included, and refuses a longer one with 431 and problem details; the library's bounds are taken off. The tests failed before: a head of just the allowed length was refused, since it had a long line, and longer ones got 400.

Of the existing rows two change: "huge header" and "huge headers" now expect 431 and the code `request_malformed` where they expected 400 and no code; they are as strict, and say which bound was met.

Nothing was measured.

--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -39,6 +39,7 @@
     """What a connection needs of its server."""
 
     limits: Limits
+    max_header_bytes: int
     clock: Clock
     draining: bool
     connections: set["Connection"]
@@ -63,15 +64,23 @@
 UNATTACHED = Attachable()
 
 
+class _HeadTooLarge(Exception):
+    """A request's head is longer than allowed."""
+
+
 class _HeaderLines:
-    """Remembers the last line read, to tell a whole head from a cut one."""
+    """Bounds a head, and remembers its last line to tell a whole one from a cut one."""
 
-    def __init__(self, source: Any):
+    def __init__(self, source: Any, left: int):
         self._source = source
+        self._left = left
         self.last = b""
 
-    def readline(self, size: int = -1) -> bytes:
-        self.last = self._source.readline(size)
+    def readline(self, size: int) -> bytes:
+        self.last = self._source.readline(min(size, self._left + 1))
+        self._left -= len(self.last)
+        if self._left < 0:
+            raise _HeadTooLarge
         return self.last
 
 
@@ -176,8 +185,14 @@
 
     def parse_request(self) -> bool:
         """Read a request's head; return whether it is whole."""
-        lines = self.rfile = _HeaderLines(self.rfile)
-        if not super().parse_request():
+        # The library's own bounds are taken off: the setting is the one in force.
+        left = self._server.max_header_bytes - len(self.raw_requestline)
+        lines = self.rfile = _HeaderLines(self.rfile.fp, left)
+        try:
+            if not super().parse_request():
+                return False
+        except _HeadTooLarge:
+            self._refuse(431, f"a head may have {self._server.max_header_bytes} bytes")
             return False
         if lines.last in (b"\r\n", b"\n") and self.request_version != "HTTP/0.9":
             return True
@@ -218,9 +233,12 @@
 
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Answer a request that could not be parsed, and close."""
+        self._refuse(code, "the request could not be parsed")
+
+    def _refuse(self, code: int, detail: str) -> None:
         self.close_connection = True
         status_line = STATUS_LINES[code]
-        reply = reply_problem(code, REQUEST_MALFORMED, "the request could not be parsed")
+        reply = reply_problem(code, REQUEST_MALFORMED, detail)
         head = (
             f"HTTP/1.1 {status_line}\r\nContent-Type: {reply.content_type}\r\n"
             f"Content-Length: {len(reply.body)}\r\nConnection: close\r\n\r\n"
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -196,7 +196,8 @@
     def _serve(self, routes: list[Route], listen: str) -> WebServer:
         application = WebApplication(routes, self._settings.max_body_bytes, self.metrics, _LOG)
         connections = self._settings.max_running_jobs + 100
-        return WebServer(application, listen, self._clock, connections)
+        longest = self._settings.max_header_bytes
+        return WebServer(application, listen, self._clock, connections, longest)
 
     def _make_handlers(self) -> dict:
         return {
--- a/geraniumspool/webserver.py
+++ b/geraniumspool/webserver.py
@@ -15,6 +15,7 @@
 from geraniumspool.contracts import Clock
 
 BACKLOG = 1024
+MAX_HEADER_BYTES = 16 << 10
 SWEEP_MS = 500.0
 ACCEPT_PAUSE_S = 0.05
 SETTLE_TURNS = 5
@@ -54,6 +55,7 @@
         listen: str,
         clock: Clock,
         max_connections: int = 1024,
+        max_header_bytes: int = MAX_HEADER_BYTES,
         header_timeout_ms: float = Limits().header_ms,
         body_timeout_ms: float = Limits().body_ms,
         idle_timeout_ms: float = Limits().idle_ms,
@@ -64,6 +66,7 @@
         :param listen: ``host:port`` to bind; port 0 takes a free one
         :param clock: source of time for limits and drain
         :param max_connections: connections served at once; more wait unaccepted
+        :param max_header_bytes: longest request head; a longer one is refused
         :param header_timeout_ms: see :class:`Limits`
         :param body_timeout_ms: see :class:`Limits`
         :param idle_timeout_ms: see :class:`Limits`
@@ -71,6 +74,7 @@
         self.clock = clock
         self.limits = Limits(header_timeout_ms, body_timeout_ms, idle_timeout_ms)
         self.connections: set[Connection] = set()
+        self.max_header_bytes = max_header_bytes
         self.draining = False
         self.address = listen
         self._application = application
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -17,6 +17,7 @@
 from geraniumspool.webserver import WebServer
 
 MAX_BODY = 1000
+MAX_HEAD = 10_000
 WAIT_S = 10
 
 
@@ -51,7 +52,7 @@
     counters = FakeCounters()
     logger = logging.getLogger("tests.web")
     application = Application(routes, MAX_BODY, counters, logger)
-    server = WebServer(application, "127.0.0.1:0", clock, **options)
+    server = WebServer(application, "127.0.0.1:0", clock, max_header_bytes=MAX_HEAD, **options)
     server.start()
     return server, counters
 
@@ -89,6 +90,12 @@
     )
 
 
+def put_head(size):
+    """Return a request whose head has ``size`` bytes."""
+    short = len(put("/v1/jobs/t1", "X-Kind: "))
+    return put("/v1/jobs/t1", "X-Kind: " + "x" * (size - short))
+
+
 CHUNKED = "Transfer-Encoding: chunked"
 
 
@@ -185,12 +192,14 @@
         ("endless length", put("/v1/jobs/t1", f"Content-Length: {'9' * 5000}"), 400, None, False),
         ("negative length", put("/v1/jobs/t1", "Content-Length: -3"), 400, None, False),
         ("length and chunks", put("/v1/jobs/t1", "Content-Length: 3", CHUNKED), 400, None, False),
-        ("huge header", put("/v1/jobs/t1", "X-Kind: " + "x" * 100_000), 400, None, False),
+        ("longest head", put_head(MAX_HEAD), 200, None, True),
+        ("longest head and a byte", put_head(MAX_HEAD + 1), 431, "request_malformed", False),
+        ("endless header", put_head(100_000), 431, "request_malformed", False),
         (
             "huge headers",
             put("/v1/jobs/t1", *[f"X-{i}: " + "x" * 8000 for i in range(20)]),
-            400,
-            None,
+            431,
+            "request_malformed",
             False,
         ),
         (
