Client for callers comes without eventlet

Cause: the client's clock derived from the system's clock, whose module imports eventlet, so a caller's program got eventlet and its deprecation warning.

Change: the client's clock stands alone and a protocol says what it must do; the unit it shares with the clock has a module without imports. The test imports the client in a fresh interpreter with warnings as errors, and failed before.

Nothing was measured.

--- a/geraniumspool/client.py
+++ b/geraniumspool/client.py
@@ -12,15 +12,14 @@
 import time
 from collections import deque
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from geraniumspool.clock import MS_PER_SECOND, SystemClock
-from geraniumspool.contracts import Clock
 from geraniumspool.errors import DispatchError, LinkDown
+from geraniumspool.units import MS_PER_SECOND
 
 OUTCOME_COMPLETE = "complete"
 OUTCOME_NOT_RUN = "not_run"
@@ -116,8 +115,25 @@
     attempts: int
 
 
-class BlockingClock(SystemClock):
-    """The machine's clock; it sleeps as the caller's own program does."""
+class CallerClock(Protocol):
+    """What a client needs of a clock, in milliseconds."""
+
+    def now(self) -> float:
+        """Return monotonic time."""
+
+    def sleep(self, delay_ms: float) -> None:
+        """Suspend the calling thread, or green task."""
+
+
+class BlockingClock:
+    """The machine's clock; it sleeps as the caller's own program does.
+
+    It comes without :mod:`eventlet`, which a caller's program may not use.
+    """
+
+    def now(self) -> float:
+        """Return monotonic time in milliseconds."""
+        return time.monotonic() * MS_PER_SECOND
 
     def sleep(self, delay_ms: float) -> None:
         """Suspend the calling thread, or green task, for ``delay_ms``."""
@@ -176,7 +192,7 @@
 class _Backoff:
     """Waits between attempts: doubling, with jitter, never past the deadline."""
 
-    def __init__(self, clock: Clock, deadline: float, generator: random.Random):
+    def __init__(self, clock: CallerClock, deadline: float, generator: random.Random):
         self._clock = clock
         self._deadline = deadline
         self._random = generator
@@ -200,7 +216,7 @@
 class _Stock:
     """Tickets ahead of need; each leaves the stock once."""
 
-    def __init__(self, clock: Clock, size: int, max_age_ms: float):
+    def __init__(self, clock: CallerClock, size: int, max_age_ms: float):
         self._clock = clock
         self._size = size
         self._max_age_ms = max_age_ms
@@ -231,7 +247,7 @@
         entries: list[str],
         service: str,
         team: str,
-        clock: Clock | None = None,
+        clock: CallerClock | None = None,
         timeout_ms: float = DEFAULT_TIMEOUT_MS,
         tickets_ahead: int = 4,
         ticket_max_age_ms: float = TICKET_MAX_AGE_MS,
--- a/geraniumspool/clock.py
+++ b/geraniumspool/clock.py
@@ -9,7 +9,7 @@
 from eventlet import hubs
 from eventlet.event import Event
 
-MS_PER_SECOND = 1000.0
+from geraniumspool.units import MS_PER_SECOND
 
 
 class Timer:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -2,6 +2,8 @@
 
 import logging
 import socket
+import subprocess
+import sys
 import unittest
 from typing import Any, NamedTuple
 
@@ -193,6 +195,16 @@
 )
 
 
+class ImportTest(unittest.TestCase):
+    """What a caller's program gets with the client."""
+
+    def test_brings_neither_eventlet_nor_warnings(self):
+        code = "import sys, geraniumspool.client; sys.exit('eventlet' in sys.modules)"
+        command = [sys.executable, "-W", "error", "-c", code]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+
+
 def make_client(addresses, clock, **options):
     return Client(addresses, "fitting", "optika", clock=clock, seed=1, **options)
 
