Links: at most 320 of a process, the one used longest ago goes first

Cause: a link costs a descriptor at each end, and links were closed only after a minute without use. At the size aimed at an agent may have 551 peers both ways, 1,102 descriptors, above the usual limit of 1,024. Change: beyond 320 links the one used longest ago is closed, if nothing waits on it and it was not used for 2 s (what was sent last may not have left nng). With 551 links of peers to it, 64 connections to the minion and listeners an agent stays below 955, worked out and not measured. Ruled out: a shorter idle time for all links, which costs connections also where there are few peers; refusing to send. The bound is soft: a process that talks to more peers than that within 2 s, as an entry may, goes beyond, and needs a higher limit of descriptors. Before: the new test failed (three links open of at most two). After: passed.

--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -30,6 +30,10 @@
 INBOX_MESSAGES = 4096
 LINK_MESSAGES = 1024
 LINK_IDLE_MS = 60_000.0
+# Links of a process, and those of all its peers to it, stay below 1,024 descriptors.
+MAX_LINKS = 320
+# What was sent last may not have left yet.
+MIN_IDLE_MS = 2_000.0
 SEND_TIMEOUT_MS = 2_000.0
 FLUSH_MS = 200.0
 RECEIVE_BURST = 64
@@ -114,9 +118,12 @@
             self._flusher.kill()
         self._socket.close()
 
-    def is_idle(self, now: float) -> bool:
-        """Return whether nothing was sent for a while."""
-        return not self._waiting and now - self.used_ms > LINK_IDLE_MS
+    def is_idle(self, now: float, idle_ms: float = LINK_IDLE_MS) -> bool:
+        """Return whether nothing was sent for a while.
+
+        :param idle_ms: how long that is
+        """
+        return not self._waiting and now - self.used_ms > idle_ms
 
     def _try(self, data: bytes) -> bool:
         try:
@@ -252,12 +259,22 @@
         self._socket.close()
 
     def _link(self, address: str) -> _Link:
-        link = self._links.get(address)
+        """Return the link to an address; links are kept in the order of their last use."""
+        link = self._links.pop(address, None)
         if link is None:
+            if len(self._links) >= MAX_LINKS:
+                self._close_oldest()
             link = _Link(address, self._counters, self._clock)
-            self._links[address] = link
+        self._links[address] = link
         return link
 
+    def _close_oldest(self) -> None:
+        address, link = next(iter(self._links.items()))
+        if link.is_idle(self._clock.now(), MIN_IDLE_MS):
+            link.close()
+            del self._links[address]
+            self._counters.add("links_closed_early")
+
     def _read(self) -> None:
         arrivals = _Arrivals(self._socket.recv_fd)
         try:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,6 +3,7 @@
 import logging
 import time
 import unittest
+from unittest import mock
 
 import eventlet
 import pynng
@@ -177,6 +178,22 @@
         self.wait(lambda: len(received) == 5)
         self.assertEqual(received, list(range(5)))
 
+    def test_most_links(self):
+        """Beyond the most links the one used longest ago goes, if it is idle."""
+        others = [self.start(number) for number in (33, 44)]
+        peers = [self.two.me, *(other.me for other in others)]
+        for min_idle_ms, expected in ((-1.0, peers[1:]), (60_000.0, peers)):
+            with self.subTest(min_idle_ms=min_idle_ms):
+                patches = mock.patch.multiple(link, MAX_LINKS=2, MIN_IDLE_MS=min_idle_ms)
+                one = self.start(55)
+                with patches:
+                    for number, peer in enumerate(peers):
+                        one.send(peer, Inquire(number, "t"))
+                        self.wait(lambda peer=peer: self.got[peer.incarnation])
+                self.assertEqual(list(one._links), [peer.address for peer in expected])
+                for peer in peers:
+                    self.got[peer.incarnation].clear()
+
     def test_absent_then_present(self):
         """Messages to a peer that is not up yet arrive once it is."""
         address = self.two.me.address
