--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint measure slopes
+# Storms and other seeded tests are the same in each run only with this.
+export PYTHONHASHSEED := 0
+
+.PHONY: setup demo test lint measure slopes explore
 
 setup: $(STAMP)
 
@@ -27,3 +30,6 @@
 
 slopes: setup
 	$(PYTHON) -m benchmarks.slopes
+
+explore: setup
+	$(PYTHON) -m benchmarks.explore
