Members of an unreachable failure domain are no candidates

Cause: when a whole failure domain is lost or cut off, no entry elsewhere says anything of its members, so they stayed "ready" there. Homes that overflowed, also ones started later, went on offering to them; each such offer ended as may_have_run after 4 s and failed its job.

Change: a domain of which nothing is heard for 4 rounds of digests is unreachable. Entries find that from the revisions in force that digests carry anyway, name such domains in every reply to a heartbeat, and Roster.agents leaves their members out. States of members, open offers and tickets are untouched. Entries now pass revisions of other domains on to neighbours for 2 rounds after they were heard, not for the timeout, so that second-hand news ends soon; what is known of a silent domain stays known.

Ruled out (docs/decisions/membership.md): a state of each member told as a change; declaring members dead, which is untrue behind a partition.

Existing tests of the registry are unchanged but for one more assertion; its log lines are now silenced.

Left: a domain that lost its entries and part of its agents, with others beating elsewhere, counts as reachable.

--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -138,6 +138,7 @@
             self._target = sender
             self._asked_ms = None
         self._avoided.pop(sender, None)
+        self._roster.set_unreachable(reply.unreachable)
         for member in reply.members:
             if is_foreign_news(member, self._messenger.me):
                 self._roster.observe(member, revive=True)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -313,6 +313,7 @@
     :param members: changed members
     :param loads: sample of members' loads, by address and incarnation
     :param period_ms: how long to wait before the next heartbeat
+    :param unreachable: failure domains that the entry hears nothing of
     """
 
     roster_version: int
@@ -322,6 +323,7 @@
     config_revision: int
     documents: tuple[Document, ...]
     period_ms: float
+    unreachable: tuple[str, ...] = ()
 
 
 class Digest(NamedTuple):
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -56,6 +56,8 @@
 REFRESH_PER_DIGEST = 16
 REFRESH_TURNS = 3
 PROBE_ROUNDS = 5
+TOLD_ROUNDS = 2
+SILENT_ROUNDS = 4
 DOCUMENT_BYTES = 16_384
 PUSHES_AT_ONCE = 16
 PUSH_PAUSE_MS = 50.0
@@ -160,6 +162,7 @@
         self._rings: dict[str, _Ring] = {}
         self._best: dict[tuple[str, str], tuple[float, list[Member]]] = {}
         self._rounds = 0
+        self._started_ms = clock.now()
         self._push_timer = Timer(lambda: None)
         roster.subscribe(self._drop_rings)
         roster.observe(me(), revive=True)
@@ -189,6 +192,7 @@
             _LOG.info("%s %s is silent", member.role, member.address)
         self._forget()
         self._prune()
+        self._watch_domains()
         self._send_digests()
         if self._rounds % PROBE_ROUNDS == 0:
             self._probe_silent()
@@ -223,6 +227,7 @@
             digest.config_revision,
         )
         self._note_afar(digest)
+        self._watch_domains()
         if digest.documents:
             self._configuration.apply(digest.documents)
         if digest.reply:
@@ -323,8 +328,16 @@
         documents: tuple[Document, ...] = (),
         version: int = 0,
     ) -> HeartbeatReply:
-        revision = self._configuration.revision
-        return HeartbeatReply(version, whole, members, hints, revision, documents, self.period_ms)
+        return HeartbeatReply(
+            version,
+            whole,
+            members,
+            hints,
+            self._configuration.revision,
+            documents,
+            self.period_ms,
+            tuple(sorted(self._roster.unreachable)),
+        )
 
     def _documents(self, revision: int) -> tuple[Document, ...]:
         if revision >= self._configuration.revision:
@@ -426,6 +439,22 @@
             if self._roster.sighting(peer) == nobody:
                 self._roster.watch(peer)
 
+    def _watch_domains(self) -> None:
+        """Tell the roster of which failure domains nothing is heard any more."""
+        now = self._clock.now()
+        served = self._served_revisions()
+        silent = set()
+        for domain in self._roster.domains():
+            news = self._afar.get(domain)
+            heard_ms = news.heard_ms if news else self._started_ms
+            if domain not in served and now - heard_ms > SILENT_ROUNDS * self._floor_ms:
+                silent.add(domain)
+        before = self._roster.unreachable
+        self._roster.set_unreachable(silent)
+        for domain in sorted(self._roster.unreachable ^ before):
+            state = "unreachable" if domain in self._roster.unreachable else "reachable"
+            _LOG.warning("failure domain %s is %s", domain, state)
+
     def _learnt_timeout_ms(self) -> float:
         turns = 1 + math.ceil(len(self._roster.members()) / REFRESH_PER_DIGEST)
         return self.timeout_ms + REFRESH_TURNS * turns * self._floor_ms
@@ -596,7 +625,7 @@
         fresh = {
             domain: news.revision
             for domain, news in self._afar.items()
-            if news.direct and now - news.heard_ms <= self._timeout_ms
+            if news.direct and now - news.heard_ms <= TOLD_ROUNDS * self._floor_ms
         }
         return fresh | self._served_revisions()
 
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -20,7 +20,7 @@
 incarnation that is not current is ``dead``, unless it has ``left``.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from geraniumspool.contracts import Clock
@@ -104,7 +104,7 @@
     """All members known to one process, with indexes for quick queries."""
 
     def __init__(self, clock: Clock, domain: str, remember_ms: float = REMEMBER_MS):
-        """Start without any member.
+        """Start without any member and with no failure domain unreachable.
 
         :param clock: source of time
         :param domain: failure domain of this process
@@ -112,6 +112,7 @@
         """
         self.domain = domain
         self.version = 0
+        self.unreachable: frozenset[str] = frozenset()
         self._clock = clock
         self._remember_ms = remember_ms
         self._forgotten_version = 0
@@ -264,14 +265,21 @@
         return self._records[peer].member if peer else None
 
     def agents(self, service: str, domain: str | None = None) -> list[Member]:
-        """Return the ready agents of a service.
+        """Return the ready agents of a service, without those of unreachable domains.
 
         :param domain: failure domain to stay in, or None for all
         """
         domains = self._ready.get(service, {})
-        if domain is not None:
-            return list(domains.get(domain, {}).values())
-        return [member for agents in domains.values() for member in agents.values()]
+        names = domains if domain is None else (domain,)
+        reachable = [domains[n] for n in names if n in domains and n not in self.unreachable]
+        return [member for agents in reachable for member in agents.values()]
+
+    def set_unreachable(self, domains: Iterable[str]) -> None:
+        """Take which failure domains nothing is heard of; the own one never is.
+
+        Their members stay what they are, but are no candidates.
+        """
+        self.unreachable = frozenset(domains) - {self.domain}
 
     def entries(self) -> list[Member]:
         """Return the entries that are neither dead nor left."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,5 +1,6 @@
 """Tests of the membership at the entries, with agents that beat at them."""
 
+import logging
 import random
 import unittest
 from collections import Counter
@@ -12,6 +13,8 @@
     FOREIGN_MEMBERS,
     HINTS_PER_REPLY,
     PUSHES_AT_ONCE,
+    SILENT_ROUNDS,
+    TOLD_ROUNDS,
     Registry,
 )
 from geraniumspool.roster import Roster, peer_of
@@ -22,6 +25,14 @@
 BUDGET_BYTES_PER_S = 2_000
 
 
+def setUpModule():  # noqa: N802
+    logging.disable(logging.CRITICAL)
+
+
+def tearDownModule():  # noqa: N802
+    logging.disable(logging.NOTSET)
+
+
 class Process:
     """An entry or an agent on a network in memory."""
 
@@ -191,6 +202,18 @@
         self.network.run(12)
         self.check_states(agent, "dead")
 
+    def test_unreachable_domain_is_known_to_all_within_a_few_rounds(self):
+        """Also at the entries that get no digest from there themselves."""
+        self.network.cut.add(frozenset({"north", "south"}))
+        for rounds, known in ((SILENT_ROUNDS, False), (TOLD_ROUNDS + 2, True)):
+            self.network.run(rounds)
+            for process in self.everybody():
+                near = {m.domain for m in process.roster.agents("fitting")}
+                self.assertEqual(near == {process.member.domain}, known, process.me.address)
+        self.network.cut.clear()
+        self.network.run(2)
+        self.assertEqual({p.roster.unreachable for p in self.everybody()}, {frozenset()})
+
     def test_partition_between_domains_kills_nobody(self):
         """It lasts longer than dead members are remembered."""
         self.network.cut.add(frozenset({"north", "south"}))
@@ -221,6 +244,7 @@
         self.network.run(60)
         for agent in self.agents:
             self.check_states(agent, "ready")
+        self.assertEqual({p.roster.unreachable for p in self.everybody()}, {frozenset()})
         for entry in self.entries[2:]:
             entry.paused = False
         self.network.run(40)
