Registry cut into modules with one job each

Behaviour is unchanged: code was moved and parts are handed to each other's constructors.

registry (214 lines) takes heartbeats and digests and does the rounds; replies, windows and hints make the replies to heartbeats; digests and reports send digests and keep the others'; revisions keeps what is in force per failure domain. Tests and benchmarks changed in their imports only.

--- a/benchmarks/slope_configuration.py
+++ b/benchmarks/slope_configuration.py
@@ -9,7 +9,8 @@
 from geraniumspool.messages import Document, Peer
 from geraniumspool.metrics import MemoryCounters
 from geraniumspool.quota import Quotas
-from geraniumspool.registry import PUSH_PAUSE_MS, PeerDemand
+from geraniumspool.replies import PUSH_PAUSE_MS
+from geraniumspool.reports import PeerDemand
 
 TEAM_COUNTS = (67, 335, 670)
 REPORT_COUNTS = (1, 7, 15, 29)
--- a/geraniumspool/quota.py
+++ b/geraniumspool/quota.py
@@ -13,7 +13,7 @@
 
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock
-from geraniumspool.registry import Demand, PeerDemand
+from geraniumspool.reports import Demand, PeerDemand
 
 DEMAND_WINDOW_MS = 5_000.0
 BURST_MS = 1_000.0
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,16 +8,13 @@
 from geraniumspool import messages
 from geraniumspool.clock import ManualClock
 from geraniumspool.heartbeat import Heartbeater
+from geraniumspool.hints import HINTS_PER_REPLY
 from geraniumspool.messages import Digest, Document, Heartbeat, HeartbeatReply, Load, Member, Peer
-from geraniumspool.registry import (
-    FOREIGN_MEMBERS,
-    HINTS_PER_REPLY,
-    PUSHES_AT_ONCE,
-    SILENT_ROUNDS,
-    TOLD_ROUNDS,
-    Registry,
-)
+from geraniumspool.registry import Registry
+from geraniumspool.replies import PUSHES_AT_ONCE
+from geraniumspool.revisions import SILENT_ROUNDS, TOLD_ROUNDS
 from geraniumspool.roster import Roster, peer_of
+from geraniumspool.windows import FOREIGN_MEMBERS
 from tests.test_heartbeat import FakeConfiguration, RecordingMessenger
 
 PERIOD_MS = 2_000.0
