Digests tell demand of teams with a quota, and what changed of it

Cause: each digest repeated tasks a second and running tasks of every active team, 28 bytes a row, to 15 receivers: up to 281 KB/s at 670 teams.

Change: Quotas.demand has the teams with a quota alone, and keeps the rate told last until it moved by a tenth (of it, or of an equal part of the quota) or for 10 s. Digests carry rows that differ from those sent to the same receiver, and all rows every 16th time (field all_demand, last in Digest). Whole numbers shorten a row.

Ruled out: a threshold by the whole quota (hides a common rise of 30 %); rates averaged over longer (shares would follow later).

Tests: test_demand_is_forgotten gives its team a quota, since demand without one is not told now; what it asserts is unchanged. New cases for what is told, and for lost digests.

--- a/benchmarks/slope_configuration.py
+++ b/benchmarks/slope_configuration.py
@@ -1,9 +1,11 @@
 """Slopes of the configuration and of quotas: generated teams and services."""
 
+import random
+
 import msgspec
 
 from benchmarks.slope_fit import Point, Slope, fit, median_us, memory_bytes
-from benchmarks.slope_membership import EntrySide
+from benchmarks.slope_membership import DOMAINS, PERIOD_MS, EntrySide
 from geraniumspool.clock import ManualClock
 from geraniumspool.configuration import Configuration
 from geraniumspool.messages import Document, Peer
@@ -17,6 +19,12 @@
 SERVICES_PER_TEAM = 0.1
 CHANGES = 20
 FULL_TEAMS = 670
+ENTRIES = 30
+JOB_TASKS = 8
+JOBS_PER_S = 180_000 / ENTRIES / FULL_TEAMS / JOB_TASKS
+DEMAND_ROUNDS = 32
+WARM_ROUNDS = 10
+DRAWS = 10
 
 
 def make_documents(teams: int) -> list[Document]:
@@ -43,7 +51,13 @@
 
 def measure_configuration() -> list[Slope]:
     """Return the slopes of documents, changes and quotas."""
-    return [*_measure_documents(), *_measure_push(), *_measure_quotas(), *_measure_reports()]
+    return [
+        *_measure_documents(),
+        *_measure_push(),
+        *_measure_quotas(),
+        *_measure_reports(),
+        *_measure_demand(),
+    ]
 
 
 def _measure_documents() -> list[Slope]:
@@ -149,3 +163,32 @@
         fit("quotas: demand told once, 670 teams / reports", "us of processor", demands),
         fit("quotas: one job counted in, 670 teams / reports", "us of processor", takes),
     ]
+
+
+def _measure_demand() -> list[Slope]:
+    """Bytes of the digests of a speaker whose teams submit at random at the peak's mean."""
+    slopes = []
+    for name, document in (("with a quota", {"rate_tasks_per_s": 270}), ("without", {})):
+        points = [Point(teams, _count_demand(teams, document)) for teams in (0, *TEAM_COUNTS)]
+        what = f"entry: digests a round, active teams {name} / teams"
+        slopes.append(fit(what, "bytes", points))
+    return slopes
+
+
+def _count_demand(teams: int, document: dict) -> float:
+    clock = ManualClock()
+    names = [f"team-{number:03}" for number in range(teams)]
+    documents = [_make(f"team/{name}", n + 1, document) for n, name in enumerate(names)]
+    quotas = Quotas(clock, _fill(documents), list, lambda: ENTRIES)
+    side = EntrySide(DOMAINS, True, quotas.demand, clock)
+    draw = random.Random(1)
+    for number in range(WARM_ROUNDS + DEMAND_ROUNDS):
+        if number == WARM_ROUNDS:
+            side.outbox.reset()
+        for name in names * DRAWS:
+            if draw.random() < JOBS_PER_S * PERIOD_MS / 1000.0 / DRAWS:
+                quotas.take(name, JOB_TASKS)
+                quotas.give_back(name, JOB_TASKS)
+        side.let_pass()
+        side.registry.run_round()
+    return side.outbox.bytes / DEMAND_ROUNDS
--- a/benchmarks/slope_membership.py
+++ b/benchmarks/slope_membership.py
@@ -1,5 +1,7 @@
 """Slopes of the membership: generated members at one agent and at one entry."""
 
+from collections.abc import Callable
+
 from benchmarks.slope_fit import Point, Slope, fit, median_us, memory_bytes, processor_us
 from geraniumspool.clock import ManualClock
 from geraniumspool.configuration import Configuration
@@ -77,13 +79,20 @@
     :ivar near: agents of its failure domain, all beating at it
     """
 
-    def __init__(self, members: int, join: bool = True):
+    def __init__(
+        self,
+        members: int,
+        join: bool = True,
+        demand: Callable[[], tuple] = tuple,
+        clock: ManualClock | None = None,
+    ):
         """Build the registry.
 
         :param members: agents in the whole system
         :param join: whether the agents of the own domain are known already
+        :param demand: returns the teams' demand at this entry
         """
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.me = make_member(0, 0, ROLE_ENTRY)
         self.outbox = Outbox(peer_of(self.me))
         self.roster = Roster(self.clock, self.me.domain)
@@ -96,6 +105,7 @@
             lambda: self.me,
             PERIOD_MS,
             TIMEOUT_MS,
+            demand,
         )
         self.per_domain = max(1, members // DOMAINS)
         self.entries = [
@@ -139,6 +149,14 @@
         else:
             self.registry.take_heartbeat(delivery.sender, delivery.message)
 
+    def let_pass(self) -> None:
+        """Let a period pass in which every process was heard."""
+        self.clock.advance(PERIOD_MS)
+        for entry in self.entries:
+            self.registry.take_digest(peer_of(entry), self.digest(entry, False))
+        for data in self.heartbeats(len(self.near)):
+            self.take(data)
+
     def heartbeats(self, count: int) -> list[bytes]:
         """Return coded heartbeats of agents that know the present roster."""
         members = [self.near[number % len(self.near)] for number in range(count)]
@@ -222,11 +240,11 @@
     for members in SIZES:
         side = EntrySide(members)
         for _ in range(2):
-            _advance(side)
+            side.let_pass()
             side.registry.run_round()
         steps = []
         for _ in range(TIMED_ROUNDS):
-            _advance(side)
+            side.let_pass()
             side.outbox.reset()
             steps.append(processor_us(side.registry.run_round))
         rounds.append(Point(members, sorted(steps)[TIMED_ROUNDS // 2]))
@@ -268,15 +286,6 @@
     ]
 
 
-def _advance(side: EntrySide) -> None:
-    """Let a period pass in which every process was heard."""
-    side.clock.advance(PERIOD_MS)
-    for entry in side.entries:
-        side.registry.take_digest(peer_of(entry), side.digest(entry, False))
-    for data in side.heartbeats(len(side.near)):
-        side.take(data)
-
-
 def _measure_domain_start() -> list[Slope]:
     """Cost at one entry when every agent of its failure domain starts at once."""
     taken, sizes = [], []
--- a/geraniumspool/digests.py
+++ b/geraniumspool/digests.py
@@ -2,7 +2,7 @@
 
 A digest carries what changed since the last one to the same receiver, and a
 few members in turn besides. These refresh the loads and make up for lost
-digests.
+digests. Of the teams' demand it carries what changed, and now and then all.
 """
 
 from collections.abc import Callable, Iterator
@@ -12,11 +12,12 @@
 from geraniumspool.heartbeat import weigh
 from geraniumspool.messages import MEMBER_LEAVING, Digest, Member, Peer
 from geraniumspool.replies import Replies
-from geraniumspool.reports import Demand, Reports
+from geraniumspool.reports import Demand, Reports, find_changes
 from geraniumspool.revisions import Revisions
 from geraniumspool.roster import Roster, Sighting, peer_of
 
 REFRESH_PER_DIGEST = 16
+DEMAND_REFRESH_DIGESTS = 16
 
 _Bare = tuple
 
@@ -33,9 +34,11 @@
 
 
 class _Link:
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.sent: dict[Peer, _Bare] | None = None
-        self.turn = 0
+        self.demand: Demand = ()
+        self.digests = 0
 
 
 class Digests:
@@ -125,24 +128,28 @@
 
     def _send(self, receiver: Member, view: _View, answer: bool = False) -> None:
         peer = peer_of(receiver)
-        link = self._links.setdefault(peer, _Link())
+        link = self._links.setdefault(peer, _Link(len(self._links)))
         changed = _choose_changed(link, view)
         report = self._reports.get(peer)
         told = report.config_revision if report else None
         behind = told is None or told < self._configuration.revision
+        is_turn = (link.digests + link.number) % DEMAND_REFRESH_DIGESTS == 0
+        all_demand = link.sent is None or is_turn
         digest = Digest(
             sender=self._me(),
             whole=link.sent is None,
             members=tuple(changed),
-            demand=view.demand,
+            demand=view.demand if all_demand else find_changes(link.demand, view.demand),
             in_force=view.in_force,
             config_revision=self._configuration.revision,
             documents=() if told is None else self._replies.documents(told),
             reply=behind and not answer,
+            all_demand=all_demand,
         )
         if self._messenger.send(peer, digest):
             link.sent = view.bare
-            link.turn += REFRESH_PER_DIGEST
+            link.demand = view.demand
+            link.digests += 1
 
     def _near_members(self) -> dict[Peer, Member]:
         return {
@@ -194,8 +201,9 @@
     sent = link.sent
     chosen = {key: members[key] for key, bare in view.bare.items() if sent.get(key) != bare}
     order = list(members)
+    turn = link.digests * REFRESH_PER_DIGEST
     for step in range(min(REFRESH_PER_DIGEST, len(order))):
-        key = order[(link.turn + step) % len(order)]
+        key = order[(turn + step) % len(order)]
         chosen[key] = members[key]
     return list(chosen.values())
 
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -330,10 +330,12 @@
     """Entry to entry: members it hears from, and its newest configuration.
 
     :param whole: whether ``members`` is all that the sender hears from
-    :param demand: tasks a second and running tasks, per team, at the sender
+    :param demand: tasks a second and running tasks at the sender, per team that has a
+        quota; those that changed, with zeros where there are none any more
     :param in_force: lowest configuration revision per failure domain it serves
     :param config_revision: newest configuration revision the sender has
     :param reply: whether the receiver should answer with its own digest
+    :param all_demand: whether ``demand`` has all teams and not the changed ones alone
     """
 
     sender: Member
@@ -344,6 +346,7 @@
     config_revision: int
     documents: tuple[Document, ...]
     reply: bool = False
+    all_demand: bool = False
 
 
 class Record(NamedTuple):
--- a/geraniumspool/quota.py
+++ b/geraniumspool/quota.py
@@ -2,7 +2,8 @@
 
 Each entry takes the part of a quota that its share of the team's demand
 gives it. Demand travels in the entries' digests, so the sum over entries
-may overshoot for about one digest period after demand moves.
+may overshoot for about one digest period after demand moves. It is told of
+teams that have a quota, and anew when it has moved by more than a tenth.
 """
 
 import itertools
@@ -13,13 +14,18 @@
 
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock
-from geraniumspool.reports import Demand, PeerDemand
+from geraniumspool.reports import Demand, DemandRow, PeerDemand
 
 DEMAND_WINDOW_MS = 5_000.0
 BURST_MS = 1_000.0
 MIN_RETRY_MS = 20.0
 FORGET_BELOW = 0.001
 MAX_TEAMS = 5_000
+TOLD_CHANGE = 0.1
+TOLD_AGE_MS = 10_000.0
+OTHERS_MARGIN = 0.02
+MIN_TOLD_RATE = 0.1
+WHOLE_FROM = 10.0
 
 
 class Shortage(NamedTuple):
@@ -37,6 +43,8 @@
 
     def __init__(self, now: float):
         self.rate = 0.0
+        self.told: DemandRow | None = None
+        self.told_ms = 0.0
         self.running = 0
         self.tokens = math.inf
         self.updated_ms = now
@@ -88,16 +96,35 @@
             usage.running = max(0, usage.running - tasks)
 
     def demand(self) -> Demand:
-        """Return tasks a second and running tasks, per team."""
+        """Return tasks a second and running tasks, of each team that has a quota.
+
+        The rate is the one told last while it has not moved by a tenth, of it
+        or of an equal part of the quota, and that was lately. Running tasks are
+        those of that time.
+        """
         rows = []
         for team in list(self._teams):
             usage = self._update(team)
             if usage.rate < FORGET_BELOW and usage.running == 0:
                 del self._teams[team]
                 continue
-            rows.append((team, round(usage.rate, 3), float(usage.running)))
+            limits = self._configuration.team(team)
+            if limits.rate_tasks_per_s is None and limits.running_tasks is None:
+                continue
+            rows.append(self._tell(team, usage, limits.rate_tasks_per_s or 0.0))
         return tuple(rows)
 
+    def _tell(self, team: str, usage: _Usage, limit: float) -> DemandRow:
+        told, now = usage.told, self._clock.now()
+        if told is not None and now - usage.told_ms < TOLD_AGE_MS:
+            scale = max(told[1], limit / max(1, self._entries()), MIN_TOLD_RATE)
+            if abs(usage.rate - told[1]) <= TOLD_CHANGE * scale:
+                return told
+        # Whole numbers take fewer bytes in a message.
+        rate = round(usage.rate) if usage.rate >= WHOLE_FROM else round(usage.rate, 3)
+        usage.told, usage.told_ms = (team, rate, usage.running), now
+        return usage.told
+
     def _update(self, team: str) -> _Usage:
         now = self._clock.now()
         usage = self._teams.get(team)
@@ -121,7 +148,8 @@
         return next(idle, next(iter(self._teams)))
 
     def _share(self, team: str, usage: _Usage) -> float:
-        others = self._others_rates().get(team, 0.0)
+        # Rates that rise are told late; without a margin the sum ends above the quota.
+        others = self._others_rates().get(team, 0.0) * (1 + OTHERS_MARGIN)
         equal = 1.0 / max(1, self._entries())
         if others <= 0:
             return 1.0
--- a/geraniumspool/reports.py
+++ b/geraniumspool/reports.py
@@ -5,7 +5,8 @@
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import Digest, Peer
 
-Demand = tuple[tuple[str, float, float], ...]
+DemandRow = tuple[str, float, float]
+Demand = tuple[DemandRow, ...]
 
 
 class PeerDemand(NamedTuple):
@@ -49,10 +50,12 @@
 
     def take(self, sender: Peer, digest: Digest) -> None:
         """Keep what a digest says."""
+        report = self._reports.get(sender)
+        known = report.demand if report and not digest.all_demand else ()
         self._reports[sender] = Report(
             digest.sender.domain,
             self._clock.now(),
-            digest.demand,
+            merge(known, digest.demand),
             digest.in_force,
             digest.config_revision,
         )
@@ -77,3 +80,23 @@
         """
         for peer in [peer for peer in self._reports if peer not in living]:
             del self._reports[peer]
+
+
+def merge(known: Demand, changes: Demand) -> Demand:
+    """Return demand after changes.
+
+    :param changes: rows that are new or differ; of a team that has no demand any more, zeros
+    """
+    if not changes:
+        return known
+    rows = {row[0]: row for row in (*known, *changes)}
+    return tuple(row for row in rows.values() if any(row[1:]))
+
+
+def find_changes(told: Demand, demand: Demand) -> Demand:
+    """Return the changes that make ``demand`` of what was told."""
+    if told is demand:
+        return ()
+    before = {row[0]: row for row in told}
+    changes = [row for row in demand if before.pop(row[0], None) != row]
+    return (*changes, *((team, 0, 0) for team in before))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -5,7 +5,7 @@
 
 from geraniumspool.clock import ManualClock
 from geraniumspool.documents import TeamDocument
-from geraniumspool.quota import MAX_TEAMS, Quotas
+from geraniumspool.quota import MAX_TEAMS, TOLD_AGE_MS, Quotas
 
 TEAM = "opticians"
 STEPS_PER_DIGEST = 50
@@ -184,6 +184,7 @@
 
     def test_demand_is_forgotten(self):
         """Teams that went quiet are dropped, and their number is bounded."""
+        self.limits = TeamDocument(rate_tasks_per_s=1_000)
         quotas = self.add_entry()
         quotas.take("quiet", 1)
         quotas.give_back("quiet", 1)
@@ -194,6 +195,28 @@
             quotas.take(f"team-{number}", 1)
         self.assertEqual(len(quotas.demand()), MAX_TEAMS)
 
+    def test_demand_is_told_of_quotas_and_of_changes(self):
+        """Each case: limits, tasks after the first, the time passed, and the rate told then."""
+        part = {"rate_tasks_per_s": 100}
+        cases = (
+            ("no quota", {}, 100, 0, None),
+            ("below a tenth of the quota's part", part, 10, 0, 0.2),
+            ("a tenth of it and more", part, 60, 0, 12),
+            ("little, some time ago", part, 10, TOLD_AGE_MS, 0.298),
+            ("running tasks alone", {"running_tasks": 100}, 1, 0, 0.4),
+        )
+        for name, limits, tasks, passed_ms, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.limits = TeamDocument(**limits)
+                quotas = self.add_entry()
+                self.taken(quotas, 1)
+                quotas.demand()
+                self.taken(quotas, tasks)
+                self.clock.advance(passed_ms)
+                told = {team: rate for team, rate, _ in quotas.demand()}
+                self.assertEqual(told.get(TEAM), expected)
+
     def test_many_teams_do_not_lift_a_limit(self):
         """A flood of made-up team names does not free a team's running tasks."""
         self.limits = TeamDocument(running_tasks=1)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,6 +7,7 @@
 
 from geraniumspool import messages
 from geraniumspool.clock import ManualClock
+from geraniumspool.digests import DEMAND_REFRESH_DIGESTS
 from geraniumspool.heartbeat import Heartbeater
 from geraniumspool.hints import HINTS_PER_REPLY
 from geraniumspool.messages import Digest, Document, Heartbeat, HeartbeatReply, Load, Member, Peer
@@ -41,6 +42,7 @@
         self.member = Member(address, incarnation, domain, role, "ready", service)
         self.me = peer_of(self.member)
         self.paused = False
+        self.demand = (("opticians", 1.0, 2.0),)
         self.roster = Roster(network.clock, domain)
         self.configuration = FakeConfiguration()
         common = (self, self.roster, network.clock)
@@ -51,7 +53,7 @@
                 lambda: self.member,
                 PERIOD_MS,
                 TIMEOUT_MS,
-                lambda: (("opticians", 1.0, 2.0),),
+                lambda: self.demand,
             )
         else:
             self.part = Heartbeater(*common, lambda: self.member, self.configuration, PERIOD_MS)
@@ -302,6 +304,26 @@
         self.assertEqual(totals[one], 4)
         self.assertEqual(totals[both], 2)
 
+    def test_changed_demand_is_told_also_after_lost_digests(self):
+        """Each case: new demand, rounds whose digests are lost, rounds until it is known."""
+        self.network.run(2)
+        first, second = self.entries[:2]
+        cases = (
+            ("more and new", (("opticians", 3.0, 2.0), ("tailors", 1.0, 1.0)), 0, 1),
+            ("one gone", (("tailors", 1.0, 1.0),), 0, 1),
+            ("all gone, lost", (), 2, DEMAND_REFRESH_DIGESTS),
+            ("back, lost", (("tailors", 2.0, 1.0),), 2, DEMAND_REFRESH_DIGESTS),
+        )
+        for name, demand, lost, rounds in cases:
+            with self.subTest(name):
+                second.demand = demand
+                self.network.cut.add(frozenset({"north"}))
+                self.network.run(lost)
+                self.network.cut.clear()
+                self.network.run(rounds)
+                told = {report.entry: report.demand for report in first.part.peers_demand()}
+                self.assertEqual(told[second.me], demand)
+
     def test_quiet_fleet_sends_one_heartbeat_a_period_and_few_digests(self):
         self.network.count.clear()
         self.network.run(10)
