Loads of workers in replies only to agents where tasks wait

Cause: each reply to a heartbeat carried 16 loads, 1.0 KB of its 1.1 KB, also to homes with nothing to place. Results, answers and offers carry loads too.

Change: a reply has loads where the heartbeat's own load says that tasks wait at the home (backlog_ms above 0).

The membership slopes take both kinds.

Not run: real processes.

--- a/benchmarks/slope_membership.py
+++ b/benchmarks/slope_membership.py
@@ -194,9 +194,15 @@
 
 
 def _measure_heartbeats() -> list[Slope]:
+    return [*_time_heartbeats("", 0.0), *_time_heartbeats(" where tasks wait", 100.0)]
+
+
+def _time_heartbeats(which: str, backlog_ms: float) -> list[Slope]:
     taken, sizes, lengths = [], [], []
     for members in SIZES:
         side = EntrySide(members)
+        loaded = [m._replace(load=m.load._replace(backlog_ms=backlog_ms)) for m in side.near]
+        side.near = loaded
         beats = side.heartbeats(TIMED_HEARTBEATS)
         for data in beats[: len(side.near)]:
             side.take(data)
@@ -205,9 +211,9 @@
         sizes.append(Point(members, side.outbox.bytes / side.outbox.messages))
         lengths.append(Point(members, sum(map(len, beats)) / len(beats)))
     return [
-        fit("entry: heartbeat taken and replied / members", "us of processor", taken),
-        fit("entry: reply to a heartbeat / members", "bytes", sizes),
-        fit("agent: heartbeat / members", "bytes", lengths),
+        fit(f"entry: heartbeat{which} taken and replied / members", "us of processor", taken),
+        fit(f"entry: reply to a heartbeat{which} / members", "bytes", sizes),
+        fit(f"agent: heartbeat{which} / members", "bytes", lengths),
     ]
 
 
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -311,7 +311,7 @@
 
     :param whole: whether ``members`` is the whole roster
     :param members: changed members
-    :param loads: sample of members' loads, by address and incarnation
+    :param loads: sample of members' loads, by address and incarnation, where tasks wait
     :param period_ms: how long to wait before the next heartbeat
     :param unreachable: failure domains that the entry hears nothing of
     """
--- a/geraniumspool/replies.py
+++ b/geraniumspool/replies.py
@@ -2,7 +2,9 @@
 
 A reply holds the changes of the roster since the version that the agent has:
 all of its own failure domain and of the entries, and of other domains those
-in its window. Whoever comes without a version gets all of it.
+in its window. Whoever comes without a version gets all of it. Agents at which
+tasks wait are told loads of workers as well; the others learn those from
+offers and results.
 """
 
 import random
@@ -147,7 +149,8 @@
             heartbeat.config_revision, known, self._roster.version, window
         )
         members = self._select_members(member, version, whole, known, window)
-        hints = self._hints.choose(member, window)
+        waits = member.load.backlog_ms > 0
+        hints = self._hints.choose(member, window) if waits else ()
         return self._make(whole, members, hints, documents, self._roster.version)
 
     def _make(
