Short heartbeats, and cheaper replies to them

An entry compared the whole member twice, and walked half of the ring of other domains' members for each reply.

Change: ShortHeartbeat (last of the message kinds) has the member's version, its load and two revisions. An agent sends it to an entry that answered its last whole heartbeat, and a whole one after 30. An entry that does not know this version from the agent itself asks for the whole (HeartbeatReply.again). Windows of foreign members are kept with their ring. Loads travel as whole numbers, rounded up, which also shortens hints and digests.

Ruled out: leaving out the addresses of hints by naming incarnations alone (450 bytes of a reply with hints, worked out); it needs the roster in more places of the agent.

Tests: proofs that lose or double heartbeats do so with the short ones as well, with as many of each, which is harder than before.

--- a/benchmarks/counts.py
+++ b/benchmarks/counts.py
@@ -7,7 +7,15 @@
 from tests.processes import Fleet
 
 CONTROL_KINDS = frozenset(
-    {"Heartbeat", "HeartbeatReply", "Digest", "Handover", "HandoverReceipt", "Drain"}
+    {
+        "Heartbeat",
+        "ShortHeartbeat",
+        "HeartbeatReply",
+        "Digest",
+        "Handover",
+        "HandoverReceipt",
+        "Drain",
+    }
 )
 PREFIX = "geraniumspool_"
 SUFFIX = "_total"
--- a/benchmarks/slope_membership.py
+++ b/benchmarks/slope_membership.py
@@ -17,6 +17,7 @@
     Member,
     Message,
     Peer,
+    ShortHeartbeat,
     decode,
     encode,
 )
@@ -68,7 +69,7 @@
     kind = 1 if role == ROLE_ENTRY else 0
     address = f"tcp://10.{100 + domain}.{kind * 100 + number // 250}.{number % 250}:7400"
     incarnation = (1 << BITS) + (domain << 32) + (kind << 30) + number
-    load = Load(8, number % 9, 0, 12.5) if role == ROLE_AGENT else Load()
+    load = Load(8, number % 9, 0, 13) if role == ROLE_AGENT else Load()
     service = SERVICE if role == ROLE_AGENT else ""
     return Member(address, incarnation, f"domain-{domain:02}", role, state, service, 0.0, load)
 
@@ -146,6 +147,8 @@
         delivery: Delivery = decode(data)
         if isinstance(delivery.message, Digest):
             self.registry.take_digest(delivery.sender, delivery.message)
+        elif isinstance(delivery.message, ShortHeartbeat):
+            self.registry.take_short_heartbeat(delivery.sender, delivery.message)
         else:
             self.registry.take_heartbeat(delivery.sender, delivery.message)
 
@@ -161,7 +164,8 @@
         """Return coded heartbeats of agents that know the present roster."""
         members = [self.near[number % len(self.near)] for number in range(count)]
         me, version = self.outbox.me.incarnation, self.roster.version
-        return [encode(peer_of(m), me, self._heartbeat(m, me, version)) for m in members]
+        beats = ((peer_of(m), ShortHeartbeat(m.version, version, 0, m.load)) for m in members)
+        return [encode(peer, me, beat) for peer, beat in beats]
 
     @staticmethod
     def _heartbeat(member: Member, entry: int, version: int) -> Heartbeat:
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -34,6 +34,7 @@
     Inquire,
     Member,
     Peer,
+    ShortHeartbeat,
     WrongIncarnation,
 )
 from geraniumspool.metrics import Metrics
@@ -203,6 +204,7 @@
         return {
             Answer: self.calls.take_answer,
             Heartbeat: self.registry.take_heartbeat,
+            ShortHeartbeat: self.registry.take_short_heartbeat,
             Digest: self._take_digest,
             Inquire: self._take_inquire,
             WrongIncarnation: self._take_rejection,
--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -3,7 +3,8 @@
 An agent beats at one entry. Which one follows from rendezvous hashing over
 the living entries, so agents spread evenly and an entry's death moves only its
 own agents. When replies stop, the agent goes to the next entry in its order
-and back some periods later.
+and back some periods later. To an entry that answered it says again only its
+load, until something else changes.
 """
 
 import hashlib
@@ -18,15 +19,20 @@
     MEMBER_LEAVING,
     Heartbeat,
     HeartbeatReply,
+    Load,
     Member,
     Peer,
+    ShortHeartbeat,
 )
 from geraniumspool.roster import Roster, is_final, peer_of
 
 MISSED_REPLIES = 2
 AVOID_PERIODS = 10
+SHORT_HEARTBEATS = 30
 JITTER = 0.1
 
+_NO_LOAD = Load()
+
 
 def weigh(name: str, address: str) -> bytes:
     """Return the sort key of rendezvous hashing.
@@ -83,6 +89,9 @@
         self._asked_ms: float | None = None
         self._seen_entry = 0
         self._seen_version = 0
+        self._told: Member | None = None
+        self._answered: tuple[Peer, Member | None] | None = None
+        self._short_ones = 0
 
     @property
     def target(self) -> Peer | None:
@@ -117,7 +126,8 @@
             self._asked_ms = now
         served = target.incarnation != ANY_INCARNATION and target.incarnation == self._seen_entry
         known = (self._seen_entry, self._seen_version) if served else (0, 0)
-        self._messenger.send(target, self._make(*known))
+        message = self._make_short(target) if served else None
+        self._messenger.send(target, message or self._make(*known))
 
     def beat_now(self) -> None:
         """Send the present state to all known entries, at once.
@@ -144,7 +154,11 @@
                 self._roster.observe(member, revive=True)
         for address, incarnation, load in reply.loads:
             self._roster.observe_load(address, incarnation, load)
+        if reply.again:
+            self._answered = None
+            self.beat()
         if reply.roster_version:
+            self._answered = (sender, self._told)
             self._seen_entry = sender.incarnation
             self._seen_version = reply.roster_version
         if reply.period_ms > 0:
@@ -167,7 +181,25 @@
             self.add_entries([sender.address])
 
     def _make(self, entry: int, version: int) -> Heartbeat:
-        return Heartbeat(self._describe(), entry, version, self._configuration.revision)
+        member = self._describe()
+        self._told = member._replace(load=_NO_LOAD)
+        self._short_ones = 0
+        member = member._replace(load=member.load.round_up())
+        return Heartbeat(member, entry, version, self._configuration.revision)
+
+    def _make_short(self, target: Peer) -> ShortHeartbeat | None:
+        """Return a heartbeat without what the entry has been told, or None where it may lack it."""
+        member = self._describe()
+        told = (target, member._replace(load=_NO_LOAD))
+        if told != self._answered or self._short_ones >= SHORT_HEARTBEATS:
+            return None
+        self._short_ones += 1
+        return ShortHeartbeat(
+            member.version,
+            self._seen_version,
+            self._configuration.revision,
+            member.load.round_up(),
+        )
 
     def _choose(self, now: float) -> Peer | None:
         order = self._order()
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -6,6 +6,7 @@
 Times are in milliseconds; durations, never points in time, cross the wire.
 """
 
+import math
 from typing import NamedTuple, TypeAlias
 
 import msgspec
@@ -46,6 +47,10 @@
     next_ms: float = 0.0
     backlog_ms: float = 0.0
 
+    def round_up(self) -> "Load":
+        """Return the load in whole numbers, which are shorter in a message."""
+        return Load(*map(math.ceil, self))
+
 
 class Task(NamedTuple):
     """One task as its caller described it.
@@ -314,6 +319,7 @@
     :param loads: sample of members' loads, by address and incarnation, where tasks wait
     :param period_ms: how long to wait before the next heartbeat
     :param unreachable: failure domains that the entry hears nothing of
+    :param again: whether the agent should send all of its state
     """
 
     roster_version: int
@@ -324,6 +330,7 @@
     documents: tuple[Document, ...]
     period_ms: float
     unreachable: tuple[str, ...] = ()
+    again: bool = False
 
 
 class Digest(NamedTuple):
@@ -388,6 +395,20 @@
     why: str
 
 
+class ShortHeartbeat(NamedTuple):
+    """Agent to the entry that answered its last heartbeat: only my load has changed.
+
+    :param version: the member's version, by which the entry sees whether it missed one
+    :param roster_version: newest roster change known
+    :param config_revision: newest configuration revision in force
+    """
+
+    version: int
+    roster_version: int
+    config_revision: int
+    load: Load
+
+
 class Envelope(NamedTuple):
     """What every message travels in.
 
@@ -420,6 +441,7 @@
     Handover,
     HandoverReceipt,
     Drain,
+    ShortHeartbeat,
 )
 _KIND_OF = {kind: number for number, kind in enumerate(_KINDS)}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -19,7 +19,7 @@
 from geraniumspool.contracts import Clock, Messenger
 from geraniumspool.digests import REFRESH_PER_DIGEST, Digests
 from geraniumspool.heartbeat import is_foreign_news
-from geraniumspool.messages import MEMBER_DEAD, Digest, Heartbeat, Member, Peer
+from geraniumspool.messages import MEMBER_DEAD, Digest, Heartbeat, Member, Peer, ShortHeartbeat
 from geraniumspool.replies import Replies
 from geraniumspool.reports import Demand, PeerDemand, Reports
 from geraniumspool.revisions import Revisions
@@ -131,12 +131,23 @@
         member = heartbeat.member
         if peer_of(member) != sender:
             return
+        member = member._replace(load=member.load.round_up())
         if heartbeat.roster_entry not in (0, self._messenger.me.incarnation):
             self._take_copy(heartbeat)
             return
         self._roster.hear(member)
         self._replies.send(sender, heartbeat)
 
+    def take_short_heartbeat(self, sender: Peer, heartbeat: ShortHeartbeat) -> None:
+        """Take an agent's heartbeat without its state, or ask for that where it is not known."""
+        load = heartbeat.load.round_up()
+        member = self._roster.hear_again(sender, heartbeat.version, load)
+        if member is None:
+            self._replies.ask_again(sender)
+            return
+        known = (self._messenger.me.incarnation, heartbeat.roster_version)
+        self._replies.send(sender, Heartbeat(member, *known, heartbeat.config_revision))
+
     def take_digest(self, sender: Peer, digest: Digest) -> None:
         """Take another entry's digest and answer it if it asks for one."""
         if peer_of(digest.sender) != sender:
--- a/geraniumspool/replies.py
+++ b/geraniumspool/replies.py
@@ -80,6 +80,10 @@
         """Reply to a heartbeat."""
         self._messenger.send(sender, self._reply(sender, heartbeat))
 
+    def ask_again(self, sender: Peer) -> None:
+        """Ask an agent for all of its state."""
+        self._messenger.send(sender, self._make(again=True))
+
     def push(self) -> None:
         """Send new configuration to the agents in small batches.
 
@@ -160,6 +164,7 @@
         hints: tuple[tuple[str, int, Load], ...] = (),
         documents: tuple[Document, ...] = (),
         version: int = 0,
+        again: bool = False,
     ) -> HeartbeatReply:
         return HeartbeatReply(
             version,
@@ -170,6 +175,7 @@
             documents,
             self._period_ms(),
             tuple(sorted(self._roster.unreachable)),
+            again,
         )
 
     def _select_members(
@@ -188,10 +194,9 @@
             return tuple(
                 m for m in members if is_near(m) or (m.address in window and not is_final(m))
             )
-        shown = window | known
         changed = self._roster.since(version)
-        selected = [m for m in changed if is_near(m) or m.address in shown]
-        fresh = window - known
+        selected = [m for m in changed if is_near(m) or m.address in window or m.address in known]
+        fresh = window - known if window is not known else None
         if fresh:
             done = set(map(peer_of, selected))
             living = [m for m in self._roster.members() if not is_final(m)]
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -172,6 +172,21 @@
         self._see(peer, Sighting(heard_ms=self._clock.now()))
         return changed
 
+    def hear_again(self, peer: Peer, version: int, load: Load) -> Member | None:
+        """Take that a process which was heard has nothing new but its load.
+
+        :param version: its version as it has it
+        :returns: the member, or None where it has to be heard whole
+        """
+        record = self._records.get(peer)
+        if record is None or record.member.version != version:
+            return None
+        if is_final(record.member) or not record.sighting.direct:
+            return None
+        self._store(record, record.member._replace(load=load))
+        record.sighting = Sighting(heard_ms=self._clock.now())
+        return record.member
+
     def relay(self, member: Member, source: Peer) -> bool:
         """Take news from a process that hears the member, or is told by one that does.
 
--- a/geraniumspool/windows.py
+++ b/geraniumspool/windows.py
@@ -6,7 +6,6 @@
 
 import bisect
 import hashlib
-import itertools
 from typing import NamedTuple
 
 from geraniumspool.messages import Member
@@ -18,6 +17,7 @@
 class _Ring(NamedTuple):
     places: list[tuple[bytes, str]]
     entries: int
+    chosen: dict[str, frozenset[str]]
 
 
 class Windows:
@@ -32,13 +32,10 @@
     def choose(self, agent: Member) -> frozenset[str]:
         """Return the addresses of other domains' agents that an agent is told of."""
         ring = self._ring(agent.domain)
-        size = max(0, FOREIGN_MEMBERS - ring.entries)
-        places = ring.places
-        if len(places) <= size:
-            return frozenset(address for _, address in places)
-        start = bisect.bisect(places, (_place(agent.address), ""))
-        chosen = itertools.islice(itertools.cycle(places), start, start + size)
-        return frozenset(address for _, address in chosen)
+        window = ring.chosen.get(agent.address)
+        if window is None:
+            window = ring.chosen[agent.address] = _choose(ring, agent.address)
+        return window
 
     def clear(self) -> None:
         """Drop all rings, since members were forgotten."""
@@ -52,7 +49,7 @@
         addresses = {member.address for member in foreign if member.role == ROLE_AGENT}
         entries = sum(m.role == ROLE_ENTRY and not is_final(m) for m in foreign)
         places = sorted((_place(address), address) for address in addresses)
-        self._rings[domain] = _Ring(places, entries)
+        self._rings[domain] = _Ring(places, entries, {})
         return self._rings[domain]
 
     def _drop(self, member: Member) -> None:
@@ -61,5 +58,15 @@
             del self._rings[domain]
 
 
+def _choose(ring: _Ring, address: str) -> frozenset[str]:
+    size = max(0, FOREIGN_MEMBERS - ring.entries)
+    places = ring.places
+    if len(places) <= size:
+        return frozenset(address for _, address in places)
+    start = bisect.bisect(places, (_place(address), ""))
+    chosen = (places + places[:size])[start : start + size]
+    return frozenset(address for _, address in chosen)
+
+
 def _place(address: str) -> bytes:
     return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -5,8 +5,8 @@
 import eventlet
 
 from geraniumspool.clock import ManualClock
-from geraniumspool.heartbeat import AVOID_PERIODS, Heartbeater
-from geraniumspool.messages import Document, HeartbeatReply, Load, Member, Peer
+from geraniumspool.heartbeat import AVOID_PERIODS, SHORT_HEARTBEATS, Heartbeater
+from geraniumspool.messages import Document, HeartbeatReply, Load, Member, Peer, ShortHeartbeat
 from geraniumspool.roster import Roster, peer_of
 
 PERIOD_MS = 2_000.0
@@ -155,6 +155,49 @@
         self.beat()
         self.assertEqual(self.messenger.sent[0][1][1:3], (0, 0))
 
+    def test_short_heartbeats_to_an_entry_that_knows_the_rest(self):
+        """Each case: what happens after an answer, and whether the next heartbeat is short."""
+        entry, other = peer_of(ENTRIES[0]), Peer("tcp://127.0.0.1:77", 77)
+        load = Load(8, 3, 0, 12.5)
+
+        def change(**fields):
+            self.me = self.me._replace(**fields)
+
+        def beat_often():
+            for _ in range(SHORT_HEARTBEATS):
+                self.beat()
+
+        def lose_a_change():
+            change(state="ejected")
+            self.beat()
+
+        def answer(**fields):
+            self.heartbeater.take_reply(entry, make_reply()._replace(**fields))
+
+        cases = (
+            ("nothing", lambda: None, True),
+            ("another load", lambda: change(load=load), True),
+            ("another state", lambda: change(state="ejected"), False),
+            ("another version", lambda: change(version=1), False),
+            ("a change without an answer", lose_a_change, False),
+            ("a change with an answer", lambda: (lose_a_change(), answer()), True),
+            ("many short ones", beat_often, False),
+            ("the entry asks", lambda: answer(again=True, roster_version=0), False),
+            ("another answers", lambda: self.heartbeater.take_reply(other, make_reply()), False),
+        )
+        for name, happen, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.know(ENTRIES[0])
+                self.beat()
+                answer()
+                happen()
+                self.beat()
+                message = self.messenger.sent[-1][1]
+                self.assertEqual(isinstance(message, ShortHeartbeat), expected)
+                if isinstance(message, ShortHeartbeat):
+                    self.assertEqual(message, (0, 7, 0, self.me.load.round_up()))
+
     def test_leaving_is_told_to_all_entries_with_one_in_charge(self):
         self.know(*ENTRIES, FAR_ENTRY)
         [primary] = self.beat()
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -555,10 +555,10 @@
                     gone = world.agents[0]
                     self.load(world)
                     if fault == "heartbeats lost":
-                        world.network.lose_first["Heartbeat"] = 6
+                        world.network.lose_first.update(Heartbeat=6, ShortHeartbeat=6)
                     elif fault == "heartbeats doubled late":
                         world.network.double_delay_ms = 900.0
-                        world.network.double_kinds.add("Heartbeat")
+                        world.network.double_kinds |= {"Heartbeat", "ShortHeartbeat"}
                     self.assertGreater(sum(gone.minion.starts.values()), 0)
                     if way == "minion leaves":
                         gone.application.runner.leave()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -10,7 +10,16 @@
 from geraniumspool.digests import DEMAND_REFRESH_DIGESTS
 from geraniumspool.heartbeat import Heartbeater
 from geraniumspool.hints import HINTS_PER_REPLY
-from geraniumspool.messages import Digest, Document, Heartbeat, HeartbeatReply, Load, Member, Peer
+from geraniumspool.messages import (
+    Digest,
+    Document,
+    Heartbeat,
+    HeartbeatReply,
+    Load,
+    Member,
+    Peer,
+    ShortHeartbeat,
+)
 from geraniumspool.registry import Registry
 from geraniumspool.replies import PUSHES_AT_ONCE
 from geraniumspool.revisions import SILENT_ROUNDS, TOLD_ROUNDS
@@ -73,6 +82,8 @@
     def receive(self, delivery):
         if isinstance(delivery.message, Heartbeat):
             self.part.take_heartbeat(delivery.sender, delivery.message)
+        elif isinstance(delivery.message, ShortHeartbeat):
+            self.part.take_short_heartbeat(delivery.sender, delivery.message)
         elif isinstance(delivery.message, HeartbeatReply):
             self.part.take_reply(delivery.sender, delivery.message)
         else:
@@ -427,6 +438,31 @@
         reply = self.ask(entry=0, state="leaving")
         self.assertEqual((reply.roster_version, reply.members), (0, ()))
 
+    def test_short_heartbeat_counts_where_the_rest_is_known(self):
+        """Each case: what the entry knows, the version told, and whether it asks for all."""
+        agent = Member("tcp://127.0.0.1:9", 9, "north", "agent", "ready", "f", version=3)
+        peer, load = peer_of(agent), Load(8, 2)
+        source = Peer("tcp://127.0.0.1:2", 2)
+        cases = (
+            ("nothing", lambda: None, 3, True),
+            ("it was heard", lambda: self.roster.hear(agent), 3, False),
+            ("an older state", lambda: self.roster.hear(agent._replace(version=2)), 3, True),
+            ("by hearsay", lambda: self.roster.relay(agent, source), 3, True),
+            ("it is dead", lambda: self.roster.observe(agent._replace(state="dead")), 3, True),
+        )
+        for name, prepare, version, again in cases:
+            with self.subTest(name):
+                self.setUp()
+                prepare()
+                self.clock.advance(PERIOD_MS)
+                beat = ShortHeartbeat(version, self.roster.version, 0, load)
+                self.registry.take_short_heartbeat(peer, beat)
+                reply = self.messenger.sent[-1][1]
+                self.assertEqual((reply.again, reply.roster_version == 0), (again, again))
+                if not again:
+                    self.assertEqual(self.roster.get(peer), agent._replace(load=load))
+                    self.assertEqual(self.roster.sighting(peer).heard_ms, self.clock.now())
+
     def test_heartbeat_in_another_name_is_ignored(self):
         member = Member("tcp://127.0.0.1:9", 9, "north", "agent", "ready", "f")
         self.registry.take_heartbeat(Peer("tcp://127.0.0.1:8", 8), Heartbeat(member, 0, 0, 0))
