Digests from a kept view, and fewer members in turn to other domains

Cause: each round an entry made the list of members to tell anew, with a copy of each without its load, and compared it with what each of 15 receivers had been sent. Each digest repeated 16 members in turn, nearly all of its bytes; a change whose digest was lost had to wait for that turn.

Change: the view is kept until a member changes or gets another source (Roster.moves). What changed follows from the roster's versions. A change is told in 8 digests, longer than a domain takes to become unreachable; a domain that is reachable again is told everything. So the turn is the last resort only, and has 2 members in digests to other domains; neighbours still get 16, which keep the loads fresh by which homes are chosen.

Tests: changes of 30 agents behind a cut of 1, 4 and 12 rounds are known 3 rounds after it.

--- a/geraniumspool/digests.py
+++ b/geraniumspool/digests.py
@@ -1,10 +1,12 @@
 """Digests to other entries: who gets them, and what stands in them.
 
-A digest carries what changed since the last one to the same receiver, and a
-few members in turn besides. These refresh the loads and make up for lost
-digests. Of the teams' demand it carries what changed, and now and then all.
+A digest carries what changed lately, so that a change is told several times,
+and a few members in turn besides. These refresh the loads and make up for lost
+digests. An entry of a failure domain that was unreachable is told everything.
+Of the teams' demand a digest carries what changed, and now and then all.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -14,21 +16,20 @@
 from geraniumspool.replies import Replies
 from geraniumspool.reports import Demand, Reports, find_changes
 from geraniumspool.revisions import Revisions
-from geraniumspool.roster import Roster, Sighting, peer_of
+from geraniumspool.roster import Roster, peer_of
+from geraniumspool.views import View, Views
 
 REFRESH_PER_DIGEST = 16
+FAR_REFRESH_PER_DIGEST = 2
+TELLINGS = 8
 DEMAND_REFRESH_DIGESTS = 16
 
-_Bare = tuple
 
-_LOAD_FIELD = Member._fields.index("load")
-
-
-class _View(NamedTuple):
+class _News(NamedTuple):
     """What a digest tells receivers of one kind, made once a round."""
 
-    members: dict[Peer, Member]
-    bare: dict[Peer, _Bare]
+    near: bool
+    view: View
     demand: Demand
     in_force: tuple[tuple[str, int], ...]
 
@@ -36,7 +37,7 @@
 class _Link:
     def __init__(self, number: int) -> None:
         self.number = number
-        self.sent: dict[Peer, _Bare] | None = None
+        self.told: deque[tuple[int, frozenset[Peer]]] = deque(maxlen=TELLINGS)
         self.demand: Demand = ()
         self.digests = 0
 
@@ -69,21 +70,24 @@
         self._reports = reports
         self._revisions = revisions
         self._demand = demand
+        self._views = Views(roster, messenger.me)
         self._links: dict[Peer, _Link] = {}
+        self._unreachable: frozenset[str] = frozenset()
 
     def send_all(self) -> None:
         """Send a digest to everybody who gets one."""
-        views: dict[bool, _View] = {}
+        self._begin_anew()
+        news: dict[bool, _News] = {}
         for entry in list(self._receivers()):
             near = entry.domain == self._roster.domain
-            if near not in views:
-                views[near] = self._make_view(near)
-            self._send(entry, views[near])
+            if near not in news:
+                news[near] = self._make_news(near)
+            self._send(entry, news[near])
 
     def answer(self, receiver: Member) -> None:
         """Answer a digest that asked for one."""
         near = receiver.domain == self._roster.domain
-        self._send(receiver, self._make_view(near), answer=True)
+        self._send(receiver, self._make_news(near), answer=True)
 
     def greet(self, peer: Peer) -> None:
         """Ask a process for its digest, and tell nothing but that this one is there."""
@@ -98,6 +102,15 @@
         for peer in [peer for peer in self._links if peer not in living]:
             del self._links[peer]
 
+    def _begin_anew(self) -> None:
+        """Tell everything to entries of domains that are reachable again."""
+        for domain in self._unreachable - self._roster.unreachable:
+            for peer, link in self._links.items():
+                entry = self._roster.get(peer)
+                if entry and entry.domain == domain:
+                    link.told.clear()
+        self._unreachable = self._roster.unreachable
+
     def _receivers(self) -> Iterator[Member]:
         own = self._messenger.me
         foreign: dict[str, list[Member]] = {}
@@ -116,74 +129,54 @@
         near = [e.address for e in self._roster.entries() if e.domain == self._roster.domain]
         return self._messenger.me.address <= min(near, default=self._messenger.me.address)
 
-    def _make_view(self, near: bool) -> _View:
-        members = self._near_members() if near else self._far_members()
-        revisions = self._revisions.near() if near else self._revisions.far(self._is_speaker())
-        return _View(
-            members,
-            {peer: _without_load(member) for peer, member in members.items()},
-            tuple(self._demand()) if near else self._far_demand(),
-            tuple(revisions.items()),
-        )
+    def _make_news(self, near: bool) -> _News:
+        if near:
+            revisions = self._revisions.near()
+            return _News(near, self._views.near(), self._demand(), tuple(revisions.items()))
+        speaks = self._is_speaker()
+        revisions = self._revisions.far(speaks)
+        demand = self._far_demand() if speaks else ()
+        return _News(near, self._views.far(speaks), demand, tuple(revisions.items()))
 
-    def _send(self, receiver: Member, view: _View, answer: bool = False) -> None:
+    def _send(self, receiver: Member, news: _News, answer: bool = False) -> None:
         peer = peer_of(receiver)
         link = self._links.setdefault(peer, _Link(len(self._links)))
-        changed = _choose_changed(link, view)
+        whole = not link.told
+        version = self._roster.version
         report = self._reports.get(peer)
         told = report.config_revision if report else None
         behind = told is None or told < self._configuration.revision
         is_turn = (link.digests + link.number) % DEMAND_REFRESH_DIGESTS == 0
-        all_demand = link.sent is None or is_turn
+        all_demand = whole or is_turn
         digest = Digest(
             sender=self._me(),
-            whole=link.sent is None,
-            members=tuple(changed),
-            demand=view.demand if all_demand else find_changes(link.demand, view.demand),
-            in_force=view.in_force,
+            whole=whole,
+            members=self._choose_members(link, news),
+            demand=news.demand if all_demand else find_changes(link.demand, news.demand),
+            in_force=news.in_force,
             config_revision=self._configuration.revision,
             documents=() if told is None else self._replies.documents(told),
             reply=behind and not answer,
             all_demand=all_demand,
         )
         if self._messenger.send(peer, digest):
-            link.sent = view.bare
-            link.demand = view.demand
+            link.told.append((version, news.view.peers))
+            link.demand = news.demand
             link.digests += 1
 
-    def _near_members(self) -> dict[Peer, Member]:
-        return {
-            peer: member
-            for peer, member, sighting in self._others()
-            if _is_heard_here(sighting) or self._is_from_afar(sighting)
-        }
-
-    def _far_members(self) -> dict[Peer, Member]:
-        speaker = self._is_speaker()
-        view = {}
-        for peer, member, sighting in self._others():
-            own = member.domain == self._roster.domain and not self._is_from_afar(sighting)
-            guest = member.domain != self._roster.domain and _is_heard_here(sighting)
-            if guest or (speaker and own):
-                view[peer] = member
-        return view
-
-    def _others(self) -> Iterator[tuple[Peer, Member, Sighting]]:
-        own = self._messenger.me
-        for member in self._roster.members():
-            peer = peer_of(member)
-            if peer != own:
-                yield peer, member, self._roster.sighting(peer)
-
-    def _is_from_afar(self, sighting: Sighting) -> bool:
-        if sighting.source is None:
-            return False
-        source = self._roster.get(sighting.source)
-        return source is not None and source.domain != self._roster.domain
+    def _choose_members(self, link: _Link, news: _News) -> tuple[Member, ...]:
+        order = news.view.order
+        if not link.told:
+            chosen = {peer: self._roster.get(peer) for peer in order}
+        else:
+            chosen = _find_changed(link, news.view, self._roster)
+            size = REFRESH_PER_DIGEST if news.near else FAR_REFRESH_PER_DIGEST
+            for step in range(min(size, len(order))):
+                peer = order[(link.digests * size + step) % len(order)]
+                chosen[peer] = self._roster.get(peer)
+        return tuple(member for member in chosen.values() if member)
 
     def _far_demand(self) -> Demand:
-        if not self._is_speaker():
-            return ()
         totals: dict[str, tuple[float, float]] = {}
         own = self._roster.domain
         reported = [report.demand for _, report in self._reports.fresh() if report.domain == own]
@@ -194,23 +187,11 @@
         return tuple((team, *total) for team, total in totals.items())
 
 
-def _choose_changed(link: _Link, view: _View) -> list[Member]:
-    members = view.members
-    if link.sent is None:
-        return list(members.values())
-    sent = link.sent
-    chosen = {key: members[key] for key, bare in view.bare.items() if sent.get(key) != bare}
-    order = list(members)
-    turn = link.digests * REFRESH_PER_DIGEST
-    for step in range(min(REFRESH_PER_DIGEST, len(order))):
-        key = order[(turn + step) % len(order)]
-        chosen[key] = members[key]
-    return list(chosen.values())
-
-
-def _is_heard_here(sighting: Sighting) -> bool:
-    return sighting.direct and not sighting.claimed
-
-
-def _without_load(member: Member) -> _Bare:
-    return member[:_LOAD_FIELD] + member[_LOAD_FIELD + 1 :]
+def _find_changed(link: _Link, view: View, roster: Roster) -> dict[Peer, Member]:
+    """Return the members that changed, or entered the view, lately."""
+    version, peers = link.told[0]
+    changed = {peer_of(member): member for member in roster.since(version)}
+    chosen = {peer: member for peer, member in changed.items() if peer in view.peers}
+    for peer in view.peers - peers if view.peers is not peers else ():
+        chosen[peer] = roster.get(peer)
+    return chosen
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -101,7 +101,12 @@
 
 
 class Roster:
-    """All members known to one process, with indexes for quick queries."""
+    """All members known to one process, with indexes for quick queries.
+
+    :ivar version: raised with each change of a member, but of its load alone
+    :ivar moves: raised when another process becomes the source of news about a member
+    :ivar unreachable: failure domains whose members are no candidates
+    """
 
     def __init__(self, clock: Clock, domain: str, remember_ms: float = REMEMBER_MS):
         """Start without any member and with no failure domain unreachable.
@@ -112,6 +117,7 @@
         """
         self.domain = domain
         self.version = 0
+        self.moves = 0
         self.unreachable: frozenset[str] = frozenset()
         self._clock = clock
         self._remember_ms = remember_ms
@@ -184,7 +190,7 @@
         if is_final(record.member) or not record.sighting.direct:
             return None
         self._store(record, record.member._replace(load=load))
-        record.sighting = Sighting(heard_ms=self._clock.now())
+        self._set_sighting(record, Sighting(heard_ms=self._clock.now()))
         return record.member
 
     def relay(self, member: Member, source: Peer) -> bool:
@@ -340,14 +346,24 @@
     def _see(self, peer: Peer, sighting: Sighting) -> None:
         record = self._records.get(peer)
         if record:
-            record.sighting = sighting
+            self._set_sighting(record, sighting)
+
+    def _set_sighting(self, record: _Record, sighting: Sighting) -> None:
+        old = record.sighting
+        record.sighting = sighting
+        if (
+            old.source != sighting.source
+            or old.claimed != sighting.claimed
+            or old.direct != sighting.direct
+        ):
+            self.moves += 1
 
     def _relay_heard(self, record: _Record, member: Member, source: Peer) -> bool:
         if member.state == MEMBER_DEAD:
             return False
         if member.role != ROLE_ENTRY:
             claimed = record.sighting._replace(claimant=source, claimed_ms=self._clock.now())
-            record.sighting = claimed
+            self._set_sighting(record, claimed)
         is_newer = member.version > record.member.version
         if not is_newer and _RANKS[member.state] <= _RANKS[record.member.state]:
             return False
@@ -371,13 +387,13 @@
         member = record.member
         sighting = record.sighting
         if sighting.claimed and sighting.claimant in self._entries:
-            record.sighting = Sighting(sighting.claimant, learnt_ms=now)
+            self._set_sighting(record, Sighting(sighting.claimant, learnt_ms=now))
             return True
         if member.domain == self.domain:
             return False
         for peer, entry in self._entries.items():
             if entry.domain == member.domain and peer != record.peer:
-                record.sighting = Sighting(peer, learnt_ms=now)
+                self._set_sighting(record, Sighting(peer, learnt_ms=now))
                 return True
         return False
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -239,6 +239,26 @@
         self.network.run(4)
         self.check_states(self.agents[5], "ejected")
 
+    def test_changes_behind_a_cut_are_known_soon_after_it(self):
+        """Each case: how long it lasts; more changes than are told in turn."""
+        agents = [self.add(number, "north", "agent") for number in range(20, 50)]
+        self.network.introduce()
+        self.network.run(6)
+        far = self.entries[2:]
+        for rounds in (1, SILENT_ROUNDS, 3 * SILENT_ROUNDS):
+            with self.subTest(rounds=rounds):
+                self.network.cut.add(frozenset({"north", "south"}))
+                for agent in agents:
+                    old = agent.member
+                    state = "ready" if old.state == "ejected" else "ejected"
+                    agent.member = old._replace(state=state, version=old.version + 1)
+                self.network.run(rounds)
+                self.network.cut.clear()
+                self.network.run(3)
+                for entry in far:
+                    known = {entry.state_of(agent) for agent in agents}
+                    self.assertEqual(known, {agents[0].member.state})
+
     def test_entries_of_a_domain_that_lost_each_other_meet_again(self):
         self.network.cut.add(frozenset({"north"}))
         self.network.run(12)
