Rounds look for unheard and forgotten members less often

Cause: each round went through all members to find those that nobody vouches for, which only a change of the roster brings, and those to forget, which have been gone for ten minutes.

Change: the first is done when the roster has changed, the second every 10th round.

--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -28,6 +28,7 @@
 HEARTBEATS_PER_S = 120
 REFRESH_TURNS = 3
 PROBE_ROUNDS = 5
+FORGET_ROUNDS = 10
 
 _LOG = logging.getLogger(__name__)
 
@@ -65,6 +66,7 @@
         self._floor_ms = heartbeat_period_ms
         self._timeout_ms = heartbeat_timeout_ms
         self._rounds = 0
+        self._watched_version = 0
         self._replies = Replies(
             messenger,
             roster,
@@ -119,7 +121,8 @@
         self._watch_unheard()
         for member in self._roster.expire(self.timeout_ms, self._learnt_timeout_ms()):
             _LOG.info("%s %s is silent", member.role, member.address)
-        self._forget()
+        if self._rounds % FORGET_ROUNDS == 0:
+            self._forget()
         self._prune()
         self._revisions.watch()
         self._digests.send_all()
@@ -192,6 +195,10 @@
             self._roster.relay(heartbeat.member, peer_of(serving))
 
     def _watch_unheard(self) -> None:
+        """Let the silence of members that nobody told of as their source count from now."""
+        if self._watched_version == self._roster.version:
+            return
+        self._watched_version = self._roster.version
         nobody = Sighting()
         own = self._messenger.me
         for member in self._roster.members():
