Digests to other domains every second round while nothing changes

Cause: an idle entry that speaks for its domain sent 14 digests a second to other domains that had nothing new but two members in turn.

Change: such a digest waits for the second round unless a member, the demand, a revision or the entry's own state changed. A domain is unreachable after 5 rounds instead of 4, so that one lost digest is not silence.

Mended with it: second-hand news of a domain replaced what an entry had heard itself, so it stopped telling its neighbours, whose knowledge aged up to 5 rounds after the start. And an entry that knows a domain by neighbours now takes their silence of 3 rounds for the domain's, since they tell in every round: 6 rounds in all, where it would be 8.

--- a/geraniumspool/digests.py
+++ b/geraniumspool/digests.py
@@ -3,7 +3,8 @@
 A digest carries what changed lately, so that a change is told several times,
 and a few members in turn besides. These refresh the loads and make up for lost
 digests. An entry of a failure domain that was unreachable is told everything.
-Of the teams' demand a digest carries what changed, and now and then all.
+Of the teams' demand a digest carries what changed, and now and then all. To
+other failure domains nothing goes out in some rounds where nothing changed.
 """
 
 from collections import deque
@@ -15,7 +16,7 @@
 from geraniumspool.messages import MEMBER_LEAVING, Digest, Member, Peer
 from geraniumspool.replies import Replies
 from geraniumspool.reports import Demand, Reports, find_changes
-from geraniumspool.revisions import Revisions
+from geraniumspool.revisions import FAR_ROUNDS, Revisions
 from geraniumspool.roster import Roster, peer_of
 from geraniumspool.views import View, Views
 
@@ -40,6 +41,8 @@
         self.told: deque[tuple[int, frozenset[Peer]]] = deque(maxlen=TELLINGS)
         self.demand: Demand = ()
         self.digests = 0
+        self.state: tuple = ()
+        self.rounds = 0
 
 
 class Digests:
@@ -82,7 +85,8 @@
             near = entry.domain == self._roster.domain
             if near not in news:
                 news[near] = self._make_news(near)
-            self._send(entry, news[near])
+            if near or self._is_due(entry, news[near]):
+                self._send(entry, news[near])
 
     def answer(self, receiver: Member) -> None:
         """Answer a digest that asked for one."""
@@ -138,6 +142,17 @@
         demand = self._far_demand() if speaks else ()
         return _News(near, self._views.far(speaks), demand, tuple(revisions.items()))
 
+    def _is_due(self, receiver: Member, news: _News) -> bool:
+        link = self._links.get(peer_of(receiver))
+        if link is None or not link.told:
+            return True
+        link.rounds += 1
+        return link.rounds >= FAR_ROUNDS or link.state != self._state(news)
+
+    def _state(self, news: _News) -> tuple:
+        """Return what makes a digest due when it changes."""
+        return (self._me(), self._configuration.revision, self._roster.version, *news)
+
     def _send(self, receiver: Member, news: _News, answer: bool = False) -> None:
         peer = peer_of(receiver)
         link = self._links.setdefault(peer, _Link(len(self._links)))
@@ -163,6 +178,7 @@
             link.told.append((version, news.view.peers))
             link.demand = news.demand
             link.digests += 1
+            link.state, link.rounds = self._state(news), 0
 
     def _choose_members(self, link: _Link, news: _News) -> tuple[Member, ...]:
         order = news.view.order
--- a/geraniumspool/revisions.py
+++ b/geraniumspool/revisions.py
@@ -14,8 +14,13 @@
 from geraniumspool.reports import Reports
 from geraniumspool.roster import Roster
 
-TOLD_ROUNDS = 2
-SILENT_ROUNDS = 4
+# Where nothing changed, digests to other failure domains go out every second round.
+FAR_ROUNDS = 2
+TOLD_ROUNDS = FAR_ROUNDS + 1
+# One lost digest is not silence.
+SILENT_ROUNDS = 2 * FAR_ROUNDS + 1
+# Neighbours tell in every round what they heard, for TOLD_ROUNDS.
+NEAR_SILENT_ROUNDS = 3
 
 _LOG = logging.getLogger(__name__)
 
@@ -57,7 +62,7 @@
         """Take what a digest tells of other failure domains."""
         direct = digest.sender.domain != self._roster.domain
         for domain, revision in digest.in_force:
-            if domain != self._roster.domain:
+            if domain != self._roster.domain and (direct or not self._is_told(domain)):
                 self._afar[domain] = _Afar(revision, self._clock.now(), direct)
         self.watch()
 
@@ -86,13 +91,8 @@
 
     def near(self) -> dict[str, int]:
         """Return what to tell other entries of the own failure domain."""
-        limit_ms = self._clock.now() - TOLD_ROUNDS * self._period_ms
-        fresh = {
-            domain: news.revision
-            for domain, news in self._afar.items()
-            if news.direct and news.heard_ms >= limit_ms
-        }
-        return fresh | self._served()
+        told = {d: news.revision for d, news in self._afar.items() if self._is_told(d)}
+        return told | self._served()
 
     def far(self, speaks: bool) -> dict[str, int]:
         """Return what to tell entries of other failure domains.
@@ -112,8 +112,16 @@
         served = self._serve()
         return served | {own: min(revision, served.get(own, revision))}
 
+    def _is_told(self, domain: str) -> bool:
+        """Return whether this entry tells its neighbours what it heard of a domain."""
+        news = self._afar.get(domain)
+        if news is None or not news.direct:
+            return False
+        return self._clock.now() - news.heard_ms <= TOLD_ROUNDS * self._period_ms
+
     def _is_silent(self, domain: str) -> bool:
         news = self._afar.get(domain)
         heard_ms = news.heard_ms if news else self._started_ms
-        is_late = self._clock.now() - heard_ms > SILENT_ROUNDS * self._period_ms
+        rounds = NEAR_SILENT_ROUNDS if news and not news.direct else SILENT_ROUNDS
+        is_late = self._clock.now() - heard_ms > rounds * self._period_ms
         return is_late and domain not in self._serve()
