A starting agent asks for the next batch of configuration at once

Cause: documents reached it 16 KB with each heartbeat: all 56 KB of the full size after 4 heartbeats, 8 s at a period of 2 s, above the limit of 5 s.

Change: an agent that took documents, and sees in the reply that its entry has newer ones, beats at once. It does not where nothing was taken, so documents that it can't take are asked for once a period, as before.

Ruled out: the entry pushing batch after batch, which needs timers per agent and runs on when replies are lost.

Tests: two that failed before (2 of 8 documents there; no heartbeat).

--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -156,15 +156,14 @@
             self._roster.observe_load(address, incarnation, load)
         if reply.again:
             self._answered = None
-            self.beat()
         if reply.roster_version:
             self._answered = (sender, self._told)
             self._seen_entry = sender.incarnation
             self._seen_version = reply.roster_version
         if reply.period_ms > 0:
             self.period_ms = reply.period_ms
-        if reply.documents:
-            self._configuration.apply(reply.documents)
+        if reply.again or self._take_documents(reply):
+            self.beat()
 
     def take_rejection(self, sender: Peer) -> None:
         """Take that an address now belongs to another incarnation.
@@ -180,6 +179,13 @@
         if known:
             self.add_entries([sender.address])
 
+    def _take_documents(self, reply: HeartbeatReply) -> bool:
+        """Take configuration; return whether the entry has more to send."""
+        before = self._configuration.revision
+        if reply.documents:
+            self._configuration.apply(reply.documents)
+        return before < self._configuration.revision < reply.config_revision
+
     def _make(self, entry: int, version: int) -> Heartbeat:
         member = self._describe()
         self._told = member._replace(load=_NO_LOAD)
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -149,6 +149,19 @@
         heartbeat = self.messenger.sent[0][1]
         self.assertEqual(heartbeat[1:], (1, 7, 12))
 
+    def test_next_documents_are_asked_for_at_once(self):
+        """Each case: the revision of the document and of the entry, and whether the agent beats."""
+        cases = ((0, 12, False), (12, 12, False), (12, 30, True), (5, 30, False))
+        for revision, newest, expected in cases:
+            with self.subTest(revision=revision, newest=newest):
+                self.setUp()
+                self.know(ENTRIES[0])
+                self.configuration.apply([Document("team/opticians", 5, b"{}")])
+                documents = (Document("team/opticians", revision, b"{}"),) if revision else ()
+                reply = make_reply(documents=documents)._replace(config_revision=newest)
+                self.heartbeater.take_reply(peer_of(ENTRIES[0]), reply)
+                self.assertEqual(len(self.messenger.sent), expected)
+
     def test_version_of_one_entry_is_not_told_to_another(self):
         self.know(*ENTRIES)
         self.heartbeater.take_reply(Peer("tcp://127.0.0.1:99", 99), make_reply())
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -321,6 +321,22 @@
         for entry in self.entries:
             self.assertEqual(entry.part.in_force(), {"north": 9, "south": 11})
 
+    def test_starting_agent_has_all_batches_of_configuration_at_once(self):
+        documents = [Document(f"team/{number}", number, b"{}") for number in range(1, 9)]
+        for entry in self.entries:
+            entry.configuration.apply(documents)
+        self.network.run(2 * len(documents))
+        for entry in self.entries:
+            whole = entry.configuration.since
+            entry.configuration.since = lambda *limits, whole=whole: whole(*limits)[:2]
+        agent = self.add(16, "north", "agent")
+        self.network.introduce()
+        self.network.count.clear()
+        agent.step()
+        self.network.deliver()
+        self.assertEqual(agent.configuration.revision, len(documents))
+        self.assertEqual(self.network.count[agent.me], len(documents) // 2)
+
     def test_configuration_is_pushed_without_waiting_for_heartbeats(self):
         for entry in self.entries[:2]:
             entry.configuration.apply([Document("team/opticians", 9, b"{}")])
