Look for silent domains without asking about the own one

Cause: since domains can be unreachable, each digest taken asked whether every known domain is silent. Of the own domain no digest tells, so for it all agents here were looked through each time.

--- a/geraniumspool/revisions.py
+++ b/geraniumspool/revisions.py
@@ -120,6 +120,8 @@
         return self._clock.now() - news.heard_ms <= TOLD_ROUNDS * self._period_ms
 
     def _is_silent(self, domain: str) -> bool:
+        if domain == self._roster.domain:
+            return False
         news = self._afar.get(domain)
         heard_ms = news.heard_ms if news else self._started_ms
         rounds = NEAR_SILENT_ROUNDS if news and not news.direct else SILENT_ROUNDS
