Agents take members in the order of the entry that they follow

Cause, found by storms: an agent could believe for good in a life of a process that had been replaced, though the entry that it beats at knew better, and lost a job on the first offer there. Two ways led to it. An answer that came late, or from an entry that the agent no longer beats at, undid newer news, and the entry in charge did not tell it again, since the agent named that entry's newest version as known. And the entry's word that the replaced life is the current one was taken for hearsay and passed over. Change: members of an answer are taken only from the entry that the agent beats at, and not from one with an older version than it has seen; what they say prevails (Roster.follow). Ruled out: whole answers at intervals, which would cost bytes for ever and leave the error until then.

--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -142,29 +142,43 @@
                 self._messenger.send(peer_of(entry), self._make(serving, 0))
 
     def take_reply(self, sender: Peer, reply: HeartbeatReply) -> None:
-        """Take an entry's answer, or configuration that it sent unasked."""
+        """Take an entry's answer, or configuration that it sent unasked.
+
+        Members are taken from the entry that this agent beats at, in the order
+        of its versions: a later answer would not tell again what a late one undid.
+        """
         self.last_contact_ms = self._clock.now()
-        if self._target and sender.address == self._target.address:
+        self._avoided.pop(sender, None)
+        if self._follows(sender):
             self._target = sender
             self._asked_ms = None
-        self._avoided.pop(sender, None)
-        self._roster.set_unreachable(reply.unreachable)
-        for member in reply.members:
-            if is_foreign_news(member, self._messenger.me):
-                self._roster.observe(member, revive=True)
+            if not self._is_old(sender, reply):
+                self._take_members(sender, reply)
         for address, incarnation, load in reply.loads:
             self._roster.observe_load(address, incarnation, load)
         if reply.again:
             self._answered = None
-        if reply.roster_version:
-            self._answered = (sender, self._told)
-            self._seen_entry = sender.incarnation
-            self._seen_version = reply.roster_version
         if reply.period_ms > 0:
             self.period_ms = reply.period_ms
         if reply.again or self._take_documents(reply):
             self.beat()
 
+    def _follows(self, sender: Peer) -> bool:
+        return self._target in (None, sender, Peer(sender.address, ANY_INCARNATION))
+
+    def _is_old(self, sender: Peer, reply: HeartbeatReply) -> bool:
+        return sender.incarnation == self._seen_entry and reply.roster_version < self._seen_version
+
+    def _take_members(self, sender: Peer, reply: HeartbeatReply) -> None:
+        self._roster.set_unreachable(reply.unreachable)
+        for member in reply.members:
+            if is_foreign_news(member, self._messenger.me):
+                self._roster.follow(member)
+        if reply.roster_version:
+            self._answered = (sender, self._told)
+            self._seen_entry = sender.incarnation
+            self._seen_version = reply.roster_version
+
     def take_rejection(self, sender: Peer) -> None:
         """Take that an address now belongs to another incarnation.
 
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -16,7 +16,8 @@
 not tell which is newer. The one that was heard directly last is current;
 without such news it is the one first heard of last, and an incarnation that
 was known and replaced does not come back by hearsay while its successor
-lives. An error in this corrects itself with the next direct heartbeat. The
+lives. An error in this corrects itself with the next direct heartbeat; an
+agent, which hears no other, takes what the entry that it follows says. The
 incarnation that is not current is ``dead``, unless it has ``left``.
 """
 
@@ -151,6 +152,18 @@
             return self._admit(peer, member)
         return self._advance(record, member, revive)
 
+    def follow(self, member: Member) -> bool:
+        """Take news from the entry that this process follows, which knows better.
+
+        It may bring a dead member back, also in the place of its successor.
+
+        :returns: whether membership changed, that is anything but the load
+        """
+        record = self._records.get(peer_of(member))
+        if record is None:
+            return self._admit(peer_of(member), member)
+        return self._advance(record, member, revive=True, prevail=True)
+
     def observe_load(self, address: str, incarnation: int, load: Load) -> bool:
         """Take a member's load.
 
