Agents drop members of other domains that they are no longer told of

Cause: LeavingTest, which now asks every process what it believes of the one that left, failed with six heartbeats and six short ones lost: an agent held the one that had left as ready for good. It had changed to an entry of another domain, whose whole reply leaves out what is gone in other domains, and a delta never tells it again. The same holds for members that leave an agent's window: nothing more is told of them, so they stay ready when they die, and an offer there ends its job as may_have_run. Change: a whole reply lists all agents of other domains that are to be kept, and a reply names the addresses that leave the window (field released). The agent drops those; open offers there keep their own rules. Ruled out: final members in whole replies, which mends the first way only; dropping near members and entries too, which would cost an agent its peers when its entry has just started. Price: after its entry is replaced an agent knows few workers of other domains for a digest or two.

--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -171,6 +171,9 @@
 
     def _take_members(self, sender: Peer, reply: HeartbeatReply) -> None:
         self._roster.set_unreachable(reply.unreachable)
+        if reply.whole:
+            self._roster.keep_foreign(map(peer_of, reply.members))
+        self._roster.release(reply.released)
         for member in reply.members:
             if is_foreign_news(member, self._messenger.me):
                 self._roster.follow(member)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -320,6 +320,8 @@
     :param period_ms: how long to wait before the next heartbeat
     :param unreachable: failure domains that the entry hears nothing of
     :param again: whether the agent should send all of its state
+    :param released: addresses of agents of other failure domains that this one is no
+        longer told of
     """
 
     roster_version: int
@@ -331,6 +333,7 @@
     period_ms: float
     unreachable: tuple[str, ...] = ()
     again: bool = False
+    released: tuple[str, ...] = ()
 
 
 class Digest(NamedTuple):
--- a/geraniumspool/replies.py
+++ b/geraniumspool/replies.py
@@ -2,7 +2,8 @@
 
 A reply holds the changes of the roster since the version that the agent has:
 all of its own failure domain and of the entries, and of other domains those
-in its window. Whoever comes without a version gets all of it. Agents at which
+in its window; what leaves the window is released, since nothing more will be
+told of it. Whoever comes without a version gets all of it. Agents at which
 tasks wait are told loads of workers as well; the others learn those from
 offers and results.
 """
@@ -155,7 +156,8 @@
         members = self._select_members(member, version, whole, known, window)
         waits = member.load.backlog_ms > 0
         hints = self._hints.choose(member, window) if waits else ()
-        return self._make(whole, members, hints, documents, self._roster.version)
+        released = tuple(known - window) if window is not known else ()
+        return self._make(whole, members, hints, documents, self._roster.version, released=released)
 
     def _make(
         self,
@@ -165,6 +167,7 @@
         documents: tuple[Document, ...] = (),
         version: int = 0,
         again: bool = False,
+        released: tuple[str, ...] = (),
     ) -> HeartbeatReply:
         return HeartbeatReply(
             version,
@@ -176,6 +179,7 @@
             self._period_ms(),
             tuple(sorted(self._roster.unreachable)),
             again,
+            released,
         )
 
     def _select_members(
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -270,6 +270,31 @@
             if is_final(record.member) and record.final_ms <= limit:
                 self._drop(peer, record)
 
+    def release(self, addresses: Iterable[str]) -> None:
+        """Drop agents of other failure domains that nobody tells of any more.
+
+        :param addresses: where they are
+        """
+        chosen = set(addresses)
+        if chosen:
+            self._drop_foreign(lambda peer: peer.address in chosen)
+
+    def keep_foreign(self, peers: Iterable[Peer]) -> None:
+        """Drop all agents of other failure domains but some, as :meth:`release` does.
+
+        :param peers: those to keep
+        """
+        kept = set(peers)
+        self._drop_foreign(lambda peer: peer not in kept)
+
+    def _drop_foreign(self, is_chosen: Callable[[Peer], bool]) -> None:
+        for peer, record in list(self._records.items()):
+            member = record.member
+            is_foreign = member.role == ROLE_AGENT and member.domain != self.domain
+            if is_foreign and not is_final(member) and is_chosen(peer):
+                self._unindex(record)
+                self._drop(peer, record)
+
     def covers(self, version: int) -> bool:
         """Return whether :meth:`since` has all changes after ``version``."""
         return 0 < version <= self.version and version >= self._forgotten_version
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -100,6 +100,32 @@
         self.roster.hear(make_agent(incarnation=100))
         self.assertEqual((self.state(100), self.state(101)), ("ready", "dead"))
 
+    def test_foreign_agents_are_dropped(self):
+        """Each case: what drops one of two; a near one and a dead one stay."""
+        near, *foreign = (
+            Member(f"tcp://127.0.0.1:{port}", port, domain, "agent", state, "fitting")
+            for port, domain, state in (
+                (11, self.roster.domain, "ready"),
+                (12, "far", "ready"),
+                (13, "far", "ready"),
+                (14, "far", "dead"),
+            )
+        )
+        everyone = {near, *foreign}
+        cases = (
+            ("released", lambda: self.roster.release([near.address, foreign[0].address])),
+            ("not kept", lambda: self.roster.keep_foreign([peer_of(foreign[1])])),
+        )
+        for name, drop in cases:
+            with self.subTest(name):
+                self.setUp()
+                for member in (near, *foreign):
+                    self.roster.observe(member)
+                drop()
+                self.assertEqual(set(self.roster.members()), everyone - {foreign[0]})
+                self.assertEqual(set(self.roster.agents("fitting")), {near, foreign[1]})
+                self.assertFalse(self.roster.is_gone(peer_of(foreign[0])))
+
     def test_news_of_a_final_incarnation_replaces_nothing(self):
         self.roster.hear(make_agent(incarnation=101))
         self.roster.observe(make_agent("left", incarnation=100))
