A runner ejects its minion for slowness, before any result

Results of slow tasks come late and are spread over all homes, so the minion went on getting tasks all the time; a frozen one has no results at all. Tasks that waited there stayed there.

Change: the runner judges its minion over all homes' tasks, also by those that are still running. It learns how actual times lie around estimates (log-normal) and keeps a cumulative sum (CUSUM) of the running tasks' cumulative hazards, less a credit for each task that ends in time (new module pace). Above 15 the minion is ejected, under the same cap as for failures; the median of the other workers' sums, told in Load.lateness, is taken off first, so a general slowdown ejects nobody. Probes must not be late. What waits at an ejected minion, for whichever reason, is handed back as not started. A pause of the agent itself is no lateness of its minion, nor is a task that was stopped in time.

Ruled out: two running averages, tried as the paper on provisioning of databases has them (fast to shun, slow to restore); and starting nothing more while in doubt.

The tasks that start before the minion is known to be slow still suffer; none may start twice.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -47,6 +47,7 @@
 )
 from geraniumspool.metrics import Metrics
 from geraniumspool.minion import HttpMinionClient
+from geraniumspool.pace import Pace
 from geraniumspool.placement import choose_placement
 from geraniumspool.records import Records
 from geraniumspool.registrar import discover_entries
@@ -103,6 +104,7 @@
             messenger.me.address,
             self._may_eject,
             lambda: self.configuration.service(self.home.service).ejection_failure_share,
+            Pace(lambda: self.home.peers_lateness()),
         )
         self.runner = Runner(
             messenger,
--- a/geraniumspool/decisions.py
+++ b/geraniumspool/decisions.py
@@ -57,7 +57,7 @@
     TASK_REVOKED: "The offer was withdrawn; the worker had not started the task.",
     TASK_OUTCOME_UNKNOWN: "The task's answer was lost: it may have run, so it is not repeated.",
     TASK_FAILED: "The minion answered the task with an error.",
-    WORKER_EJECTED: "Too many tasks failed at the worker; it gets no new ones for now.",
+    WORKER_EJECTED: "Tasks failed at the worker or took far too long; it gets no new ones for now.",
     WORKER_PROBED: "An ejected worker was given one task to see whether it works again.",
     WORKER_RESTORED: "The probes succeeded; the worker gets tasks as before.",
     WORKER_SILENT: "The worker was not heard from in time and counts as gone.",
--- a/geraniumspool/health.py
+++ b/geraniumspool/health.py
@@ -1,4 +1,4 @@
-"""Health of a minion: ejection of one that fails everything, and probing."""
+"""Health of a minion: ejection of one that fails everything or is slow, and probing."""
 
 from collections.abc import Callable
 
@@ -10,6 +10,7 @@
     DecisionLog,
 )
 from geraniumspool.errors import NotStarted, TaskUnknown
+from geraniumspool.pace import PROBE_HAZARD, Pace
 
 RECENT_WEIGHT = 0.2
 MIN_OUTCOMES = 5
@@ -26,9 +27,9 @@
 class Health:
     """Judges one minion by the outcomes of the tasks it ran.
 
-    A minion whose recent failures exceed a share is ejected. An ejected one
-    is probed with one task at a time, at growing intervals, and restored
-    after a few successes in a row.
+    A minion whose recent failures exceed a share is ejected, and so is one
+    that is slow. An ejected one is probed with one task at a time, at growing
+    intervals, and restored after a few successes in a row, none of them late.
     """
 
     def __init__(
@@ -38,18 +39,21 @@
         subject: str,
         may_eject: Callable[[], bool] = _always,
         failure_share: Callable[[], float] = lambda: FAILURE_SHARE,
+        pace: Pace | None = None,
     ):
         """Start healthy.
 
         :param subject: what decisions are recorded on, the agent's address
         :param may_eject: whether the cap on ejected workers leaves room
-        :param failure_share: share of failures above which to eject, 0..1
+        :param failure_share: share of failures above which to eject, 0..1; 1 for never
+        :param pace: judges whether the minion is slow
         """
         self._clock = clock
         self._decisions = decisions
         self._subject = subject
         self._may_eject = may_eject
         self._failure_share = failure_share
+        self.pace = pace or Pace()
         self._failures = 0.0
         self._outcomes = 0
         self._successes = 0
@@ -94,6 +98,23 @@
         elif self._is_bad(code):
             self._eject(run_ms)
 
+    def note_late(self) -> None:
+        """Take that running tasks go on and on: eject the minion if it is slow."""
+        if self.is_ejected or not self.pace.is_slow:
+            return
+        if self._failure_share() < 1 and self._may_eject():
+            self._eject(0.0)
+
+    def note_end(self, estimate_ms: float, run_ms: float) -> None:
+        """Take that a task ended with a result.
+
+        :param estimate_ms: its estimated run time
+        """
+        is_late = self.pace.hazard(estimate_ms, run_ms) > PROBE_HAZARD
+        self.note(not (self.is_ejected and is_late), run_ms, "")
+        if not self.is_ejected:
+            self.pace.end(estimate_ms, run_ms)
+
     def reset(self) -> None:
         """Forget everything, as when another minion takes the place."""
         self._failures = 0.0
@@ -112,7 +133,11 @@
         self._probe_at = self._clock.now() + self._probe_after
         share = round(self._failures, 3)
         self._decisions.record(
-            WORKER_EJECTED, self._subject, failure_share=share, last_run_ms=round(run_ms, 1)
+            WORKER_EJECTED,
+            self._subject,
+            failure_share=share,
+            lateness=round(self.pace.lateness, 1),
+            last_run_ms=round(run_ms, 1),
         )
         self.on_change()
 
@@ -132,5 +157,6 @@
         was_ejected = self.is_ejected
         self.is_ejected = False
         self._failures = 0.0
+        self.pace.forget()
         if was_ejected:
             self.on_change()
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -267,6 +267,10 @@
         """Take a worker's load that the membership passed on."""
         self._offers.hint(peer, load)
 
+    def peers_lateness(self) -> float:
+        """Return the median lateness of the other workers, 0 where none is known."""
+        return self._offers.peers_lateness()
+
     def schedule_place(self) -> None:
         """Place waiting tasks soon, since something may have changed."""
         self._schedule_place()
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -37,6 +37,7 @@
     :param urgent: those of the queued tasks that may use every slot
     :param next_ms: predicted time until a slot comes free
     :param backlog_ms: estimated run times of tasks that wait at the home there
+    :param lateness: evidence that its minion is slow, 0 for none
     """
 
     slots: int = 0
@@ -46,6 +47,7 @@
     urgent: int = 0
     next_ms: float = 0.0
     backlog_ms: float = 0.0
+    lateness: float = 0.0
 
     def round_up(self) -> "Load":
         """Return the load in whole numbers, which are shorter in a message."""
--- a/geraniumspool/offers.py
+++ b/geraniumspool/offers.py
@@ -1,6 +1,8 @@
 """Offers of one home that are open at workers, until each is settled."""
 
 import math
+import random
+import statistics
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -27,6 +29,7 @@
 HINT_AFTER_MS = 500.0
 MAX_SEEK_MS = 10_000.0
 MIN_PROBES = 2
+MAX_COMPARED = 64
 
 
 class PlacedTask(NamedTuple):
@@ -159,6 +162,13 @@
         if worker.open and peer != self._messenger.me:
             self._ask_back(worker, worker.open, False)
 
+    def peers_lateness(self) -> float:
+        """Return the median lateness of other workers, 0 where none is known."""
+        peers = [worker for worker in self._workers.values() if worker.peer != self._messenger.me]
+        if len(peers) > MAX_COMPARED:
+            peers = random.sample(peers, MAX_COMPARED)
+        return statistics.median_low([0.0, *(worker.load.lateness for worker in peers)])
+
     def forget_idle(self, peer: Peer) -> None:
         """Forget a worker without open offers."""
         worker = self._workers.get(peer)
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -39,16 +39,19 @@
 DEFAULT_QUEUE_PER_SLOT = 16.0
 KEPT_RESULT_BYTES = 16 * 1024 * 1024
 CLOSED_HOMES = 20_000
+LOOK_MS = 50.0
 
 
 class _Run(NamedTuple):
     """A running task.
 
     :param estimate_ms: its estimated run time
+    :param hazard: its cumulative hazard when last looked at
     """
 
     started_ms: float
     estimate_ms: float
+    hazard: float = 0.0
 
     def left_ms(self, now: float) -> float:
         """Return the predicted rest; one that is late may go on as long again."""
@@ -93,6 +96,7 @@
         self._crowded_ms = clock.now()
         self._streak = 0
         self._running: dict[str, _Run] = {}
+        self._looked_ms: float | None = None
         self._kept_bytes = 0
         self._kept: OrderedDict[int, Entry] = OrderedDict()
         self.minion: Announcement | None = None
@@ -129,6 +133,7 @@
             self._urgent,
             self._predict_next_slot(),
             self.measure_backlog(),
+            self._health.pace.lateness,
         )
 
     def _open_slots(self) -> int:
@@ -169,14 +174,20 @@
         if self.leaving:
             return
         self.leaving = True
+        self._give_back_queues(REFUSED_LEAVING)
+        for ledger in self._ledgers.values():
+            self._flush(ledger)
+        self.on_change()
+
+    def _give_back_queues(self, code: str) -> None:
         for queue in self._queues.values():
             for _, _, entry in queue:
                 if entry.state == QUEUED:
-                    self._give_back(entry, REFUSED_LEAVING)
+                    self._give_back(entry, code)
             queue.clear()
         for ledger in self._ledgers.values():
-            self._flush(ledger)
-        self.on_change()
+            if ledger.refused:
+                self._flush(ledger)
 
     def repeat_results(self) -> None:
         """Send every result again that its home has not settled, before leaving."""
@@ -346,6 +357,9 @@
         task_id = name_task(entry.task)
         self._running[task_id] = _Run(self._clock.now(), entry.task.run_ms)
         self._counters.add("tasks_started")
+        if self._looked_ms is None:
+            self._looked_ms = self._clock.now()
+            self._clock.after(LOOK_MS, self._look)
         eventlet.spawn_n(self._run, entry, task_id)
 
     def _run(self, entry: Entry, task_id: str) -> None:
@@ -361,10 +375,15 @@
             code = error.code
             body = error.detail.encode()
         finally:
-            self._running.pop(task_id, None)
+            run = self._running.pop(task_id, None)
         run_ms = self._clock.now() - started
-        if not entry.is_stopped:
+        if ok and not entry.is_stopped:
+            self._health.note_end(task.run_ms, run_ms)
+        else:
+            self._health.pace.withdraw(run.hazard if run else 0.0)
+        if not ok and not entry.is_stopped:
             self._health.note(ok, run_ms, code)
+        self._clear_if_ejected()
         if code == NotStarted.code:
             self._give_back(entry, code)
             self._flush(entry.ledger)
@@ -372,6 +391,34 @@
             self._finish(entry, TaskResult(task.offer, ok, body, code, run_ms))
         self._fill_slots()
 
+    def _look(self) -> None:
+        """Judge the running tasks by how long they take, now and again while any runs.
+
+        After a pause of this process its results are waited for first.
+        """
+        now = self._clock.now()
+        has_paused = now - self._looked_ms > 2 * LOOK_MS
+        self._looked_ms = now if self._running else None
+        if not self._running:
+            return
+        self._clock.after(LOOK_MS, self._look)
+        if not has_paused:
+            self._judge_running(now)
+
+    def _judge_running(self, now: float) -> None:
+        pace = self._health.pace
+        for task_id, run in self._running.items():
+            hazard = pace.hazard(run.estimate_ms, now - run.started_ms)
+            if hazard > run.hazard:
+                pace.add(hazard - run.hazard)
+                self._running[task_id] = run._replace(hazard=hazard)
+        self._health.note_late()
+        self._clear_if_ejected()
+
+    def _clear_if_ejected(self) -> None:
+        if self._health.is_ejected and self._queued:
+            self._give_back_queues(REFUSED_EJECTED)
+
     def _finish(self, entry: Entry, result: TaskResult) -> None:
         ledger = entry.ledger
         entry.state = DONE
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,17 +1,20 @@
 """Tests of the runner: offers, revokes, floors, results."""
 
 import json
+import logging
 import unittest
 
 from geraniumspool import runner as runners
 from geraniumspool.clock import ManualClock
 from geraniumspool.contracts import Announcement
 from geraniumspool.decisions import DecisionLog
-from geraniumspool.health import Health
+from geraniumspool.health import PROBES_TO_RESTORE, Health
 from geraniumspool.messages import Offer, OfferedTask, Peer, Results, Revoke, Revoked
 from geraniumspool.metrics import MemoryCounters
 from geraniumspool.minion import Fault, FaultKind, MemoryMinionClient
+from geraniumspool.pace import SLOW, Pace
 from geraniumspool.runner import RESERVE_MS, Runner
+from tests.world import ProcessClock
 
 ME = Peer("tcp://127.0.0.1:7001", 1)
 HOME = Peer("tcp://127.0.0.1:7002", 2)
@@ -44,20 +47,23 @@
     return OfferedTask(offer, job, place, "fitting", payload, run_ms, rank, 9_000.0, any_slot)
 
 
-class RunnerTest(unittest.TestCase):
-    """A runner with two slots and room for four more tasks."""
+class RunnerCase(unittest.TestCase):
+    """A runner whose minion is a fake in memory."""
 
     def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
         self.clock = ManualClock()
         self.client = MemoryMinionClient(self.clock)
         self.make()
 
-    def make(self, minion=MINION):
-        decisions = DecisionLog(ME.incarnation, self.clock, None)
-        health = Health(self.clock, decisions, ME.address)
+    def make(self, minion=MINION, clock=None, **health):
+        clock = clock or self.clock
+        decisions = DecisionLog(ME.incarnation, clock, logging.getLogger(__name__))
+        self.health = Health(clock, decisions, ME.address, **health)
         self.outbox = Outbox(ME)
         counters = MemoryCounters()
-        self.runner = Runner(self.outbox, self.clock, self.client, counters, health, 2.0, HOLD_MS)
+        self.runner = Runner(self.outbox, clock, self.client, counters, self.health, 2.0, HOLD_MS)
         self.runner.announce(minion)
 
     def offer(self, *tasks, floor=1, more=False, home=HOME):
@@ -80,6 +86,10 @@
     def started(self, offer, job=1) -> int:
         return self.client.starts[f"{job:x}.{offer}"]
 
+
+class RunnerTest(RunnerCase):
+    """A runner with two slots and room for four more tasks."""
+
     def test_revoke_states(self):
         """Each state is told as it is, and never changes to not started."""
         self.offer(*(make_task(number) for number in (1, 2, 3)))
@@ -232,3 +242,101 @@
         self.results()
         self.runner.repeat_results()
         self.assertEqual(self.results(), [[2, 3]])
+
+
+class SlowMinionTest(RunnerCase):
+    """A runner with eight slots whose minion is slow or frozen."""
+
+    def setUp(self):
+        super().setUp()
+        self.make(MINION._replace(slots=8))
+        self.next = 1
+
+    def give(self, count, run_ms=100.0):
+        """Offer some tasks; return how many of them started."""
+        before = sum(self.client.starts.values())
+        tasks = [make_task(self.next + number, run_ms=run_ms) for number in range(count)]
+        self.next += count
+        self.offer(*tasks)
+        return sum(self.client.starts.values()) - before
+
+    def test_queue_comes_back(self):
+        """What has not started on a slow minion is refused, so that it may go elsewhere."""
+        silent = Fault(FaultKind.SILENT)
+        cases = (
+            ("ten times slower", Fault(slow_factor=10.0), {}, runners.REFUSED_EJECTED),
+            ("frozen", silent, {}, runners.REFUSED_EJECTED),
+            ("no room under the cap", silent, {"may_eject": lambda: False}, ""),
+            ("ejection turned off", silent, {"failure_share": lambda: 1.0}, ""),
+            ("twice as slow", Fault(slow_factor=2.0), {}, ""),
+            ("as all others", silent, {"pace": Pace(lambda: 2 * SLOW)}, ""),
+        )
+        for name, fault, health, code in cases:
+            with self.subTest(case=name):
+                self.setUp()
+                self.make(MINION._replace(slots=8), **health)
+                self.client.script(fault)
+                self.assertEqual(self.give(20), 8)
+                self.clock.advance(950.0)
+                queued = range(9, 21)
+                self.assertEqual(self.refusals(), dict.fromkeys(queued, code) if code else {})
+                self.assertEqual(self.runner.load().slots == 0, bool(code))
+
+    def test_one_task_that_hangs(self):
+        """It says nothing of the minion while others end in time."""
+        self.client.script(Fault(FaultKind.SILENT), "1.1")
+        for _ in range(40):
+            self.assertGreater(self.give(2), 0)
+            self.clock.advance(200.0)
+        self.assertEqual(self.runner.load().free, 7)
+
+    def test_stopped_tasks_are_not_late(self):
+        """Tasks that the dispatcher stopped in time say nothing about the minion."""
+        self.client.script(Fault(slow_factor=10.0))
+        for number in range(1, 41):
+            self.give(1)
+            self.clock.advance(140.0)
+            self.assertGreater(self.runner.load().lateness, 0.0)
+            self.revoke(number, stop=True)
+            self.assertAlmostEqual(self.runner.load().lateness, 0.0)
+
+    def test_failures_hand_the_queue_back(self):
+        """A minion ejected for its failures keeps no waiting task either."""
+        self.client.script(Fault(FaultKind.FAIL))
+        self.give(20)
+        self.clock.advance(110.0)
+        self.assertEqual(self.refusals(), dict.fromkeys(range(13, 21), runners.REFUSED_EJECTED))
+
+    def test_pause_of_the_process(self):
+        """Results that came while this process stood still are not late."""
+        clock, answer = ProcessClock(self.clock), self.client.run
+
+        def run(*arguments):
+            body = answer(*arguments)
+            clock.pass_gate()
+            return body
+
+        self.client.run = run
+        self.make(MINION._replace(slots=8), clock)
+        self.give(8)
+        clock.freeze()
+        self.clock.advance(9_000.0)
+        clock.thaw()
+        self.clock.advance(200.0)
+        self.assertEqual((self.runner.load().free, self.health.is_ejected), (8, False))
+
+    def test_probes(self):
+        """A late probe counts as failed; a minion that works again is restored."""
+        self.client.script(Fault(slow_factor=10.0))
+        self.give(8)
+        self.clock.advance(3_000.0)
+        self.assertEqual((self.give(2), self.health.is_ejected), (1, True))
+        self.clock.advance(1_500.0)
+        self.assertEqual(self.give(1), 0)
+        self.client.script(Fault())
+        self.clock.advance(2_000.0)
+        for _ in range(PROBES_TO_RESTORE):
+            self.assertTrue(self.health.is_ejected)
+            self.assertEqual(self.give(2), 1)
+            self.clock.advance(200.0)
+        self.assertEqual((self.runner.load().free, self.runner.load().lateness), (8, 0.0))
