No slot is told while a probe runs

Cause: an ejected minion whose probe was due told one slot, also while the probe ran. Homes took it as room for tasks to wait, offered some, were refused and offered again for as long as the probe lasted. With a slow minion that is seconds; test_probes failed for it.

Change: the slot is told only while nothing runs or waits there.

--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -140,7 +140,7 @@
         if not self.accepts:
             return 0
         if self._health.is_ejected:
-            return 1 if self._health.is_probe_due else 0
+            return 1 if self._health.is_probe_due and self.is_idle else 0
         return self.slots
 
     def predict_wait(self) -> float:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -337,6 +337,7 @@
         self.clock.advance(2_000.0)
         for _ in range(PROBES_TO_RESTORE):
             self.assertTrue(self.health.is_ejected)
-            self.assertEqual(self.give(2), 1)
+            self.assertEqual((self.runner.load().slots, self.give(2)), (1, 1))
+            self.assertEqual(self.runner.load().slots, 0)
             self.clock.advance(200.0)
         self.assertEqual((self.runner.load().free, self.runner.load().lateness), (8, 0.0))
