A slow minion teaches a home no run times

Cause: a home learns run times from every result, so those of one slow minion made the estimates of all other tasks too long. In the new test, ten jobs with one task of 3 s among tasks of 300 ms more than doubled the estimate.

Change: results of a worker whose lateness stands out are not learnt from. Where most workers are late they are, since then times have changed.

Ruled out: clipping each sample, which makes a true change slow to learn.

--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -46,6 +46,7 @@
     WrongIncarnation,
 )
 from geraniumspool.offers import CODE_REVOKED, Offers, PlacedTask
+from geraniumspool.pace import STANDS_OUT
 from geraniumspool.placement import LATE_REACH, REACH_BY_WIDTH, Allotment, Demand, Placement
 from geraniumspool.records import Records, Watermark
 from geraniumspool.roster import Roster
@@ -528,7 +529,9 @@
         declared = job.tasks[index].run_ms
         if result.ok:
             worker.note_pace(result.run_ms, offer.run_ms, self._clock.now())
-            self._times.learn(declared, result.run_ms)
+            # What a slow minion took would make every other task's estimate too long.
+            if not self._seems_slow(worker):
+                self._times.learn(declared, result.run_ms)
         if job.is_final:
             return
         if not result.ok:
@@ -544,6 +547,10 @@
         elif job.ending:
             self._check_ending(job)
 
+    def _seems_slow(self, worker: Worker) -> bool:
+        lateness = worker.load.lateness
+        return lateness > STANDS_OUT and lateness - self.peers_lateness() > STANDS_OUT
+
     def _complete(self, job: Job) -> None:
         self._counters.add("jobs_complete")
         self._decisions.record(codes.JOB_COMPLETE, job.subject)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -299,6 +299,30 @@
         self.submit(1)
         self.assertEqual(len(self.offers()), 1)
 
+    def test_slow_worker_teaches_no_run_times(self):
+        """Estimates follow results, but for those of a minion slower than the others."""
+        cases = (
+            ("as usual", 0.0, 0.0, True),
+            ("slow", 20.0, 0.0, False),
+            ("all", 20.0, 20.0, True),
+        )
+        for name, far, farther, is_learnt in cases:
+            with self.subTest(case=name):
+                self.make(workers=(FAR, FARTHER), slots=1)
+                runs = {FAR: (3_000.0, far), FARTHER: (300.0, farther)}
+                for _ in range(10):
+                    self.submit(2)
+                    sent = [row for row in self.outbox.sent if isinstance(row[1], Offer)]
+                    self.outbox.sent.clear()
+                    for peer, offer in sent:
+                        run_ms, lateness = runs[peer]
+                        rows = [TaskResult(t.offer, True, b"1", "", run_ms) for t in offer.tasks]
+                        load = Load(1, 1, lateness=lateness)
+                        self.home.take_results(peer, Results(tuple(rows), (), load))
+                self.submit(1)
+                learnt_ms = self.offers()[0].tasks[0].run_ms
+                self.assertEqual(learnt_ms > 600.0, is_learnt)
+
     def test_states(self):
         """An inquiry tells what is known, and starts nothing."""
         running, unknown = self.submit(1), self.issue()
