Pace: late tasks are learnt from as well

Cause: to keep a slow minion from becoming usual, nothing was learnt while its evidence stood out. Where estimates get worse, that is just while the wider spread shows, so it was never learnt, and a healthy minion was ejected (trial of loads in which declared times change from exact to wrong: one of eleven in the first second of an overload, restored after 2.6 s). The new test failed for it.

Change: every result is learnt from, unless the minion is ejected. Late tasks give no credit, so a slow minion is found before it is learnt as usual.

--- a/geraniumspool/pace.py
+++ b/geraniumspool/pace.py
@@ -83,12 +83,10 @@
     def end(self, estimate_ms: float, actual_ms: float) -> None:
         """Take that a task has ended with a result, and learn its time.
 
-        Nothing is learnt while the evidence stands out, or slowness would become usual.
+        Late ones are learnt too, or the distribution would grow ever narrower.
         """
         if self.hazard(estimate_ms, actual_ms) < LATE_HAZARD:
             self.lateness = max(0.0, self.lateness - CREDIT)
-        if self._exceeds(STANDS_OUT):
-            return
         ratio = max(1.0, actual_ms) / max(1.0, estimate_ms)
         distance = math.log(min(MAX_RATIO, max(1 / MAX_RATIO, ratio))) - self._usual
         self._usual += USUAL_WEIGHT * distance
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -66,3 +66,13 @@
             hazards = [pace.hazard(estimate_ms, age) for age in (0.0, 60.0, 600.0, 1e12)]
             self.assertEqual(hazards, sorted(hazards))
             self.assertEqual((hazards[0], hazards[-1]), (0.0, MAX_HAZARD))
+
+    def test_estimates_get_worse(self):
+        """A wider spread is learnt also while it makes many tasks late."""
+        source, pace = random.Random(1), Pace()
+        run(pace, draw_exact, source, LEARNT)
+        self.assertEqual(pace.hazard(400.0, 1_000.0), MAX_HAZARD)
+        for _ in range(LEARNT):
+            pace.add(SLOW)
+            pace.end(*draw_mean(source))
+        self.assertLess(pace.hazard(400.0, 1_000.0), MAX_HAZARD)
