--- a/geraniumspool/pace.py
+++ b/geraniumspool/pace.py
@@ -47,10 +47,7 @@
     @property
     def is_slow(self) -> bool:
         """Whether the minion is slow, and not most others as well."""
-        return self._exceeds(SLOW)
-
-    def _exceeds(self, limit: float) -> bool:
-        return self.lateness > limit and self.lateness - self._peers_lateness() > limit
+        return self.lateness > SLOW and self.lateness - self._peers_lateness() > SLOW
 
     def hazard(self, estimate_ms: float, age_ms: float) -> float:
         """Return the cumulative hazard of a task, at most ``MAX_HAZARD``.
