--- a/benchmarks/slope_jobs.py
+++ b/benchmarks/slope_jobs.py
@@ -220,7 +220,7 @@
 
 def _list_usable(side: HomeSide) -> None:
     for _ in range(50):
-        side.home._usable()
+        side.home._placer.list_workers()
 
 
 def _measure_runner() -> list[Slope]:
--- a/geraniumspool/backlog.py
+++ b/geraniumspool/backlog.py
@@ -18,6 +18,11 @@
     job: Job
     index: int
 
+    @property
+    def size(self) -> float:
+        """Return the declared size of the task."""
+        return self.job.tasks[self.index].size
+
 
 class Backlog:
     """Waiting tasks, in one queue for each width of job.
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -5,21 +5,17 @@
 """
 
 import contextlib
-import random
 from collections import Counter
 
-import eventlet
-
 from geraniumspool import decisions as codes
 from geraniumspool.admission import Ahead, Verdict, judge
 from geraniumspool.archive import NEW_TICKET_RETRY_MS, Archives
-from geraniumspool.backlog import Backlog, Waiting
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock, Counters, Messenger
 from geraniumspool.decisions import DecisionLog, encode_decisions
 from geraniumspool.errors import MalformedTicket, NotStarted
 from geraniumspool.estimate import RunTimes
-from geraniumspool.job import Job, Waiter, Width, classify
+from geraniumspool.job import Job, Waiter, classify
 from geraniumspool.messages import (
     MEMBER_DEAD,
     MEMBER_EJECTED,
@@ -45,9 +41,10 @@
     TaskResult,
     WrongIncarnation,
 )
-from geraniumspool.offers import CODE_REVOKED, Offers, PlacedTask
+from geraniumspool.offers import CODE_REVOKED, Offers
 from geraniumspool.pace import STANDS_OUT
-from geraniumspool.placement import LATE_REACH, REACH_BY_WIDTH, Allotment, Demand, Placement
+from geraniumspool.placement import Placement
+from geraniumspool.placer import Place, Placer
 from geraniumspool.records import Records, Watermark
 from geraniumspool.roster import Roster
 from geraniumspool.runner import Runner
@@ -57,16 +54,9 @@
 DUE_SHARE = 0.3
 REVOKE_WAIT_MS = 1_000.0
 LEFT_GRACE_MS = 500.0
-MAX_NEAR = 48
-MAX_FAR = 16
 KEPT_DECISIONS = 20
-MAX_LATE = 64
-MIN_SLACK_MS = 50.0
 NEGLIGIBLE_MS = 0.001
 
-# How long a task may wait at a worker beyond what was expected, by its run time.
-SLACK_BY_WIDTH = {Width.NARROW: 0.2, Width.MEDIUM: 0.4, Width.WIDE: 2.0}
-
 CODE_TASK_FAILED = "task_failed"
 CODE_CANCELLED = "job_cancelled"
 CODE_EXPIRED = "job_expired"
@@ -104,14 +94,21 @@
         self._configuration = configuration
         self._runner = runner
         self._records = records
-        self._placement = placement
-        self._domain = domain
         self._jobs: dict[int, Job] = {}
-        self._backlog = Backlog()
         self._held_bytes = 0
         self._team_work: Counter[str] = Counter()
-        self._place_scheduled = False
         self._offers = Offers(messenger, clock, counters, decisions, runner, self, peer_timeout_ms)
+        self._placer = Placer(
+            Place(messenger.me, domain),
+            lambda: self.service,
+            clock,
+            roster,
+            configuration,
+            runner,
+            self._offers,
+            placement,
+        )
+        self._backlog = self._placer.backlog
         self._times = RunTimes()
         self.archives = Archives()
         self.service = ""
@@ -197,14 +194,14 @@
                 worker.note_refused_connection(self._clock.now())
             if offer is not None:
                 self.take_back(offer, refusal.code)
-        self._schedule_place()
+        self._placer.schedule()
 
     def take_revoked(self, sender: Peer, revoked: Revoked) -> None:
         """Take a worker's word on revoked offers."""
         worker = self._offers.find(sender)
         if worker is not None:
             self._offers.take_revoked(worker, revoked)
-            self._schedule_place()
+            self._placer.schedule()
 
     def take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
         """Learn that another process has taken over a worker's address."""
@@ -222,7 +219,7 @@
             self._check_ending(job)
         else:
             self._backlog.push(job, offer.index)
-            self._schedule_place()
+            self._placer.schedule()
 
     def note_started(self, offer: OpenOffer) -> None:
         """Learn that a task has started; see :class:`~offers.OfferOwner`."""
@@ -274,7 +271,7 @@
 
     def schedule_place(self) -> None:
         """Place waiting tasks soon, since something may have changed."""
-        self._schedule_place()
+        self._placer.schedule()
 
     def _find(self, waiter: Waiter, text: str, digest: bytes | None) -> Ticket | None:
         """Answer from what is known; return the ticket where nothing is."""
@@ -358,38 +355,11 @@
         job.estimates = [self._times.estimate(task.run_ms) for task in job.tasks]
         job.work_ms = sum(job.estimates)
 
-    def _usable(self) -> list[Worker]:
-        """Return workers to offer to; a sample where there are many."""
-        near = _sample(self._roster.agents(self.service, self._domain), MAX_NEAR)
-        far = [
-            member
-            for member in _sample(self._roster.agents(self.service), MAX_NEAR + MAX_FAR)
-            if member.domain != self._domain
-        ]
-        members = near + far[: max(MAX_FAR, MAX_NEAR - len(near))]
-        workers = [self._offers.worker(member) for member in members if not self._is_own(member)]
-        if self._runner.load().slots:
-            workers.append(self._own_worker())
-        now = self._clock.now()
-        return [worker for worker in workers if worker.look(now)]
-
-    def _is_own(self, member: Member) -> bool:
-        return (member.address, member.incarnation) == self.me
-
-    def _own_worker(self) -> Worker:
-        max_size = self._runner.minion.max_size
-        load = self._runner.load()
-        member = Member(*self.me, self._domain, "agent", MEMBER_READY, self.service, max_size, load)
-        worker = self._offers.worker(member)
-        worker.member = member
-        worker.hear(load, self._clock.now())
-        return worker
-
     def _judge(self, job: Job) -> Verdict:
         narrow_tasks = self._configuration.service(self.service).narrow_tasks
         job.width = classify(len(job.tasks), narrow_tasks)
         ahead = Ahead(self._backlog.count, self._backlog.narrow_work_ms, self._held_bytes)
-        return judge(job, self._usable(), ahead)
+        return judge(job, self._placer.list_workers(), ahead)
 
     def _refuse(self, waiter: Waiter, job: Job, code: str, detail: str, retry_ms: float) -> None:
         self._counters.add("jobs_refused", code=code)
@@ -420,7 +390,7 @@
         job.timers.append(expire)
         for index in range(len(job.tasks)):
             self._backlog.push(job, index)
-        self._schedule_place()
+        self._placer.schedule()
 
     def _due(self, job: Job) -> float:
         """Return when a job is due: small ones soon, so that they overtake large ones.
@@ -442,87 +412,6 @@
             return 1.0
         return max(1.0, shares[team] * len(shares) / sum(shares.values()))
 
-    def _schedule_place(self) -> None:
-        if not self._place_scheduled:
-            self._place_scheduled = True
-            eventlet.spawn_n(self._place)
-
-    def _place(self) -> None:
-        self._place_scheduled = False
-        if not self._backlog.count:
-            return
-        batches: dict[Peer, list[PlacedTask]] = {}
-        for width in Width:
-            late = self._backlog.count_late(width, self._clock.now(), MAX_LATE)
-            if late:
-                self._place_queue(width, late, LATE_REACH, batches)
-            if self._backlog.size(width):
-                size = self._backlog.size(width)
-                self._place_queue(width, size, REACH_BY_WIDTH[width], batches)
-        limit_ms = self._configuration.service(self.service).run_limit_ms
-        for peer, batch in batches.items():
-            if not batch:
-                continue
-            worker = self._offers.find(peer)
-            worker.planned = 0
-            self._offers.send(worker, batch, self.service, limit_ms, self._backlog.count > 0)
-
-    def _place_queue(
-        self, width: Width, count: int, reach: float, batches: dict[Peer, list[PlacedTask]]
-    ) -> None:
-        """Draw tasks of one queue into batches by worker.
-
-        :param reach: how far ahead they may go, by the usual lookahead
-        """
-        run_ms = self._backlog.work_ms / self._backlog.count
-        any_slot = width == Width.NARROW
-        demand = Demand(count, run_ms, reach, any_slot)
-        workers = self._find_near(demand) or self._usable()
-        if not workers:
-            return
-        unplaced = []
-        for allotment in self._placement.allot(demand, workers, self.me, self._domain):
-            batch = batches.setdefault(allotment.worker.peer, [])
-            unplaced.extend(self._draw(allotment, width, any_slot, batch))
-        for job, index in unplaced:
-            self._backlog.push(job, index)
-
-    def _find_near(self, demand: Demand) -> list[Worker]:
-        """Return the own worker alone where that is where all tasks would go anyway.
-
-        At a light load this spares the survey of all others for each task.
-        """
-        if not self._runner.load().slots:
-            return []
-        own = self._own_worker()
-        is_near = own.look(self._clock.now()) and self._placement.stays_home(demand, own)
-        return [own] if is_near else []
-
-    def _patience(self, worker: Worker, waiting: Waiting) -> float:
-        """Return the wait beyond which a worker should refuse a task, 0 for none."""
-        if worker.peer == self.me or waiting.due <= self._clock.now():
-            return 0.0
-        expected_ms = 0.0 if worker.free else worker.load.wait_ms
-        slack_ms = waiting.job.estimates[waiting.index] * SLACK_BY_WIDTH[waiting.job.width]
-        return expected_ms + max(MIN_SLACK_MS, slack_ms)
-
-    def _draw(
-        self, allotment: Allotment, width: Width, any_slot: bool, batch: list[PlacedTask]
-    ) -> list[tuple[Job, int]]:
-        """Fill a batch from the backlog; return tasks that do not fit there."""
-        unfit = []
-        left = allotment.count
-        while left > 0 and (waiting := self._backlog.pop(width)) is not None:
-            job, index = waiting.job, waiting.index
-            if allotment.worker.fits(job.tasks[index].size):
-                patience_ms = self._patience(allotment.worker, waiting)
-                batch.append(PlacedTask(job, index, waiting.due, any_slot, patience_ms))
-                allotment.worker.planned += 1
-                left -= 1
-            else:
-                unfit.append((job, index))
-        return unfit
-
     def _take_result(self, worker: Worker, offer: OpenOffer, result: TaskResult) -> None:
         job, index = offer.job, offer.index
         job.started = True
@@ -619,7 +508,7 @@
         if member.state in (MEMBER_DEAD, MEMBER_LEFT):
             self._clock.after(LEFT_GRACE_MS, lambda: self._member_gone(peer))
         if member.state in (MEMBER_READY, MEMBER_EJECTED):
-            self._schedule_place()
+            self._placer.schedule()
 
     def _member_gone(self, peer: Peer) -> None:
         """Give up a member that left; one that only fell silent is probed."""
@@ -631,10 +520,6 @@
             self._offers.forget_idle(peer)
 
 
-def _sample(members: list[Member], most: int) -> list[Member]:
-    return members if len(members) <= most else random.sample(members, most)
-
-
 def _conflict_or(answer: Answer, kept: bytes, digest: bytes | None) -> Answer:
     """Return the kept answer, or a conflict where another body was sent."""
     if digest is not None and kept and digest != kept:
--- /dev/null
+++ b/geraniumspool/placer.py
@@ -0,0 +1,185 @@
+"""Placing the tasks that wait at a home: which go to which worker, and when."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eventlet
+
+from geraniumspool.backlog import Backlog, Waiting
+from geraniumspool.configuration import Configuration
+from geraniumspool.contracts import Clock
+from geraniumspool.job import Width
+from geraniumspool.messages import MEMBER_READY, Member, Peer
+from geraniumspool.offers import Offers, PlacedTask
+from geraniumspool.placement import LATE_REACH, REACH_BY_WIDTH, Allotment, Demand, Placement
+from geraniumspool.roster import ROLE_AGENT, Roster
+from geraniumspool.runner import Runner
+from geraniumspool.worker import Worker
+
+MAX_NEAR = 48
+MAX_FAR = 16
+MAX_LATE = 64
+MIN_SLACK_MS = 50.0
+
+# How long a task may wait at a worker beyond what was expected, by its run time.
+SLACK_BY_WIDTH = {Width.NARROW: 0.2, Width.MEDIUM: 0.4, Width.WIDE: 2.0}
+
+Batches = dict[Peer, list[PlacedTask]]
+
+
+class Place(NamedTuple):
+    """Where a home stands.
+
+    :param me: its process
+    :param domain: its failure domain
+    """
+
+    me: Peer
+    domain: str
+
+
+class Placer:
+    """Offers a home's waiting tasks to workers."""
+
+    def __init__(
+        self,
+        place: Place,
+        service: Callable[[], str],
+        clock: Clock,
+        roster: Roster,
+        configuration: Configuration,
+        runner: Runner,
+        offers: Offers,
+        placement: Placement,
+    ):
+        """Start with nothing waiting.
+
+        :param service: returns the service of the home's own minion
+        """
+        self._me, self._domain = place
+        self._service = service
+        self._clock = clock
+        self._roster = roster
+        self._configuration = configuration
+        self._runner = runner
+        self._offers = offers
+        self._placement = placement
+        self._is_scheduled = False
+        self.backlog = Backlog()
+
+    def schedule(self) -> None:
+        """Place waiting tasks soon, since something may have changed."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            eventlet.spawn_n(self._place)
+
+    def list_workers(self) -> list[Worker]:
+        """Return workers to offer to; a sample where there are many."""
+        service = self._service()
+        near = _sample(self._roster.agents(service, self._domain), MAX_NEAR)
+        far = [
+            member
+            for member in _sample(self._roster.agents(service), MAX_NEAR + MAX_FAR)
+            if member.domain != self._domain
+        ]
+        members = near + far[: max(MAX_FAR, MAX_NEAR - len(near))]
+        workers = [self._offers.worker(member) for member in members if not self._is_own(member)]
+        if self._runner.load().slots:
+            workers.append(self._own_worker())
+        now = self._clock.now()
+        return [worker for worker in workers if worker.look(now)]
+
+    def _is_own(self, member: Member) -> bool:
+        return (member.address, member.incarnation) == self._me
+
+    def _own_worker(self) -> Worker:
+        max_size = self._runner.minion.max_size
+        load = self._runner.load()
+        described = (self._domain, ROLE_AGENT, MEMBER_READY, self._service(), max_size, load)
+        member = Member(*self._me, *described)
+        worker = self._offers.worker(member)
+        worker.member = member
+        worker.hear(load, self._clock.now())
+        return worker
+
+    def _place(self) -> None:
+        self._is_scheduled = False
+        if not self.backlog.count:
+            return
+        batches: Batches = {}
+        for width in Width:
+            late = self.backlog.count_late(width, self._clock.now(), MAX_LATE)
+            if late:
+                self._place_queue(width, late, LATE_REACH, batches)
+            if self.backlog.size(width):
+                size = self.backlog.size(width)
+                self._place_queue(width, size, REACH_BY_WIDTH[width], batches)
+        service = self._service()
+        limit_ms = self._configuration.service(service).run_limit_ms
+        for peer, batch in batches.items():
+            if not batch:
+                continue
+            worker = self._offers.find(peer)
+            worker.planned = 0
+            self._offers.send(worker, batch, service, limit_ms, self.backlog.count > 0)
+
+    def _place_queue(self, width: Width, count: int, reach: float, batches: Batches) -> None:
+        """Draw tasks of one queue into batches by worker.
+
+        :param reach: how far ahead they may go, by the usual lookahead
+        """
+        run_ms = self.backlog.work_ms / self.backlog.count
+        any_slot = width == Width.NARROW
+        demand = Demand(count, run_ms, reach, any_slot)
+        workers = self._find_near(demand) or self.list_workers()
+        if not workers:
+            return
+        unplaced = []
+        for allotment in self._placement.allot(demand, workers, self._me, self._domain):
+            unplaced.extend(self._draw(allotment, width, any_slot, batches))
+        for waiting in unplaced:
+            self.backlog.push(waiting.job, waiting.index)
+
+    def _find_near(self, demand: Demand) -> list[Worker]:
+        """Return the own worker alone where that is where all tasks would go anyway.
+
+        At a light load this spares the survey of all others for each task.
+        """
+        if not self._runner.load().slots:
+            return []
+        own = self._own_worker()
+        is_near = own.look(self._clock.now()) and self._placement.stays_home(demand, own)
+        return [own] if is_near else []
+
+    def _draw(
+        self, allotment: Allotment, width: Width, any_slot: bool, batches: Batches
+    ) -> list[Waiting]:
+        """Fill a batch from the backlog; return tasks that do not fit there."""
+        unfit = []
+        left = allotment.count
+        while left > 0 and (waiting := self.backlog.pop(width)) is not None:
+            if allotment.worker.fits(waiting.size):
+                self._plan(allotment.worker, waiting, any_slot, batches)
+                left -= 1
+            else:
+                unfit.append(waiting)
+        return unfit
+
+    def _plan(self, worker: Worker, waiting: Waiting, any_slot: bool, batches: Batches) -> None:
+        patience_ms = self._patience(worker, waiting)
+        task = PlacedTask(waiting.job, waiting.index, waiting.due, any_slot, patience_ms)
+        batches.setdefault(worker.peer, []).append(task)
+        worker.planned += 1
+
+    def _patience(self, worker: Worker, waiting: Waiting) -> float:
+        """Return the wait beyond which a worker should refuse a task, 0 for none."""
+        if worker.peer == self._me or waiting.due <= self._clock.now():
+            return 0.0
+        expected_ms = 0.0 if worker.free else worker.load.wait_ms
+        slack_ms = waiting.job.estimates[waiting.index] * SLACK_BY_WIDTH[waiting.job.width]
+        return expected_ms + max(MIN_SLACK_MS, slack_ms)
+
+
+def _sample(members: list[Member], most: int) -> list[Member]:
+    return members if len(members) <= most else random.sample(members, most)
--- a/tests/world.py
+++ b/tests/world.py
@@ -303,7 +303,7 @@
             **self._settings,
         )
         agent = Agent(settings, messenger, self.store, minion, clock, metrics)
-        agent.home._placement._random = random.Random(self._random.randrange(1 << 30))
+        agent.home._placer._placement._random = random.Random(self._random.randrange(1 << 30))
         process = Process(agent, clock, messenger.me, domain, minion)
         self.agents.append(process)
         return self._start(process)
