Placer: what is too large for one worker goes to another that takes it

Cause: placement chooses workers for a number of tasks without their sizes. While the home's own minion had a free slot, the cheapest place, a task too large for it was drawn for it, put back, and drawn for it again until the job's deadline, though other workers took that size and were idle. Change: tasks that did not fit are placed in a second round, in groups that the same workers take, on those alone. Ruled out: sizes in the placement's demand, since most tasks fit everywhere and would pay for it; queues by size in the backlog. Before: the new test failed (1 and 3 tasks: no offer went out; 12: passed, as the own slots did not suffice). After: passed. Nothing else measured.

--- a/geraniumspool/placer.py
+++ b/geraniumspool/placer.py
@@ -1,6 +1,9 @@
 """Placing the tasks that wait at a home: which go to which worker, and when."""
 
+import bisect
+import math
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -135,11 +138,11 @@
         workers = self._find_near(demand) or self.list_workers()
         if not workers:
             return
-        unplaced = []
+        unfit = []
         for allotment in self._placement.allot(demand, workers, self._me, self._domain):
-            unplaced.extend(self._draw(allotment, width, any_slot, batches))
-        for waiting in unplaced:
-            self.backlog.push(waiting.job, waiting.index)
+            unfit.extend(self._draw(allotment, width, any_slot, batches))
+        if unfit:
+            self._place_unfit(unfit, demand, batches)
 
     def _find_near(self, demand: Demand) -> list[Worker]:
         """Return the own worker alone where that is where all tasks would go anyway.
@@ -166,6 +169,20 @@
                 unfit.append(waiting)
         return unfit
 
+    def _place_unfit(self, unfit: list[Waiting], demand: Demand, batches: Batches) -> None:
+        """Place tasks too large for where they were to go; back to the backlog with the rest."""
+        workers = self.list_workers()
+        for tasks in _group_by_limit(unfit, workers):
+            fitting = [worker for worker in workers if worker.fits(tasks[0].size)]
+            left = deque(tasks)
+            if fitting:
+                wanted = demand._replace(count=len(tasks))
+                for allotment in self._placement.allot(wanted, fitting, self._me, self._domain):
+                    for _ in range(allotment.count):
+                        self._plan(allotment.worker, left.popleft(), demand.any_slot, batches)
+            for waiting in left:
+                self.backlog.push(waiting.job, waiting.index)
+
     def _plan(self, worker: Worker, waiting: Waiting, any_slot: bool, batches: Batches) -> None:
         patience_ms = self._patience(worker, waiting)
         task = PlacedTask(waiting.job, waiting.index, waiting.due, any_slot, patience_ms)
@@ -181,5 +198,14 @@
         return expected_ms + max(MIN_SLACK_MS, slack_ms)
 
 
+def _group_by_limit(tasks: list[Waiting], workers: list[Worker]) -> list[list[Waiting]]:
+    """Return tasks in groups that fit the same workers, in the order of the tasks."""
+    limits = sorted({worker.member.max_size or math.inf for worker in workers})
+    groups: dict[int, list[Waiting]] = {}
+    for waiting in tasks:
+        groups.setdefault(bisect.bisect_left(limits, waiting.size), []).append(waiting)
+    return list(groups.values())
+
+
 def _sample(members: list[Member], most: int) -> list[Member]:
     return members if len(members) <= most else random.sample(members, most)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -54,14 +54,14 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         self.make()
 
-    def make(self, workers=(FAR,), slots=4, own_slots=0, max_record_bytes=1 << 20):
+    def make(self, workers=(FAR,), slots=4, own_slots=0, own_size=0.0, max_record_bytes=1 << 20):
         self.clock = ManualClock()
         self.outbox = Outbox(ME)
         self.keyring = Keyring(["ticket-key-for-tests-0001"])
         counters = MemoryCounters()
         decisions = DecisionLog(ME.incarnation, self.clock, logging.getLogger(__name__))
         self.roster = Roster(self.clock, "north")
-        client = MemoryMinionClient(self.clock)
+        self.client = client = MemoryMinionClient(self.clock)
         health = Health(self.clock, decisions, ME.address)
         runner = Runner(self.outbox, self.clock, client, counters, health)
         self.home = Home(
@@ -79,7 +79,8 @@
         )
         self.home.service = "fitting"
         if own_slots:
-            runner.announce(Announcement("fitting", "http://127.0.0.1:1", own_slots, 64))
+            own = Announcement("fitting", "http://127.0.0.1:1", own_slots, 64, own_size)
+            runner.announce(own)
         for peer in workers:
             self.join(peer, slots)
 
@@ -226,6 +227,18 @@
             ("not_run", "job_refused_no_capacity", 0.0),
         )
 
+    def test_too_large_for_the_own_minion(self):
+        """What does not fit beside the home goes where it fits, however free the own slots."""
+        for tasks, fewest in ((1, 1), (3, 3), (12, 6)):
+            with self.subTest(tasks=tasks):
+                self.make(workers=(FAR, FARTHER), own_slots=4, own_size=1.0)
+                self.submit(tasks, size=5.0)
+                self.submit(1, size=0.5)
+                offered = [task for offer in self.offers() for task in offer.tasks]
+                self.assertGreaterEqual(len(offered), fewest)
+                self.assertEqual(self.client.running, 1)
+                self.assertEqual({task.job for task in offered}, {offered[0].job})
+
     def test_narrow_before_wide(self):
         """A narrow job that comes later goes before a wide one's waiting tasks."""
         self.submit(14, 100.0)
