Homes forget workers that are no members any more

Cause: a home keeps what it knows of each worker until that one is given up or found idle at the moment it is told dead. A worker with an offer open then, and now one that left the agent's window, was kept for good: memory grew with every restart in the system, and the lateness that is compared with the workers' median counted strangers. Change: with the house-keeping each half second, workers without open offers that the roster does not have are dropped. Before: the new test failed (the worker was still known). After: passed. The growth was not measured.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -290,6 +290,7 @@
             self.home.expire_records()
             self.home.schedule_place()
             self.roster.forget()
+            self.home.forget_workers()
             self._check_minion()
             if self._state() != self._told_state:
                 self._changed()
--- a/geraniumspool/home.py
+++ b/geraniumspool/home.py
@@ -243,6 +243,12 @@
         """Let go of records that are too old."""
         self._records.expire()
 
+    def forget_workers(self) -> None:
+        """Let go of workers that are no members any more, once nothing is open there."""
+        self._offers.forget_strangers(
+            lambda peer: peer == self.me or self._roster.get(peer) is not None
+        )
+
     def leave(self) -> None:
         """Take no new jobs; those that run go on."""
         self.leaving = True
--- a/geraniumspool/offers.py
+++ b/geraniumspool/offers.py
@@ -3,7 +3,7 @@
 import math
 import random
 import statistics
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
 import eventlet
@@ -175,6 +175,13 @@
         if worker is not None and not worker.open:
             del self._workers[peer]
 
+    def forget_strangers(self, is_known: Callable[[Peer], bool]) -> None:
+        """Forget workers without open offers that are not known any more."""
+        idle = [peer for peer, worker in self._workers.items() if not worker.open]
+        for peer in idle:
+            if not is_known(peer):
+                del self._workers[peer]
+
     def drop(self, peer: Peer) -> None:
         """Give up a worker that is gone: what is open there is lost."""
         worker = self._workers.pop(peer, None)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -84,9 +84,9 @@
         for peer in workers:
             self.join(peer, slots)
 
-    def join(self, peer, slots=4, state=MEMBER_READY):
+    def join(self, peer, slots=4, state=MEMBER_READY, domain="north"):
         load = Load(slots, slots, 0, 0.0)
-        member = Member(*peer, "north", "agent", state, "fitting", 10.0, load)
+        member = Member(*peer, domain, "agent", state, "fitting", 10.0, load)
         self.roster.hear(member)
         self.clock.settle()
 
@@ -283,6 +283,21 @@
                 self.submit(2, ticket=ticket)
                 self.assertEqual(self.answers(), [("may_have_run", "worker_lost")])
 
+    def test_worker_not_told_of_any_more(self):
+        """It gets no new offers, and is forgotten once what is open there is settled."""
+        self.make(workers=())
+        self.join(FAR, domain="south")
+        self.submit(tasks=1)
+        [offer] = self.offers()
+        self.roster.release([FAR.address])
+        self.home.forget_workers()
+        self.submit(tasks=1)
+        self.assertEqual(self.offers(), [])
+        self.results(offer.tasks[0].offer)
+        self.assertIn(("complete", ""), self.answers())
+        self.home.forget_workers()
+        self.assertIsNone(self.home._offers.find(FAR))
+
     def test_worker_given_up(self):
         """A worker given up as silent gets no task until it is heard again."""
         self.submit(1, deadline_ms=60_000.0)
