--- a/benchmarks/slope_jobs.py
+++ b/benchmarks/slope_jobs.py
@@ -19,6 +19,7 @@
 from geraniumspool.clock import SystemClock
 from geraniumspool.contracts import Announcement
 from geraniumspool.decisions import DecisionLog
+from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY, peer_of
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import (
     Answer,
@@ -37,7 +38,6 @@
 )
 from geraniumspool.metrics import MemoryCounters
 from geraniumspool.records import Records
-from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, peer_of
 from geraniumspool.settings import AgentSettings
 from geraniumspool.ticket import Keyring, read_ticket
 
--- a/benchmarks/slope_links.py
+++ b/benchmarks/slope_links.py
@@ -10,9 +10,9 @@
 from geraniumspool.application import draw_incarnation
 from geraniumspool.clock import SystemClock
 from geraniumspool.link import NngMessenger
+from geraniumspool.members import ROLE_AGENT
 from geraniumspool.messages import Heartbeat
 from geraniumspool.metrics import MemoryCounters
-from geraniumspool.roster import ROLE_AGENT
 
 PEERS = (25, 75, 150)
 SETTLE_S = 0.5
--- a/benchmarks/slope_membership.py
+++ b/benchmarks/slope_membership.py
@@ -6,6 +6,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.configuration import Configuration
 from geraniumspool.heartbeat import Heartbeater
+from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY, peer_of
 from geraniumspool.messages import (
     MEMBER_READY,
     MEMBER_STARTING,
@@ -23,7 +24,7 @@
 )
 from geraniumspool.metrics import MemoryCounters
 from geraniumspool.registry import Registry
-from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, Roster, peer_of
+from geraniumspool.roster import Roster
 
 SIZES = (100, 487, 1000, 7300)
 DOMAINS = 15
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -14,9 +14,9 @@
 from eventlet.greenthread import GreenThread
 
 from geraniumspool.errors import DispatchError
+from geraniumspool.members import ROLE_AGENT
 from geraniumspool.messages import MEMBER_READY
 from geraniumspool.minion import Fault, FaultKind
-from geraniumspool.roster import ROLE_AGENT
 from tests.world import TEAM, Job, Process, World
 
 STEPS = 60
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -22,6 +22,7 @@
 from geraniumspool.heartbeat import Heartbeater
 from geraniumspool.home import REVOKE_WAIT_MS, Home
 from geraniumspool.link import NngMessenger
+from geraniumspool.members import ROLE_AGENT
 from geraniumspool.messages import (
     MEMBER_EJECTED,
     MEMBER_LEAVING,
@@ -52,7 +53,7 @@
 from geraniumspool.records import Records
 from geraniumspool.registrar import discover_entries
 from geraniumspool.reply import Reply, reply_json
-from geraniumspool.roster import ROLE_AGENT, Roster
+from geraniumspool.roster import Roster
 from geraniumspool.routes import Request, Route
 from geraniumspool.runner import Runner
 from geraniumspool.scope import scope_by
--- a/geraniumspool/digests.py
+++ b/geraniumspool/digests.py
@@ -13,11 +13,12 @@
 
 from geraniumspool.contracts import Messenger
 from geraniumspool.heartbeat import weigh
+from geraniumspool.members import peer_of
 from geraniumspool.messages import MEMBER_LEAVING, Digest, Member, Peer
 from geraniumspool.replies import Replies
 from geraniumspool.reports import Demand, Reports, find_changes
 from geraniumspool.revisions import FAR_ROUNDS, Revisions
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.views import View, Views
 
 REFRESH_PER_DIGEST = 16
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -22,6 +22,7 @@
 from geraniumspool.etcd_store import EtcdStore
 from geraniumspool.homes import Homes
 from geraniumspool.link import NngMessenger
+from geraniumspool.members import ROLE_ENTRY, is_final, peer_of
 from geraniumspool.messages import (
     MEMBER_LEAVING,
     MEMBER_LEFT,
@@ -42,7 +43,7 @@
 from geraniumspool.quota import Quotas
 from geraniumspool.registrar import Registrar
 from geraniumspool.registry import Registry
-from geraniumspool.roster import ROLE_ENTRY, Roster, is_final, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.routes import Route
 from geraniumspool.scope import scope_by
 from geraniumspool.settings import EntrySettings
--- a/geraniumspool/handover.py
+++ b/geraniumspool/handover.py
@@ -5,9 +5,10 @@
 from geraniumspool.contracts import Clock, Messenger
 from geraniumspool.heartbeat import weigh
 from geraniumspool.home import Home
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Handover, HandoverReceipt, Peer, Record
 from geraniumspool.records import Watermark
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 
 BATCH_BYTES = 512 * 1024
 RECEIPT_WAIT_MS = 500.0
--- a/geraniumspool/heartbeat.py
+++ b/geraniumspool/heartbeat.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from geraniumspool.contracts import Clock, Messenger
+from geraniumspool.members import is_final, peer_of
 from geraniumspool.messages import (
     ANY_INCARNATION,
     MEMBER_DEAD,
@@ -24,7 +25,7 @@
     Peer,
     ShortHeartbeat,
 )
-from geraniumspool.roster import Roster, is_final, peer_of
+from geraniumspool.roster import Roster
 
 MISSED_REPLIES = 2
 AVOID_PERIODS = 10
--- a/geraniumspool/hints.py
+++ b/geraniumspool/hints.py
@@ -5,8 +5,9 @@
 import random
 
 from geraniumspool.contracts import Clock
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Load, Member
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 
 HINTS_PER_REPLY = 16
 HINT_CANDIDATES = 32
--- a/geraniumspool/homes.py
+++ b/geraniumspool/homes.py
@@ -6,8 +6,9 @@
 
 from geraniumspool.contracts import Clock
 from geraniumspool.errors import DispatchError
+from geraniumspool.members import peer_of
 from geraniumspool.messages import MEMBER_LEFT, Load, Member, Peer
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.ticket import Keyring, Ticket
 
 MAX_ARCHIVE_HOPS = 8
--- /dev/null
+++ b/geraniumspool/members.py
@@ -0,0 +1,17 @@
+"""Members: their roles, which states are final, and what tells one from another."""
+
+from geraniumspool.messages import MEMBER_DEAD, MEMBER_LEFT, Member, Peer
+
+ROLE_ENTRY = "entry"
+ROLE_AGENT = "agent"
+FINAL_MEMBER_STATES = frozenset({MEMBER_LEFT, MEMBER_DEAD})
+
+
+def peer_of(member: Member) -> Peer:
+    """Return the address and incarnation of a member."""
+    return Peer(member.address, member.incarnation)
+
+
+def is_final(member: Member) -> bool:
+    """Return whether a member is dead or has left."""
+    return member.state in FINAL_MEMBER_STATES
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -14,11 +14,12 @@
 from geraniumspool.decisions import DecisionLog, describe, parse_decision_id
 from geraniumspool.documents import check_key
 from geraniumspool.errors import InvalidInput, NotFound, Unauthorized
+from geraniumspool.members import ROLE_AGENT, is_final, peer_of
 from geraniumspool.messages import Answer, Drain, Inquire, Member, Peer
 from geraniumspool.metrics import Metrics
 from geraniumspool.registry import Registry
 from geraniumspool.reply import Reply, reply_json
-from geraniumspool.roster import ROLE_AGENT, Roster, is_final, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.routes import Request, Route
 from geraniumspool.status import DomainStatus
 from geraniumspool.submission import Findings
--- a/geraniumspool/placer.py
+++ b/geraniumspool/placer.py
@@ -13,10 +13,11 @@
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Clock
 from geraniumspool.job import Width
+from geraniumspool.members import ROLE_AGENT
 from geraniumspool.messages import MEMBER_READY, Member, Peer
 from geraniumspool.offers import Offers, PlacedTask
 from geraniumspool.placement import LATE_REACH, REACH_BY_WIDTH, Allotment, Demand, Placement
-from geraniumspool.roster import ROLE_AGENT, Roster
+from geraniumspool.roster import Roster
 from geraniumspool.runner import Runner
 from geraniumspool.worker import Worker
 
--- a/geraniumspool/registrar.py
+++ b/geraniumspool/registrar.py
@@ -7,8 +7,9 @@
 
 from geraniumspool.contracts import Clock, Store
 from geraniumspool.errors import LeaseExpired, StoreError
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Load, Member
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 
 ENTRY_PREFIX = "entries/"
 RENEWALS_PER_TTL = 3
--- a/geraniumspool/registry.py
+++ b/geraniumspool/registry.py
@@ -19,11 +19,13 @@
 from geraniumspool.contracts import Clock, Messenger
 from geraniumspool.digests import REFRESH_PER_DIGEST, Digests
 from geraniumspool.heartbeat import is_foreign_news
+from geraniumspool.members import ROLE_ENTRY, is_final, peer_of
 from geraniumspool.messages import MEMBER_DEAD, Digest, Heartbeat, Member, Peer, ShortHeartbeat
 from geraniumspool.replies import Replies
 from geraniumspool.reports import Demand, PeerDemand, Reports
 from geraniumspool.revisions import Revisions
-from geraniumspool.roster import ROLE_ENTRY, Roster, Sighting, is_final, peer_of
+from geraniumspool.roster import Roster
+from geraniumspool.sighting import Sighting
 
 HEARTBEATS_PER_S = 120
 REFRESH_TURNS = 3
--- a/geraniumspool/replies.py
+++ b/geraniumspool/replies.py
@@ -16,6 +16,7 @@
 from geraniumspool.clock import Timer
 from geraniumspool.contracts import Clock, Messenger
 from geraniumspool.hints import Hints
+from geraniumspool.members import ROLE_ENTRY, is_final, peer_of
 from geraniumspool.messages import (
     MEMBER_LEAVING,
     Document,
@@ -25,7 +26,7 @@
     Member,
     Peer,
 )
-from geraniumspool.roster import ROLE_ENTRY, Roster, is_final, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.windows import Windows
 
 DOCUMENT_BYTES = 16_384
--- a/geraniumspool/roster.py
+++ b/geraniumspool/roster.py
@@ -22,9 +22,10 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
+from geraniumspool.candidates import Candidates
 from geraniumspool.contracts import Clock
+from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY, is_final, peer_of
 from geraniumspool.messages import (
     MEMBER_DEAD,
     MEMBER_EJECTED,
@@ -36,10 +37,8 @@
     Member,
     Peer,
 )
+from geraniumspool.sighting import Sighting
 
-ROLE_ENTRY = "entry"
-ROLE_AGENT = "agent"
-FINAL_MEMBER_STATES = frozenset({MEMBER_LEFT, MEMBER_DEAD})
 REMEMBER_MS = 600_000.0
 
 _RANKS = {
@@ -53,43 +52,6 @@
 _NO_LOAD = Load()
 
 
-def peer_of(member: Member) -> Peer:
-    """Return the address and incarnation of a member."""
-    return Peer(member.address, member.incarnation)
-
-
-def is_final(member: Member) -> bool:
-    """Return whether a member is dead or has left."""
-    return member.state in FINAL_MEMBER_STATES
-
-
-class Sighting(NamedTuple):
-    """How this process knows of a member.
-
-    :param source: process that handed the news on, None where it was heard directly
-    :param heard_ms: when it was last heard directly or its source was lost, or None
-    :param learnt_ms: when its source last mentioned it, or None
-    :param claimant: another process that says it hears the member, or None
-    :param claimed_ms: when it said so
-    """
-
-    source: Peer | None = None
-    heard_ms: float | None = None
-    learnt_ms: float | None = None
-    claimant: Peer | None = None
-    claimed_ms: float = 0.0
-
-    @property
-    def direct(self) -> bool:
-        """Whether the member is, or was last, heard directly."""
-        return self.source is None and self.heard_ms is not None
-
-    @property
-    def claimed(self) -> bool:
-        """Whether somebody else has heard the member since it was heard here."""
-        return self.claimant is not None and self.claimed_ms > (self.heard_ms or 0.0)
-
-
 class _Record:
     __slots__ = ("peer", "member", "sighting", "version", "final_ms")
 
@@ -127,8 +89,7 @@
         self._records: dict[Peer, _Record] = {}
         self._incarnations: dict[int, Peer] = {}
         self._current: dict[str, Peer] = {}
-        self._ready: dict[str, dict[str, dict[Peer, Member]]] = {}
-        self._entries: dict[Peer, Member] = {}
+        self._candidates = Candidates()
         self._domains: tuple[int, tuple[str, ...]] = (-1, ())
         self._callbacks: list[Callable[[Member], None]] = []
 
@@ -172,7 +133,7 @@
         record = self._records.get(Peer(address, incarnation))
         if record is None:
             return False
-        self._store(record, record.member._replace(load=load))
+        self._put(record, record.member._replace(load=load))
         return True
 
     def hear(self, member: Member) -> bool:
@@ -202,7 +163,7 @@
             return None
         if is_final(record.member) or not record.sighting.direct:
             return None
-        self._store(record, record.member._replace(load=load))
+        self._put(record, record.member._replace(load=load))
         self._set_sighting(record, Sighting(heard_ms=self._clock.now()))
         return record.member
 
@@ -292,7 +253,7 @@
             member = record.member
             is_foreign = member.role == ROLE_AGENT and member.domain != self.domain
             if is_foreign and not is_final(member) and is_chosen(peer):
-                self._unindex(record)
+                self._candidates.remove(member)
                 self._drop(peer, record)
 
     def covers(self, version: int) -> bool:
@@ -328,10 +289,7 @@
 
         :param domain: failure domain to stay in, or None for all
         """
-        domains = self._ready.get(service, {})
-        names = domains if domain is None else (domain,)
-        reachable = [domains[n] for n in names if n in domains and n not in self.unreachable]
-        return [member for agents in reachable for member in agents.values()]
+        return self._candidates.list_agents(service, domain, self.unreachable)
 
     def set_unreachable(self, domains: Iterable[str]) -> None:
         """Take which failure domains nothing is heard of; the own one never is.
@@ -342,7 +300,7 @@
 
     def entries(self) -> list[Member]:
         """Return the entries that are neither dead nor left."""
-        return list(self._entries.values())
+        return list(self._candidates.entries.values())
 
     def members(self) -> list[Member]:
         """Return all members, dead ones and those that left included."""
@@ -408,7 +366,7 @@
         return self._advance(record, member)
 
     def _has_other_source(self, sighting: Sighting, source: Peer) -> bool:
-        return sighting.source not in (None, source) and sighting.source in self._entries
+        return sighting.source not in (None, source) and sighting.source in self._candidates.entries
 
     def _is_silent(
         self, record: _Record, now: float, timeout_ms: float, learnt_timeout_ms: float | None
@@ -424,12 +382,12 @@
     def _hand_over(self, record: _Record, now: float) -> bool:
         member = record.member
         sighting = record.sighting
-        if sighting.claimed and sighting.claimant in self._entries:
+        if sighting.claimed and sighting.claimant in self._candidates.entries:
             self._set_sighting(record, Sighting(sighting.claimant, learnt_ms=now))
             return True
         if member.domain == self.domain:
             return False
-        for peer, entry in self._entries.items():
+        for peer, entry in self._candidates.entries.items():
             if entry.domain == member.domain and peer != record.peer:
                 self._set_sighting(record, Sighting(peer, learnt_ms=now))
                 return True
@@ -451,7 +409,7 @@
         if not self._may_advance(record, member, revive, prevail):
             return False
         if member._replace(load=_NO_LOAD) == record.member._replace(load=_NO_LOAD):
-            self._store(record, member)
+            self._put(record, member)
             return False
         if not is_final(member):
             self._replace_current(record.peer)
@@ -485,8 +443,8 @@
         self.version += 1
         record.version = self.version
         self._records[record.peer] = self._records.pop(record.peer)
-        self._unindex(record)
-        self._store(record, member)
+        self._candidates.remove(record.member)
+        self._put(record, member)
         if is_final(member):
             record.final_ms = self._clock.now()
             if member.role == ROLE_ENTRY:
@@ -500,21 +458,9 @@
             if record.sighting.source == source and record.member.domain == self.domain:
                 record.sighting = record.sighting._replace(heard_ms=now)
 
-    def _store(self, record: _Record, member: Member) -> None:
+    def _put(self, record: _Record, member: Member) -> None:
         record.member = member
-        if member.role == ROLE_ENTRY:
-            if not is_final(member):
-                self._entries[record.peer] = member
-        elif member.state == MEMBER_READY:
-            domains = self._ready.setdefault(member.service, {})
-            domains.setdefault(member.domain, {})[record.peer] = member
-
-    def _unindex(self, record: _Record) -> None:
-        member = record.member
-        if member.role == ROLE_ENTRY:
-            self._entries.pop(record.peer, None)
-        elif member.state == MEMBER_READY:
-            self._ready.get(member.service, {}).get(member.domain, {}).pop(record.peer, None)
+        self._candidates.put(member)
 
     def _drop(self, peer: Peer, record: _Record) -> None:
         del self._records[peer]
--- a/geraniumspool/views.py
+++ b/geraniumspool/views.py
@@ -5,8 +5,10 @@
 
 from typing import NamedTuple
 
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Member, Peer
-from geraniumspool.roster import Roster, Sighting, peer_of
+from geraniumspool.roster import Roster
+from geraniumspool.sighting import Sighting
 
 _Key = tuple[int, int, bool]
 
--- a/geraniumspool/windows.py
+++ b/geraniumspool/windows.py
@@ -8,8 +8,9 @@
 import hashlib
 from typing import NamedTuple
 
+from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY, is_final
 from geraniumspool.messages import Member
-from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY, Roster, is_final
+from geraniumspool.roster import Roster
 
 FOREIGN_MEMBERS = 64
 
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -6,8 +6,9 @@
 
 from geraniumspool.clock import ManualClock
 from geraniumspool.heartbeat import AVOID_PERIODS, SHORT_HEARTBEATS, Heartbeater
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Document, HeartbeatReply, Load, Member, Peer, ShortHeartbeat
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 
 PERIOD_MS = 2_000.0
 ENTRIES = [Member(f"tcp://127.0.0.1:{n}", n, "north", "entry", "ready") for n in (1, 2, 3)]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,8 +8,8 @@
 import eventlet
 
 from geraniumspool import exit_codes
+from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY
 from geraniumspool.messages import MEMBER_READY
-from geraniumspool.roster import ROLE_AGENT, ROLE_ENTRY
 from tests.small import (
     SERVICE,
     TEAM,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -10,6 +10,7 @@
 from geraniumspool.digests import DEMAND_REFRESH_DIGESTS
 from geraniumspool.heartbeat import Heartbeater
 from geraniumspool.hints import HINTS_PER_REPLY
+from geraniumspool.members import peer_of
 from geraniumspool.messages import (
     Digest,
     Document,
@@ -23,7 +24,7 @@
 from geraniumspool.registry import Registry
 from geraniumspool.replies import PUSHES_AT_ONCE
 from geraniumspool.revisions import FAR_ROUNDS, SILENT_ROUNDS, TOLD_ROUNDS
-from geraniumspool.roster import Roster, peer_of
+from geraniumspool.roster import Roster
 from geraniumspool.windows import FOREIGN_MEMBERS
 from tests.test_heartbeat import FakeConfiguration, RecordingMessenger
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -3,8 +3,10 @@
 import unittest
 
 from geraniumspool.clock import ManualClock
+from geraniumspool.members import peer_of
 from geraniumspool.messages import Load, Member, Peer
-from geraniumspool.roster import Roster, Sighting, peer_of
+from geraniumspool.roster import Roster
+from geraniumspool.sighting import Sighting
 
 STATES = ("starting", "ready", "ejected", "leaving", "left", "dead")
 ENTRY = Member("tcp://127.0.0.1:1", 1, "north", "entry", "ready")
