--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -16,6 +16,7 @@
 from geraniumspool.agent import parse_announcement
 from geraniumspool.decisions import EXPLANATIONS
 from geraniumspool.documents import DEFAULT_SERVICE, DEFAULT_TEAM, parse_document
+from geraniumspool.idempotency import parse_key
 from geraniumspool.settings import AgentSettings, EntrySettings, check_file
 from geraniumspool.submission import parse_submission, parse_ticket_order
 from tests.small import point_commands
@@ -117,6 +118,16 @@
                         self.assertIsNotNone(cli._understand(words[1:]).run)
         self.assertGreater(seen, 20)
 
+    def test_idempotency_keys_are_taken(self):
+        seen = 0
+        for page in find_pages():
+            text = page.read_text(encoding="utf-8")
+            for key in re.findall(r"Idempotency-Key: ([^\s`'\"]+)", text):
+                seen += 1
+                with self.subTest(page=page.name, key=key):
+                    self.assertTrue(key.startswith("$") or parse_key(key))
+        self.assertGreater(seen, 2)
+
     def test_commands_in_texts_exist(self):
         commands = cli.Commands(cli.Plan())
         for page in find_pages():
