Status tells operators which failure domains are unreachable

Cause: an entry left the members of a silent domain out, and said so in its log alone; in status they stood as ready. Change: each domain's row has a state. Ruled out: members shown as dead, which nobody knows them to be. The tests of status failed before and pass.

--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -21,7 +21,7 @@
 from geraniumspool.reply import Reply, reply_json
 from geraniumspool.roster import Roster
 from geraniumspool.routes import Request, Route
-from geraniumspool.status import DomainStatus
+from geraniumspool.status import REACHABLE, UNREACHABLE, DomainStatus
 from geraniumspool.submission import Findings
 
 _LOG = logging.getLogger(__name__)
@@ -155,8 +155,10 @@
             if member.role == ROLE_AGENT and member.domain == domain and not is_final(member)
         ]
         states = [member.state for member in agents]
+        is_unreachable = domain in self._roster.unreachable
         return DomainStatus(
             domain=domain,
+            state=UNREACHABLE if is_unreachable else REACHABLE,
             agents=len(agents),
             ready=states.count("ready"),
             leaving=states.count("leaving"),
--- a/geraniumspool/status.py
+++ b/geraniumspool/status.py
@@ -2,11 +2,18 @@
 
 from typing import TypedDict
 
+REACHABLE = "reachable"
+UNREACHABLE = "unreachable"
+
 
 class DomainStatus(TypedDict):
-    """What an entry knows of one failure domain."""
+    """What an entry knows of one failure domain.
+
+    Of an unreachable one it is what was last heard.
+    """
 
     domain: str
+    state: str
     agents: int
     ready: int
     leaving: int
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -100,7 +100,10 @@
                 self.assertEqual(self.entry.requests.pop(), request)
 
     def test_status_as_table_and_json(self):
-        domain = dict.fromkeys(DomainStatus.__annotations__, 3) | {"domain": "Olinda"}
+        domain = dict.fromkeys(DomainStatus.__annotations__, 3) | {
+            "domain": "Olinda",
+            "state": "reachable",
+        }
         answer = {
             "entry": {"address": "h:1", "domain": "Recife", "incarnation": "ab", "state": "ready"},
             "domains": [domain],
@@ -112,7 +115,7 @@
         code, output, _ = run("status", "--json")
         self.assertEqual((code, json.loads(output)), (exit_codes.EXIT_OK, answer))
         _, output, _ = run("status")
-        self.assertRegex(output, r"Olinda +3 +3")
+        self.assertRegex(output, r"Olinda +reachable +3 +3")
         self.assertRegex(output, r"failure domain +Recife")
 
     def test_roster_and_why_for_people(self):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,12 +4,14 @@
 import json
 import tempfile
 import unittest
+from unittest import mock
 
 import eventlet
 
 from geraniumspool import exit_codes
 from geraniumspool.members import ROLE_AGENT, ROLE_ENTRY
 from geraniumspool.messages import MEMBER_READY
+from geraniumspool.revisions import Revisions
 from tests.small import (
     SERVICE,
     TEAM,
@@ -70,11 +72,23 @@
         status = self.small.operate("GET", "/v1/status", entry=1).body
         self.assertEqual(status["entry"]["domain"], "south")
         self.assertEqual(status["entry"]["state"], MEMBER_READY)
-        rows = {row["domain"]: (row["agents"], row["ready"]) for row in status["domains"]}
-        self.assertEqual(rows, {"north": (1, 1), "south": (1, 1)})
+        rows = {r["domain"]: (r["state"], r["agents"], r["ready"]) for r in status["domains"]}
+        self.assertEqual(rows, dict.fromkeys(("north", "south"), ("reachable", 1, 1)))
         self.assertEqual(status["store"]["state"], "watching")
         self.assertGreater(status["counters"]["http_requests{status=200}"], -1)
 
+    def test_status_of_a_silent_domain(self):
+        """It counts as unreachable, with what was last heard of it."""
+        with mock.patch.object(Revisions, "_is_silent", lambda _, domain: domain == "north"):
+
+            def find_rows():
+                status = self.small.operate("GET", "/v1/status", entry=1).body
+                return {(r["domain"], r["state"], r["ready"]) for r in status["domains"]}
+
+            expected = {("north", "unreachable", 1), ("south", "reachable", 1)}
+            wait_until(lambda: find_rows() == expected)
+        wait_until(lambda: not self.small.entries[1].roster.unreachable)
+
     def test_roster(self):
         """Both entries list the same four processes, in one order."""
         one, two = (self.small.operate("GET", "/v1/roster", entry=n).body for n in (0, 1))
