--- a/benchmarks/counts.py
+++ b/benchmarks/counts.py
@@ -82,14 +82,6 @@
     )
 
 
-def read_counts(fleet: Fleet) -> Counts:
-    """Return the counts of all processes that live."""
-    total = NO_COUNTS
-    for url in _living(fleet).values():
-        total += read_process(fleet, url)
-    return total
-
-
 class Meter:
     """Counts of a fleet whose processes come and go.
 
