--- a/geraniumspool/application.py
+++ b/geraniumspool/application.py
@@ -67,6 +67,10 @@
             task.kill()
         self._tasks.clear()
 
+    def reload(self) -> None:
+        """Take changed settings; by default there are none to take."""
+        _LOG.info("reload asked for")
+
     def request_exit(self) -> None:
         """Ask whoever runs this application to drain and stop it."""
         self.exit_requested = True
--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -5,11 +5,14 @@
 """
 
 import math
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any, NamedTuple, Protocol
 
+import eventlet
 from eventlet import wsgi
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from geraniumspool.contracts import Clock
 from geraniumspool.reply import STATUS_LINES, reply_problem
@@ -42,6 +45,7 @@
     max_header_bytes: int
     clock: Clock
     draining: bool
+    retiring: bool
     connections: set["Connection"]
 
 
@@ -60,6 +64,17 @@
         :param reusable: whether the next request can be read after it
         """
 
+    def watch_caller(self, gone: Callable[[], None]) -> Callable[[], None]:
+        """Call ``gone`` if the caller closes the connection while it waits.
+
+        :returns: ends the watch; must be called before the reply
+        """
+        return _do_nothing
+
+
+def _do_nothing() -> None:
+    pass
+
 
 UNATTACHED = Attachable()
 
@@ -128,9 +143,26 @@
         self._limit(self._server.limits.body_ms)
         if not reusable:
             self._lingers = True
-        if not reusable or self._server.draining:
+        if not reusable or self._server.draining or self._server.retiring:
             self.close_connection = 1
 
+    def watch_caller(self, gone: Callable[[], None]) -> Callable[[], None]:
+        """Watch for the caller's leaving; see :meth:`Attachable.watch_caller`."""
+        return eventlet.spawn(self._watch, gone).kill
+
+    def _watch(self, gone: Callable[[], None]) -> None:
+        try:
+            trampoline(self.connection, read=True)
+            if self.connection.fd.recv(1, socket.MSG_PEEK):
+                # The next request came early; it is read after this one.
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            # A reset is a way to leave as well.
+            pass
+        gone()
+
     def expire(self, now: float) -> None:
         """End the current phase if its time is over."""
         if now < self._deadline:
--- a/geraniumspool/contracts.py
+++ b/geraniumspool/contracts.py
@@ -1,5 +1,6 @@
 """Contracts between the parts: what varies between real parts and fakes."""
 
+import enum
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
@@ -7,6 +8,7 @@
 
 from geraniumspool.clock import Timer
 from geraniumspool.messages import Delivery, Message, Peer
+from geraniumspool.rooms import Room
 
 
 class Clock(Protocol):
@@ -46,6 +48,9 @@
         :returns: whether it was queued; a queued message may still be lost
         """
 
+    def reset(self, peer: Peer) -> None:
+        """Have the next message to a peer take a new connection."""
+
     def stop(self) -> None:
         """Close inbox and links, after queued messages had time to leave."""
 
@@ -166,6 +171,111 @@
         """Ask the minion to stop a task; return whether it says it did."""
 
 
+class MinionLife(NamedTuple):
+    """One life of a minion, as it describes itself.
+
+    :param instance: name of this life
+    :param address: ``host:port`` that its agent calls
+    :param draining: whether it is about to leave
+    :param sequence: rising within a life, tells a report that was overtaken
+    """
+
+    instance: str
+    service: str
+    address: str
+    room: Room
+    labels: tuple[str, ...] = ()
+    draining: bool = False
+    sequence: int = 0
+
+
+class RunKey(NamedTuple):
+    """One run as a minion knows it."""
+
+    task: str
+    attempt: int
+
+
+class StartOutcome(enum.Enum):
+    """What a minion answers to a start."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OLD = "old"
+    LATE = "late"
+    FULL = "full"
+    UNHEALTHY = "unhealthy"
+    REJECTED = "rejected"
+
+
+class StartAnswer(NamedTuple):
+    """Answer to a start.
+
+    :param clock_ms: the minion's clock
+    """
+
+    outcome: StartOutcome
+    clock_ms: float
+
+
+class ListedEnd(NamedTuple):
+    """One end in a minion's list.
+
+    :param number: rising within the minion's life
+    :param how: one of the RUN_ constants of :mod:`geraniumspool.run_messages`
+    """
+
+    number: int
+    key: RunKey
+    how: str
+
+
+class MinionView(NamedTuple):
+    """What a minion runs and what has ended there.
+
+    :param running: share of its work that each run has done, 0..1
+    """
+
+    clock_ms: float
+    running: dict[RunKey, float]
+    ended: tuple[ListedEnd, ...]
+
+
+class MinionControl(Protocol):
+    """How an agent controls the runs of its minion.
+
+    Every call may raise ``MinionSilent`` (it may be carried out, also later) or
+    ``MinionReplaced`` (nothing was done; the life is over).
+    """
+
+    def start(
+        self, life: MinionLife, key: RunKey, payload: str, lease_until_ms: float, fence: int
+    ) -> StartAnswer:
+        """Start a run.
+
+        :param lease_until_ms: time on the minion's clock up to which everything may run
+        :param fence: number below which the minion does nothing
+        """
+
+    def stop(self, life: MinionLife, key: RunKey, fence: int) -> None:
+        """Stop a run; once this returns it will not be started any more."""
+
+    def look(
+        self,
+        life: MinionLife,
+        fence: int,
+        acknowledged: int,
+        lease_until_ms: float | None,
+        wait_ms: float,
+    ) -> MinionView:
+        """Renew the lease, acknowledge ends, and return what runs and has ended.
+
+        :param acknowledged: ends up to this number may be forgotten
+        :param wait_ms: how long the answer may wait for an end
+        :raises Fenced: if a higher fencing token was seen
+        """
+
+
 class Counters(Protocol):
     """Counts of what happened; see :mod:`geraniumspool.metrics`."""
 
--- /dev/null
+++ b/geraniumspool/daemon_settings.py
@@ -0,0 +1,93 @@
+"""Settings of the dispatcher's and the executor's programs, read from YAML."""
+
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+import yaml
+
+from geraniumspool.errors import Finding, InvalidInput
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+Settings = TypeVar("Settings")
+
+
+class DispatcherSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a dispatcher.
+
+    :param name: name of the process in logs
+    :param domain: failure domain it runs in
+    :param inbox: address for messages of executors
+    :param store: ``host:port`` of the platform's store
+    :param callers_listen: address of the callers' listener
+    :param ready_listen: address that tells whether new callers should come
+    :param metrics_listen: address that serves metrics, empty for none
+    :param grace_s: time from SIGTERM until the process is killed
+    :param log_level: lowest level that is logged
+    """
+
+    name: str
+    domain: str
+    inbox: str
+    store: str
+    callers_listen: str
+    ready_listen: str
+    metrics_listen: str = ""
+    grace_s: float = 6.0
+    log_level: str = "info"
+
+
+class ExecutorSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of an executor.
+
+    :param minion_listen: address that its minion reports to
+    """
+
+    name: str
+    domain: str
+    inbox: str
+    store: str
+    minion_listen: str
+    metrics_listen: str = ""
+    grace_s: float = 6.0
+    log_level: str = "info"
+
+
+def load_settings(path: str, kind: type[Settings]) -> Settings:
+    """Return the settings in a file.
+
+    :param kind: which program's settings to read
+    :raises InvalidInput: with every fault found
+    """
+    try:
+        value = yaml.load(Path(path).read_bytes(), _LOADER)
+    except OSError as error:
+        text = f"could not be read: {error.strerror}"
+        raise InvalidInput([Finding(path, 0, "", text)]) from error
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 0
+        raise InvalidInput([Finding(path, line, "", "is not YAML")]) from error
+    findings = _find_faults(path, value, kind)
+    if findings:
+        raise InvalidInput(findings)
+    return msgspec.convert(value, kind)
+
+
+def _find_faults(path: str, value: object, kind: type) -> list[Finding]:
+    if not isinstance(value, dict):
+        return [Finding(path, 0, "", "must be a mapping")]
+    findings = []
+    for field in msgspec.structs.fields(kind):
+        if field.name not in value:
+            if field.required:
+                findings.append(Finding(path, 0, field.name, "is missing"))
+            continue
+        try:
+            msgspec.convert(value[field.name], field.type)
+        except msgspec.ValidationError as error:
+            findings.append(Finding(path, 0, field.name, str(error)))
+    known = {field.name for field in msgspec.structs.fields(kind)}
+    unknown = sorted(set(map(str, value)) - known)
+    return findings + [Finding(path, 0, name, "is not a setting") for name in unknown]
--- /dev/null
+++ b/geraniumspool/dispatch_agent.py
@@ -0,0 +1,102 @@
+"""The executor's program: the minion's listener, the executor, and its key in the store."""
+
+import logging
+
+import eventlet
+
+from geraniumspool.application import Application, ReadyLine
+from geraniumspool.contracts import Clock, Messenger, MinionControl, Store
+from geraniumspool.daemon_settings import ExecutorSettings
+from geraniumspool.executor import Executor
+from geraniumspool.leased_key import LeasedKey
+from geraniumspool.messages import Message, Peer, WrongIncarnation
+from geraniumspool.metrics import Metrics
+from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns
+from geraniumspool.units import MS_PER_SECOND
+from geraniumspool.webserver import WebServer
+
+_LOG = logging.getLogger(__name__)
+
+WORKER_PREFIX = "geraniumspool/workers/"
+# An agent whose host is lost is taken off the list within this time.
+KEY_TTL_MS = 5_000.0
+# Left of the grace period for stopping what still runs.
+STOP_MS = 900.0
+END_MS = 500.0
+
+
+class DispatchAgent(Application):
+    """Runs tasks on one minion."""
+
+    def __init__(
+        self,
+        settings: ExecutorSettings,
+        clock: Clock,
+        metrics: Metrics,
+        messenger: Messenger,
+        store: Store,
+        control: MinionControl,
+    ):
+        """Connect the parts."""
+        super().__init__(clock, metrics)
+        self._settings = settings
+        self._messenger = messenger
+        self.executor = Executor(
+            clock, control, messenger.send, metrics, settings.domain, clock.wall()
+        )
+        self.executor.reset_link = messenger.reset
+        address = messenger.me.address
+        self._key = LeasedKey(
+            store, clock, WORKER_PREFIX + address, settings.name.encode(), KEY_TTL_MS
+        )
+        self._servers: list[WebServer] = []
+        self._handlers = {
+            StartRuns: self.executor.take_start,
+            StopRuns: self.executor.take_stop,
+            RenewRuns: self._take_renewal,
+            WrongIncarnation: self._take_rejection,
+        }
+
+    def serve(self, servers: list[WebServer]) -> None:
+        """Take the listeners to start and stop with this process."""
+        self._servers = servers
+
+    def start(self) -> None:
+        """Bind listeners and start the green tasks."""
+        self._messenger.start(self._receive)
+        self._run(self.executor.run_looks)
+        self._run(self.executor.run_ticks)
+        self._run(self._key.run)
+        for server in self._servers:
+            server.start()
+        _LOG.info("started", extra={"fields": (("name", self._settings.name),)})
+
+    def ready_line(self) -> ReadyLine:
+        """Return the addresses to print once ready."""
+        return ReadyLine(ready=self._settings.name, inbox=self._messenger.me.address)
+
+    def drain(self) -> bool:
+        """Leave: take nothing new and finish what runs."""
+        _LOG.info("leaving", extra={"fields": (("name", self._settings.name),)})
+        self.executor.leave()
+        limit = self._settings.grace_s * MS_PER_SECOND - STOP_MS
+        done = self._wait_until(lambda: self.executor.is_idle, limit)
+        self.executor.stop_all("process_stops")
+        self._wait_until(lambda: self.executor.is_idle, END_MS)
+        return done
+
+    def stop(self) -> None:
+        """End everything."""
+        super().stop()
+        for server in self._servers:
+            server.stop()
+        self._messenger.stop()
+        _LOG.info("stopped", extra={"fields": (("name", self._settings.name),)})
+
+    def _take_renewal(self, home: Peer, message: RenewRuns) -> None:
+        self.executor.take_renewal(home, message)
+        if not message.is_listed:
+            eventlet.spawn_n(self._key.check)
+
+    def _take_rejection(self, sender: Peer, message: Message) -> None:
+        self.executor.lose_dispatcher(Peer(sender.address, message.meant))
--- /dev/null
+++ b/geraniumspool/dispatch_job.py
@@ -0,0 +1,143 @@
+"""One job at its dispatcher: which tasks wait, run, and are done."""
+
+import math
+from collections import deque
+from typing import NamedTuple
+
+from eventlet.event import Event
+
+from geraniumspool.fleet import WorkerView
+from geraniumspool.job_specs import JobResult, JobSpec, StepSpec
+from geraniumspool.queues import Queue
+from geraniumspool.urgency import Timing
+
+# A step wider than this share of all room is done in waves.
+WAVE_SHARE = 0.25
+# Expected run time where callers declare none, as most tasks last 50 ms to a second.
+UNDECLARED_MS = 300.0
+
+
+class TaskId(NamedTuple):
+    """Place of a task in its job."""
+
+    step: int
+    index: int
+
+
+class Step:
+    """The tasks of one step.
+
+    :ivar pending: indexes of tasks that wait for a worker
+    :ivar taken: running tasks by the identity of the worker's view
+    """
+
+    def __init__(self, spec: StepSpec, expected_ms: float):
+        """Let all tasks wait."""
+        self.spec = spec
+        self.expected_ms = expected_ms
+        self.chain_ms = expected_ms
+        self.pending: deque[int] = deque(range(spec.count))
+        self.left = spec.count
+        self.taken: dict[int, int] = {}
+
+
+class Placed(NamedTuple):
+    """A run of a task at a worker."""
+
+    job: "DispatchJob"
+    task: TaskId
+    worker: WorkerView
+    expected_ms: float
+
+
+class DispatchJob:
+    """A job that was accepted and has not ended.
+
+    :ivar runs: its open runs by order number
+    :ivar was_ordered: whether a run may have started
+    :ivar waiters: callers that wait for the answer
+    """
+
+    def __init__(self, spec: JobSpec, queue: Queue, steps: list[Step]):
+        """Let all tasks wait."""
+        self.spec = spec
+        self.queue = queue
+        self.steps = steps
+        self.timing = Timing(0.0, 0.0, 0.0)
+        self.runs: dict[int, Placed] = {}
+        self.attempts: dict[TaskId, int] = {}
+        self.failures: dict[TaskId, int] = {}
+        self.failed_at: dict[TaskId, int] = {}
+        self.was_ordered = False
+        self.finished = Event()
+        self.result: JobResult | None = None
+        self.waiters = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether its end was decided."""
+        return self.result is not None
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether a task waits whose turn has come."""
+        return any(step.pending for step in self.ready_steps())
+
+    def ready_steps(self) -> list[Step]:
+        """Return the steps with waiting tasks whose turn has come."""
+        return [step for step in self.steps if step.pending and self._is_ready(step)]
+
+    def left_ms(self) -> float:
+        """Return the expected time of the longest chain that has yet to start."""
+        return max((step.chain_ms for step in self.ready_steps()), default=0.0)
+
+    def pending_work(self) -> float:
+        """Return the work that waits, in thousandths of a core times ms."""
+        return sum(len(step.pending) * step.spec.need.cpu * step.expected_ms for step in self.steps)
+
+    def pending_cpu(self) -> int:
+        """Return the processor room that its waiting tasks take at once."""
+        return sum(len(step.pending) * step.spec.need.cpu for step in self.ready_steps())
+
+    def next_attempt(self, task: TaskId) -> int:
+        """Return the number of the next run of a task."""
+        number = self.attempts.get(task, 0) + 1
+        self.attempts[task] = number
+        return number
+
+    def task_name(self, task: TaskId) -> str:
+        """Return the name of a task, the same for all its runs."""
+        return f"{self.spec.job_id}.0.{task.step}.{task.index}"
+
+    def _is_ready(self, step: Step) -> bool:
+        return all(self.steps[earlier].left == 0 for earlier in step.spec.after)
+
+
+def make_steps(spec: JobSpec, ratio: float) -> list[Step]:
+    """Return a job's steps with expected times and the chains that begin with each.
+
+    :param ratio: actual by declared run times, as learnt
+    """
+    steps = [Step(step, (step.declared_ms or UNDECLARED_MS) * ratio) for step in spec.steps]
+    for number in range(len(steps) - 1, -1, -1):
+        step = steps[number]
+        for earlier in step.spec.after:
+            before = steps[earlier]
+            before.chain_ms = max(before.chain_ms, before.expected_ms + step.chain_ms)
+    return steps
+
+
+def measure_objective(steps: list[Step], queue: Queue, capacity_cpu: float) -> float:
+    """Return the time within which a job is in time, in ms.
+
+    :param capacity_cpu: processor room of all workers, in thousandths of a core
+    """
+    ends: list[float] = []
+    for step in steps:
+        waves = 1
+        if capacity_cpu > 0:
+            wide = step.spec.count * step.spec.need.cpu / (WAVE_SHARE * capacity_cpu)
+            waves = max(1, math.ceil(wide))
+        before = max((ends[earlier] for earlier in step.spec.after), default=0.0)
+        ends.append(before + waves * step.expected_ms)
+    return queue.objective_factor * max(ends, default=0.0) + queue.objective_ms
--- /dev/null
+++ b/geraniumspool/dispatcher.py
@@ -0,0 +1,397 @@
+"""The dispatcher: takes jobs whose callers wait for the end, and has their tasks run.
+
+Tasks wait here until a worker has room, so that the most urgent one is chosen
+late. A dispatcher remembers nothing after its life: its callers send a job
+again, by which time all its runs are over.
+"""
+
+import logging
+from collections.abc import Callable
+
+import eventlet
+
+from geraniumspool import packing, urgency
+from geraniumspool.contracts import Clock, Counters
+from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, make_steps
+from geraniumspool.dispatch_job import measure_objective as measure
+from geraniumspool.fleet import Fleet, OpenRun, WorkerView
+from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
+from geraniumspool.messages import Message, Peer
+from geraniumspool.queues import Queue
+from geraniumspool.run_messages import (
+    RUN_DONE,
+    RUN_FAILED,
+    RUN_LAPSED,
+    RUN_REFUSED,
+    RUN_STOPPED,
+    RunEnd,
+    RunOrder,
+    WorkerReport,
+)
+from geraniumspool.urgency import Demand, Timing
+
+_LOG = logging.getLogger(__name__)
+
+# Time limits and leases are looked at this often; a job waits for it only where nothing
+# else happens.
+TICK_MS = 30.0
+# An answer has to be back before the caller goes away: two hops to clients and a tick.
+ANSWER_MARGIN_MS = 40.0
+# A caller that names no time waits this long.
+DEFAULT_WAIT_MS = 15_000.0
+# A worker that refused keeps room for a moment's fresh report only.
+PATIENCE_MS = 60.0
+# Learning of run times: about the last thirty jobs of a queue.
+RATIO_WEIGHT = 0.03
+MIN_RATIO = 0.2
+MAX_RATIO = 5.0
+# A pass gives up after as many tasks in a row that find no room.
+MAX_MISSES = 6
+# Until workers are known a caller comes back after this.
+NO_WORKER_RETRY_MS = 1_000.0
+RANDOM_REFUSALS = 4
+
+_RETRIED = frozenset({RUN_STOPPED, RUN_LAPSED})
+
+
+class Dispatcher:
+    """Jobs of this process.
+
+    :ivar leaving: whether new jobs are refused, since the process is about to end
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        send: Callable[[Peer, Message], bool],
+        counters: Counters,
+        domain: str,
+    ):
+        """Start with no job and no worker.
+
+        :param send: queues a message to a worker's agent
+        :param domain: failure domain of this process
+        """
+        self._clock = clock
+        self._counters = counters
+        self._domain = domain
+        self.fleet = Fleet(clock, send, self._lose_runs)
+        self._jobs: dict[str, DispatchJob] = {}
+        self._ratios: dict[str, float] = {}
+        self._next_number = 1
+        self._is_placing = False
+        self.leaving = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no job is at work or waits here."""
+        return not self._jobs
+
+    def count_waiting(self, queue: Queue) -> int:
+        """Return the jobs of a queue of which no task has been ordered."""
+        return sum(
+            job.queue.name == queue.name and not job.was_ordered for job in self._jobs.values()
+        )
+
+    def submit(
+        self, spec: JobSpec, queue: Queue, wait_ms: float, version: int = 0
+    ) -> JobResult | DispatchJob:
+        """Take a job, join it to the one at work, or refuse it.
+
+        :param wait_ms: how long its caller waits, 0 where it does not say
+        :param version: version of the configuration that the queue is from
+        """
+        job = self._jobs.get(spec.job_id)
+        if job is not None:
+            self._log_job("job joined", job)
+            job.waiters += 1
+            return job
+        job = DispatchJob(spec, queue, make_steps(spec, self._ratios.get(queue.name, 1.0)))
+        refusal = self._judge(job, wait_ms or DEFAULT_WAIT_MS)
+        if refusal is not None:
+            self._counters.add("dispatch_jobs", queue=queue.name, outcome=refusal.code)
+            self._log_job(
+                "job refused",
+                job,
+                reason=refusal.code,
+                retry_after_ms=round(refusal.retry_after_ms),
+                version=version,
+            )
+            return refusal
+        self._jobs[spec.job_id] = job
+        job.waiters = 1
+        self._log_job(
+            "job accepted",
+            job,
+            queue=queue.name,
+            tasks=sum(step.count for step in spec.steps),
+            objective_ms=round(job.timing.objective_ms),
+            wait_ms=round(job.timing.limit_ms),
+            version=version,
+        )
+        self.schedule()
+        return job
+
+    def wait(self, job: DispatchJob) -> JobResult:
+        """Wait for a job's end and return it."""
+        job.finished.wait()
+        return job.result
+
+    def leave_job(self, job: DispatchJob) -> None:
+        """Take that one caller of a job has gone."""
+        job.waiters -= 1
+        if job.waiters <= 0 and not job.is_over:
+            self._end(job, JobResult(JobOutcome.GONE, "caller_gone"))
+
+    def cancel(self, job_id: str) -> bool:
+        """End a job on its caller's word; return whether it was known."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return False
+        self._end(job, JobResult(JobOutcome.FAILED, "cancelled"))
+        return True
+
+    def abandon(self) -> None:
+        """End every job, as the process is about to end."""
+        for job in list(self._jobs.values()):
+            self._give_up(job, "process_stops")
+
+    def take_report(self, sender: Peer, report: WorkerReport) -> None:
+        """Take what a worker says of its runs and its room."""
+        view = self.fleet.take_report(sender, report)
+        for end in report.ends:
+            run = view.runs.pop(end.number, None)
+            if run is not None:
+                self._take_end(run.owner, end)
+        self.schedule()
+
+    def run_ticks(self) -> None:
+        """Keep leases and time limits for ever."""
+        while True:
+            self._clock.sleep(TICK_MS)
+            self.fleet.renew()
+            self._expire()
+            if self._jobs:
+                self._place()
+
+    def schedule(self) -> None:
+        """Place waiting tasks once what arrived together has been taken."""
+        if not self._is_placing:
+            self._is_placing = True
+            eventlet.spawn_n(self._place_scheduled)
+
+    def _place_scheduled(self) -> None:
+        self._is_placing = False
+        self._place()
+
+    def _judge(self, job: DispatchJob, wait_ms: float) -> JobResult | None:
+        """Return why a job is refused, or None after fixing its times."""
+        if job.spec.unsupported:
+            return JobResult(JobOutcome.REFUSED, job.spec.unsupported, NO_WORKER_RETRY_MS)
+        if self.leaving:
+            return JobResult(JobOutcome.REFUSED, "leaving", urgency.MIN_RETRY_MS)
+        workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
+        if not workers:
+            return JobResult(
+                JobOutcome.REFUSED, "no_worker", urgency.choose_retry(NO_WORKER_RETRY_MS)
+            )
+        if not all(any(packing.may_run(view, step.spec) for view in workers) for step in job.steps):
+            return JobResult(
+                JobOutcome.REFUSED, "no_capacity", urgency.choose_retry(NO_WORKER_RETRY_MS)
+            )
+        now = self._clock.now()
+        capacity = sum(view.room.cpu for view in workers)
+        objective_ms = measure(job.steps, job.queue, capacity)
+        job.timing = Timing(now, objective_ms, wait_ms - ANSWER_MARGIN_MS)
+        left_ms = job.left_ms()
+        delay = urgency.predict_wait(self._measure(job, workers, now), job.pending_cpu())
+        if urgency.is_hopeless(job.timing, left_ms, delay, now):
+            return JobResult(JobOutcome.REFUSED, "overload", urgency.choose_retry(delay))
+        if left_ms > job.timing.limit_ms:
+            return JobResult(JobOutcome.REFUSED, "deadline", urgency.choose_retry(delay))
+        return None
+
+    def _measure(self, job: DispatchJob, workers: list[WorkerView], now: float) -> Demand:
+        own = urgency.rank(job.timing, job.left_ms(), now, False)
+        ahead = here = 0.0
+        for other in self._jobs.values():
+            work = other.pending_work()
+            if not work or other.queue.service != job.queue.service:
+                continue
+            here += work
+            if self._rank(other, now) < own:
+                ahead += work
+        return Demand(
+            ahead,
+            here,
+            max((view.state.waiting_cpu_ms for view in workers), default=0.0),
+            sum(view.room.cpu for view in workers),
+            sum(max(0, view.free.cpu) for view in workers),
+        )
+
+    def _rank(self, job: DispatchJob, now: float) -> urgency.Rank:
+        return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered)
+
+    def _place(self) -> None:
+        """Order runs for waiting tasks, the most urgent job first."""
+        now = self._clock.now()
+        waiting = [job for job in self._jobs.values() if job.has_pending]
+        waiting.sort(key=lambda job: self._rank(job, now))
+        misses = 0
+        for job in waiting:
+            if misses >= MAX_MISSES:
+                break
+            if not self._place_job(job, now):
+                misses += 1
+        self.fleet.waiting_cpu_ms = sum(job.pending_work() for job in self._jobs.values())
+        self.fleet.flush()
+
+    def _place_job(self, job: DispatchJob, now: float) -> bool:
+        """Order what fits of a job; return whether all its waiting tasks found room."""
+        workers = self.fleet.of_service(job.queue.service)
+        is_late = self._rank(job, now).is_late
+        factor = urgency.LATE_FACTOR if is_late else 1.0
+        end = min(factor * job.timing.objective_ms, job.timing.limit_ms)
+        within_ms = job.timing.arrived_ms + end - now
+        placed: dict[str, int] = {}
+        for number, step in enumerate(job.steps):
+            if step not in job.ready_steps():
+                continue
+            self._place_step(job, number, step, workers, within_ms, placed)
+        if placed:
+            job.was_ordered = True
+            self._log_job(
+                "runs ordered",
+                job,
+                workers=",".join(f"{address}={count}" for address, count in placed.items()),
+                waited_ms=round(now - job.timing.arrived_ms),
+                late=is_late,
+            )
+        return not job.has_pending
+
+    def _place_step(
+        self,
+        job: DispatchJob,
+        number: int,
+        step: Step,
+        workers: list[WorkerView],
+        within_ms: float,
+        placed: dict[str, int],
+    ) -> None:
+        for _ in range(len(step.pending)):
+            task = TaskId(number, step.pending[0])
+            shunned = job.failed_at.get(task)
+            fit = [view for view in workers if id(view) != shunned] if shunned else workers
+            place = packing.choose(
+                fit or workers, step.spec, step.expected_ms, within_ms, self._domain, step.taken
+            )
+            if place is None:
+                return
+            step.pending.popleft()
+            self._order(job, task, step, place.worker)
+            address = place.worker.peer.address
+            placed[address] = placed.get(address, 0) + 1
+
+    def _order(self, job: DispatchJob, task: TaskId, step: Step, view: WorkerView) -> None:
+        now = self._clock.now()
+        order = RunOrder(
+            self._next_number,
+            job.task_name(task),
+            job.next_attempt(task),
+            job.spec.payload,
+            step.spec.need,
+            step.expected_ms,
+            job.timing.latest_start(step.chain_ms) - now,
+            PATIENCE_MS,
+            job.timing.arrived_ms + job.timing.limit_ms - now,
+        )
+        self._next_number += 1
+        placed = Placed(job, task, view, step.expected_ms)
+        job.runs[order.number] = placed
+        step.taken[id(view)] = step.taken.get(id(view), 0) + 1
+        self.fleet.order(view, order, placed)
+
+    def _take_end(self, placed: Placed, end: RunEnd) -> None:
+        job, task = placed.job, placed.task
+        step = job.steps[task.step]
+        job.runs.pop(end.number, None)
+        step.taken[id(placed.worker)] = step.taken.get(id(placed.worker), 1) - 1
+        if job.is_over:
+            return
+        if end.how == RUN_DONE:
+            self._learn(job, step, end.ran_ms)
+            step.left -= 1
+            if all(other.left == 0 for other in job.steps):
+                self._end(job, JobResult(JobOutcome.SUCCEEDED))
+            return
+        if end.how == RUN_FAILED:
+            failures = job.failures[task] = job.failures.get(task, 0) + 1
+            job.failed_at[task] = id(placed.worker)
+            if failures >= job.queue.attempts:
+                self._end(job, JobResult(JobOutcome.FAILED, "attempts_used"))
+                return
+        elif end.how == RUN_REFUSED:
+            self._counters.add("orders_refused", reason=end.reason)
+        elif end.how in _RETRIED:
+            job.failed_at[task] = id(placed.worker)
+        self._log_job(
+            "task waits again",
+            job,
+            task=f"{task.step}.{task.index}",
+            how=end.how,
+            reason=end.reason,
+            worker=placed.worker.peer.address,
+        )
+        step.pending.appendleft(task.index)
+
+    def _lose_runs(self, runs: list[OpenRun], reason: str) -> None:
+        for run in runs:
+            self._take_end(run.owner, RunEnd(run.number, RUN_LAPSED, reason=reason))
+
+    def _learn(self, job: DispatchJob, step: Step, ran_ms: float) -> None:
+        declared = step.spec.declared_ms
+        if declared <= 0 or ran_ms <= 0:
+            return
+        ratio = self._ratios.get(job.queue.name, 1.0)
+        seen = min(MAX_RATIO, max(MIN_RATIO, ran_ms / declared))
+        self._ratios[job.queue.name] = ratio + RATIO_WEIGHT * (seen - ratio)
+
+    def _expire(self) -> None:
+        """Answer callers whose time is up, or whose job cannot be of use any more."""
+        now = self._clock.now()
+        for job in list(self._jobs.values()):
+            if now >= job.timing.arrived_ms + job.timing.limit_ms:
+                self._give_up(job, "deadline")
+            elif job.has_pending and now > job.timing.last_use(job.left_ms()):
+                self._give_up(job, "too_late")
+
+    def _give_up(self, job: DispatchJob, code: str) -> None:
+        """End a job that was not finished; one that never ran may come back."""
+        if job.was_ordered:
+            self._end(job, JobResult(JobOutcome.FAILED, code))
+            return
+        retry = urgency.choose_retry(urgency.MIN_RETRY_MS)
+        self._end(job, JobResult(JobOutcome.REFUSED, code, retry))
+
+    def _end(self, job: DispatchJob, result: JobResult) -> None:
+        job.result = result
+        del self._jobs[job.spec.job_id]
+        if job.runs:
+            self.fleet.stop([(placed.worker, number) for number, placed in job.runs.items()])
+        took_ms = self._clock.now() - job.timing.arrived_ms
+        self._counters.add(
+            "dispatch_jobs", queue=job.queue.name, outcome=result.code or result.outcome.value
+        )
+        self._log_job(
+            "job ended",
+            job,
+            outcome=result.outcome.value,
+            reason=result.code,
+            took_ms=round(took_ms, 1),
+            objective_ms=round(job.timing.objective_ms),
+            stopped=len(job.runs),
+        )
+        job.finished.send()
+
+    def _log_job(self, text: str, job: DispatchJob, **fields: object) -> None:
+        _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
--- a/geraniumspool/errors.py
+++ b/geraniumspool/errors.py
@@ -188,3 +188,21 @@
     """The minion's answer was lost or late: the task may have run."""
 
     code = "task_outcome_unknown"
+
+
+class MinionReplaced(DispatchError):
+    """Another life of the minion answers at its address."""
+
+    code = "minion_replaced"
+
+
+class MinionSilent(DispatchError):
+    """The minion did not answer: the call may have been carried out, or may be later."""
+
+    code = "minion_silent"
+
+
+class Fenced(DispatchError):
+    """The minion has seen a higher fencing token."""
+
+    code = "minion_fenced"
--- /dev/null
+++ b/geraniumspool/fleet.py
@@ -0,0 +1,292 @@
+"""The workers that a dispatcher knows: their state, their leases, and its runs there."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from geraniumspool.contracts import Clock
+from geraniumspool.executor import CLOCK_DRIFT, DISPATCHER_LEASE_MS, MINION_LEASE_MS
+from geraniumspool.messages import ANY_INCARNATION, Message, Peer
+from geraniumspool.rooms import NO_ROOM, Room
+from geraniumspool.run_messages import (
+    RenewRuns,
+    RunOrder,
+    StartRuns,
+    StopRuns,
+    WorkerReport,
+    WorkerState,
+)
+
+_LOG = logging.getLogger(__name__)
+
+# Three renewals fit into a lease.
+RENEW_MS = 180.0
+# A worker without runs is asked for its state this often.
+IDLE_RENEW_MS = 600.0
+# Two renewals without an answer: nothing new is ordered there.
+SUSPECT_MS = 450.0
+# Runs of a silent worker are over once both leases and the time of a stop have passed.
+LOST_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
+# A worker that is not in the store and silent for this long is forgotten.
+FORGET_MS = 3_000.0
+# A renewal names runs only once their orders must have arrived.
+LISTED_AFTER_MS = 120.0
+# A link without an answer for this long is opened anew; connecting takes a few ms.
+RESET_MS = 900.0
+# Silent workers are tried again this often.
+SEEK_MS = 300.0
+
+
+class OpenRun(NamedTuple):
+    """A run that was ordered and has not ended.
+
+    :param owner: what the dispatcher knows it by
+    """
+
+    number: int
+    owner: object
+    need: Room
+    sent_ms: float
+
+
+class WorkerView:
+    """One worker as a dispatcher sees it.
+
+    :ivar state: as last heard
+    :ivar echo_ms: the worker's clock in its last report
+    :ivar heard_ms: when that report arrived
+    :ivar upto: highest order number that the state counts in
+    :ivar runs: open runs by number
+    :ivar is_listed: whether its key was in the store at the last look
+    """
+
+    def __init__(self, address: str, now: float):
+        """Know an address, and nothing else."""
+        self.peer = Peer(address, ANY_INCARNATION)
+        self.state = WorkerState()
+        self.echo_ms = 0.0
+        self.heard_ms = 0.0
+        self.reset_ms = 0.0
+        self.renewed_ms = 0.0
+        self.known_ms = now
+        self.upto = 0
+        self.last_number = 0
+        self.runs: dict[int, OpenRun] = {}
+        self.is_listed = False
+        self.is_usable = False
+        self.is_silent = True
+        self._ordered = NO_ROOM
+
+    @property
+    def free(self) -> Room:
+        """Return the room that is free there as far as known."""
+        return self.state.free.minus(self._ordered)
+
+    @property
+    def room(self) -> Room:
+        """Return all its room."""
+        return self.state.room
+
+    @property
+    def pace(self) -> float:
+        """Return actual by expected run times there."""
+        return self.state.pace
+
+    @property
+    def domain(self) -> str:
+        """Return its failure domain."""
+        return self.state.domain
+
+    @property
+    def rack(self) -> str:
+        """Return its rack."""
+        return self.state.rack
+
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Return its labels."""
+        return self.state.labels
+
+    def add(self, run: OpenRun) -> None:
+        """Count a run whose order is about to be sent."""
+        self.runs[run.number] = run
+        self.last_number = run.number
+        self._ordered = self._ordered.plus(run.need)
+
+    def take(self, report: WorkerReport, now: float) -> None:
+        """Take a report."""
+        self.echo_ms = max(self.echo_ms, report.now_ms)
+        self.heard_ms = now
+        self.upto = max(self.upto, report.upto)
+        self.state = report.state
+        self.is_usable = report.state.accepts
+        self.is_silent = False
+        self._ordered = NO_ROOM
+        for run in self.runs.values():
+            if run.number > self.upto:
+                self._ordered = self._ordered.plus(run.need)
+
+
+class Fleet:
+    """All workers of one dispatcher.
+
+    :ivar reset_link: has the next message to a peer take a new connection
+    :ivar waiting_cpu_ms: work that waits here, told to workers
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        send: Callable[[Peer, Message], bool],
+        on_lost: Callable[[list[OpenRun], str], None],
+    ):
+        """Know no worker.
+
+        :param on_lost: called with the runs of a worker that is gone, and why
+        """
+        self._clock = clock
+        self._send = send
+        self._on_lost = on_lost
+        self._views: dict[str, WorkerView] = {}
+        self.reset_link: Callable[[Peer], None] = _keep_link
+        self._outbox: dict[Peer, list[RunOrder]] = {}
+        self.waiting_cpu_ms = 0.0
+
+    @property
+    def views(self) -> Iterable[WorkerView]:
+        """Return all known workers."""
+        return self._views.values()
+
+    def of_service(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service that have been heard of."""
+        return [view for view in self._views.values() if view.state.service == service]
+
+    def list_addresses(self, addresses: Iterable[str]) -> None:
+        """Take the addresses that the store lists now."""
+        listed = set(addresses)
+        for address in listed - self._views.keys():
+            self._views[address] = WorkerView(address, self._clock.now())
+            _LOG.info("worker listed", extra={"fields": (("worker", address),)})
+        for address, view in self._views.items():
+            view.is_listed = address in listed
+        self.renew()
+
+    def order(self, view: WorkerView, order: RunOrder, owner: object) -> None:
+        """Take room at a worker and put an order into the next message to it.
+
+        :param owner: what the caller knows the run by
+        """
+        view.add(OpenRun(order.number, owner, order.need, self._clock.now()))
+        self._outbox.setdefault(view.peer, []).append(order)
+
+    def flush(self) -> None:
+        """Send the orders that were made, one message to each worker."""
+        outbox, self._outbox = self._outbox, {}
+        now = self._clock.now()
+        for peer, orders in outbox.items():
+            view = self._views[peer.address]
+            view.renewed_ms = now
+            self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.waiting_cpu_ms))
+
+    def stop(self, runs: Iterable[tuple[WorkerView, int]]) -> None:
+        """Ask workers to stop runs, with one message to each."""
+        batches: dict[Peer, list[int]] = {}
+        for view, number in runs:
+            batches.setdefault(view.peer, []).append(number)
+        for peer, numbers in batches.items():
+            self._send(peer, StopRuns(tuple(numbers)))
+
+    def take_report(self, sender: Peer, report: WorkerReport) -> WorkerView:
+        """Take a worker's report and return its view; ends are left to the caller."""
+        view = self._views.get(sender.address)
+        now = self._clock.now()
+        if view is None:
+            view = self._views[sender.address] = WorkerView(sender.address, now)
+        if view.peer.incarnation != sender.incarnation:
+            self._replace(view, sender)
+        if view.is_silent:
+            _LOG.info(
+                "worker heard",
+                extra={
+                    "fields": (
+                        ("worker", sender.address),
+                        ("silent_ms", round(now - view.heard_ms)),
+                        ("instance", report.state.instance),
+                    )
+                },
+            )
+        view.take(report, now)
+        return view
+
+    def take_rejection(self, sender: Peer) -> None:
+        """Take that another process answers at a worker's address."""
+        view = self._views.get(sender.address)
+        if view is not None and view.peer.incarnation != sender.incarnation:
+            self._replace(view, sender)
+            self._renew(view, self._clock.now())
+
+    def renew(self) -> None:
+        """Renew the leases that are due, and give up workers that are silent."""
+        now = self._clock.now()
+        for view in list(self._views.values()):
+            silent_ms = now - max(view.heard_ms, view.known_ms)
+            if silent_ms > SUSPECT_MS and not view.is_silent:
+                self._suspect(view, silent_ms)
+            if view.runs and now - view.heard_ms > LOST_MS:
+                self._lose(view, "worker_silent")
+            if silent_ms > FORGET_MS and not view.is_listed and not view.runs:
+                del self._views[view.peer.address]
+                _LOG.info("worker forgotten", extra={"fields": (("worker", view.peer.address),)})
+                continue
+            pause = RENEW_MS if view.runs else IDLE_RENEW_MS
+            if view.is_silent:
+                pause = SEEK_MS
+                self._reset(view, now)
+            if now - view.renewed_ms >= pause:
+                self._renew(view, now)
+
+    def _renew(self, view: WorkerView, now: float) -> None:
+        view.renewed_ms = now
+        old = now - LISTED_AFTER_MS
+        numbers = [run.number for run in view.runs.values() if run.sent_ms < old]
+        upto = max(numbers, default=0)
+        message = RenewRuns(view.echo_ms, tuple(numbers), upto, self.waiting_cpu_ms, view.is_listed)
+        self._send(view.peer, message)
+
+    def _reset(self, view: WorkerView, now: float) -> None:
+        """Open a new link now and then: the old one may have gone silent for good."""
+        if now - max(view.reset_ms, view.heard_ms, view.known_ms) > RESET_MS:
+            view.reset_ms = now
+            self.reset_link(view.peer)
+
+    def _suspect(self, view: WorkerView, silent_ms: float) -> None:
+        view.is_silent = True
+        view.is_usable = False
+        _LOG.warning(
+            "worker silent",
+            extra={
+                "fields": (
+                    ("worker", view.peer.address),
+                    ("silent_ms", round(silent_ms)),
+                    ("runs", len(view.runs)),
+                )
+            },
+        )
+
+    def _replace(self, view: WorkerView, sender: Peer) -> None:
+        """Take another life of a worker's agent: it clears its minion before it reports."""
+        if view.peer.incarnation != ANY_INCARNATION:
+            _LOG.warning("worker replaced", extra={"fields": (("worker", sender.address),)})
+        view.peer = sender
+        view.echo_ms = 0.0
+        view.upto = 0
+        view.is_usable = False
+
+    def _lose(self, view: WorkerView, reason: str) -> None:
+        runs = list(view.runs.values())
+        view.runs.clear()
+        self._on_lost(runs, reason)
+
+
+def _keep_link(_peer: Peer) -> None:
+    pass
--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -248,6 +248,13 @@
             return False
         return link.send(data)
 
+    def reset(self, peer: Peer) -> None:
+        """Close the link to a peer; the next message opens another."""
+        link = self._links.pop(peer.address, None)
+        if link is not None:
+            link.close()
+            self._counters.add("links_reset")
+
     def stop(self) -> None:
         """Close inbox and links, after queued messages had time to leave."""
         self._clock.sleep(FLUSH_MS)
@@ -414,6 +421,9 @@
         """Take a message that the process sent to itself."""
         eventlet.spawn_n(self._inbound.receive, delivery)
 
+    def reset(self, peer: Peer) -> None:
+        """Do nothing: links in memory never go silent by themselves."""
+
     def stop(self) -> None:
         """Leave the network."""
         self._network.leave(self)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from geraniumspool.errors import MalformedMessage
+from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
 
 ANY_INCARNATION = 0
 
@@ -447,6 +448,10 @@
     HandoverReceipt,
     Drain,
     ShortHeartbeat,
+    StartRuns,
+    StopRuns,
+    RenewRuns,
+    WorkerReport,
 )
 _KIND_OF = {kind: number for number, kind in enumerate(_KINDS)}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/geraniumspool/minion.py
+++ b/geraniumspool/minion.py
@@ -9,22 +9,18 @@
 from typing import Any, NamedTuple, TypedDict
 from urllib.parse import quote
 
-import eventlet
 import msgspec
 import urllib3
 from eventlet.event import Event
-from eventlet.semaphore import Semaphore
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, LocationValueError, NewConnectionError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
-from geraniumspool.clock import MS_PER_SECOND, SystemClock
+from geraniumspool.clock import SystemClock
 from geraniumspool.contracts import Announcement, Clock, Counters
+from geraniumspool.endpoint import Endpoint
 from geraniumspool.errors import NotStarted, TaskFailed, TaskUnknown
 
 DEFAULT_CONNECTIONS = 64
-CONNECT_LIMIT_MS = 1000.0
 STOP_LIMIT_MS = 2000.0
-IDLE_LIMIT_MS = 2000.0
 ENDPOINTS_KEPT = 64
 DETAIL_BYTES = 300
 DEFAULT_RUN_MS = 100.0
@@ -65,101 +61,6 @@
         raise TaskFailed("payload is not JSON") from error
 
 
-class _Connection(HTTPConnection):
-    """A connection that counts as dropped once it was idle for too long.
-
-    Head and body of a request leave in one piece, so that the minion wakes once.
-    """
-
-    def __init__(self, *args, clock: Clock, **options):
-        super().__init__(*args, **options)
-        self._clock = clock
-        self._used_at = clock.now()
-        self._held: list[bytes] | None = None
-
-    def request(self, *args, **options):
-        self._held = []
-        try:
-            super().request(*args, **options)
-            data = b"".join(self._held)
-        finally:
-            self._held = None
-        self.send(data)
-
-    def send(self, data):
-        if self._held is None:
-            super().send(data)
-        else:
-            self._held.append(data)
-
-    def getresponse(self):
-        response = super().getresponse()
-        self._used_at = self._clock.now()
-        return response
-
-    @property
-    def is_connected(self) -> bool:
-        if self._clock.now() - self._used_at > IDLE_LIMIT_MS:
-            return False
-        try:
-            return super().is_connected
-        except BaseException:
-            # A task killed during the check has taken the connection out of its pool.
-            self.close()
-            raise
-
-
-class _Pool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection
-
-
-class _Endpoint:
-    """The connections to one minion.
-
-    A semaphore of its own bounds them: a task killed while it waits inside
-    urllib3's pool would leave one connection too many there.
-    """
-
-    def __init__(self, url: str, limit: int, clock: Clock):
-        parsed = urllib3.util.parse_url(url)
-        if parsed.scheme != "http" or not parsed.host:
-            raise LocationValueError(f"not an HTTP address: {url}")
-        self.limit = limit
-        self.in_flight = 0
-        self._path = (parsed.path or "").rstrip("/")
-        self._slots = Semaphore(limit)
-        self._pool = _Pool(parsed.host, parsed.port, maxsize=limit, block=True, clock=clock)
-
-    def request(
-        self, method: str, path: str, limit_ms: float, **options
-    ) -> urllib3.BaseHTTPResponse:
-        """Send one request once and return the whole response.
-
-        :raises TimeoutError: if it took longer than ``limit_ms``
-        """
-        self.in_flight += 1
-        try:
-            with eventlet.Timeout(limit_ms / MS_PER_SECOND) as limit, self._slots:
-                return self._pool.urlopen(
-                    method,
-                    self._path + path,
-                    retries=False,
-                    redirect=False,
-                    timeout=urllib3.Timeout(connect=CONNECT_LIMIT_MS / MS_PER_SECOND),
-                    **options,
-                )
-        except eventlet.Timeout as timeout:
-            if timeout is not limit:
-                raise
-            raise TimeoutError(f"no answer within {limit_ms:.0f} ms") from timeout
-        finally:
-            self.in_flight -= 1
-
-    def close(self) -> None:
-        """Close idle connections."""
-        self._pool.close()
-
-
 class HttpMinionClient:
     """Reaches minions over HTTP with connections kept alive."""
 
@@ -178,7 +79,7 @@
         self._counters = counters
         self._connections = connections
         self._clock = clock or SystemClock()
-        self._endpoints: dict[str, _Endpoint] = {}
+        self._endpoints: dict[str, Endpoint] = {}
 
     def run(self, minion: Announcement, task_id: str, payload: bytes, limit_ms: float) -> bytes:
         """Run one task and return its result as JSON text.
@@ -234,7 +135,7 @@
             raise TaskUnknown(f"{type(error).__name__}: {error}") from error
         return _result_of(response)
 
-    def _endpoint(self, minion: Announcement) -> _Endpoint:
+    def _endpoint(self, minion: Announcement) -> Endpoint:
         limit = max(1, min(self._connections, minion.connections))
         known = self._endpoints.get(minion.url)
         # A changed limit waits until nothing is in flight, so that old and new never add up.
@@ -244,7 +145,7 @@
             known.close()
         elif len(self._endpoints) >= ENDPOINTS_KEPT:
             self._forget_idle()
-        endpoint = _Endpoint(minion.url, limit, self._clock)
+        endpoint = Endpoint(minion.url, limit, self._clock)
         self._endpoints[minion.url] = endpoint
         return endpoint
 
--- /dev/null
+++ b/geraniumspool/packing.py
@@ -0,0 +1,90 @@
+"""Chooses a worker for a task: the one where it is predicted to end first.
+
+Plain functions. Answered load patterns: minions of unequal speed and room,
+minions that turn slow, racks near a job's data, limits of tasks on one worker.
+"""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+from geraniumspool.job_specs import StepSpec
+from geraniumspool.rooms import Room
+
+# One hop between failure domains and back, as times between them are about a millisecond.
+REMOTE_MS = 2.0
+# Away from its data a task takes this many times as long.
+FAR_FACTOR = 1.5
+# Predictions differ by less than they are off by; among near equals chance spreads tasks
+# of several dispatchers that see the same room.
+SPREAD_MS = 6.0
+# A fuller worker counts this much worse when it is full, as more of what shares it
+# disturbs, and keeps room for tasks of several dispatchers.
+FULL_MS = 10.0
+
+
+class Candidate(Protocol):
+    """What is known of a worker."""
+
+    free: Room
+    room: Room
+    pace: float
+    domain: str
+    rack: str
+    labels: tuple[str, ...]
+    is_usable: bool
+
+
+class Place(NamedTuple):
+    """A worker with the time that a task is predicted to take there."""
+
+    worker: Candidate
+    run_ms: float
+
+
+def predict_run(worker: Candidate, step: StepSpec, expected_ms: float) -> float:
+    """Return the run time of a task at a worker in ms."""
+    far = FAR_FACTOR if step.rack and step.rack != worker.rack else 1.0
+    return expected_ms * worker.pace * far
+
+
+def may_run(worker: Candidate, step: StepSpec) -> bool:
+    """Return whether a worker can ever run tasks of a step."""
+    if not worker.room.fits(step.need):
+        return False
+    return not step.label or step.label in worker.labels
+
+
+def choose(
+    workers: Iterable[Candidate],
+    step: StepSpec,
+    expected_ms: float,
+    within_ms: float,
+    domain: str,
+    taken: dict[int, int],
+) -> Place | None:
+    """Return the best worker with room for one task now, or None.
+
+    :param within_ms: longest run that is of use; slower workers are passed over
+    :param domain: the dispatcher's failure domain
+    :param taken: tasks of the step on each worker, by the worker's identity
+    """
+    best = None
+    best_score = float("inf")
+    for worker in workers:
+        if not worker.is_usable or not worker.free.fits(step.need):
+            continue
+        if not may_run(worker, step):
+            continue
+        if step.per_worker and taken.get(id(worker), 0) >= step.per_worker:
+            continue
+        run_ms = predict_run(worker, step, expected_ms)
+        if run_ms > within_ms:
+            continue
+        score = run_ms + random.random() * SPREAD_MS
+        score += FULL_MS * (1 - worker.free.cpu / max(1, worker.room.cpu))
+        if worker.domain != domain:
+            score += REMOTE_MS
+        if score < best_score:
+            best, best_score = Place(worker, run_ms), score
+    return best
--- /dev/null
+++ b/geraniumspool/platform/reports.py
@@ -0,0 +1,71 @@
+"""Reports of the minion beside an agent."""
+
+import logging
+
+import eventlet
+import msgspec
+
+from geraniumspool.contracts import Counters, MinionLife
+from geraniumspool.executor import Executor
+from geraniumspool.reply import Reply, reply_json, reply_problem
+from geraniumspool.rooms import Room
+from geraniumspool.routes import Request, Route
+from geraniumspool.web import Application
+
+_LOG = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 << 20
+
+
+class RoomBody(msgspec.Struct, frozen=True):
+    """All the room of a minion; ``cpu`` is in thousandths of a core."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class ReportBody(msgspec.Struct):
+    """What a minion says of itself; the last of ``labels`` names its rack."""
+
+    service: str
+    addr: str
+    state: str = "ready"
+    seq: int = 0
+    room: RoomBody = RoomBody()
+    labels: list[str] = []
+
+
+class Reports(Application):
+    """Takes a minion's reports for the executor."""
+
+    def __init__(self, executor: Executor, counters: Counters):
+        """Connect the parts."""
+        routes = (
+            Route("POST", "/instances/{id}/heartbeat", self._take_report),
+            Route("POST", "/instances/{id}/deregister", self._take_leave),
+        )
+        super().__init__(routes, MAX_BODY_BYTES, counters, _LOG)
+        self._executor = executor
+
+    def _take_report(self, request: Request) -> Reply:
+        try:
+            body = msgspec.json.decode(request.body, type=ReportBody)
+        except msgspec.MsgspecError as error:
+            return reply_problem(400, "invalid_input", str(error))
+        life = MinionLife(
+            request.parameters[0],
+            body.service,
+            body.addr,
+            Room(body.room.cpu, body.room.mem_mb, body.room.gpu),
+            tuple(body.labels),
+            body.state == "draining",
+            body.seq,
+        )
+        # The executor calls the minion back before it takes a new life.
+        eventlet.spawn_n(self._executor.take_life, life)
+        return reply_json(200, {})
+
+    def _take_leave(self, request: Request) -> Reply:
+        self._executor.lose_life(request.parameters[0])
+        return reply_json(200, {})
--- a/geraniumspool/program.py
+++ b/geraniumspool/program.py
@@ -35,6 +35,9 @@
     def stop(self) -> None:
         """Close everything at once."""
 
+    def reload(self) -> None:
+        """Take changed settings."""
+
 
 def run_application(app: Application, output: TextIO | None = None) -> int:
     """Run a program until SIGTERM or SIGINT, then let it leave gracefully.
@@ -47,6 +50,7 @@
     """
     received: list[int] = []
     previous = _watch_signals(lambda number, _frame: received.append(number))
+    signal.signal(signal.SIGHUP, lambda _number, _frame: _reload(app))
     try:
         app.start()
         _calm_collector()
@@ -59,6 +63,11 @@
     return OK if drained else FAILED
 
 
+def _reload(app: Application) -> None:
+    # A handler of a signal may have interrupted anything, so a green task does the work.
+    eventlet.spawn_n(getattr(app, "reload", lambda: None))
+
+
 def _calm_collector() -> None:
     """Keep what was loaded at the start out of the garbage collector's rounds."""
     gc.collect()
--- /dev/null
+++ b/geraniumspool/urgency.py
@@ -0,0 +1,108 @@
+"""Decides in which order jobs are served, which are refused, and when callers return.
+
+Plain functions on numbers. Answered load patterns: a burst over capacity, in
+which what is admitted late would ruin what can still be in time; one kind of
+job that crowds out others; the return of callers after an outage.
+"""
+
+import random
+from typing import NamedTuple
+
+# A job that takes up to this many objectives still is of some use to its caller.
+LATE_FACTOR = 3.0
+# Estimates of run times are off by some tens of per cent: a job that has started is
+# kept among those in time until it is this share of its objective late.
+STARTED_TOLERANCE = 0.5
+# Predicted waits are rough: a job is refused only if it would be late by this share of
+# its objective.
+ADMIT_TOLERANCE = 0.1
+MIN_RETRY_MS = 200.0
+# Callers that are refused together come back spread over as long again as they wait.
+RETRY_SPREAD = 1.0
+
+
+class Timing(NamedTuple):
+    """Points in time of one job, in ms of the dispatcher's clock.
+
+    :param arrived_ms: when its caller's request was read
+    :param objective_ms: time after arrival within which it is in time
+    :param limit_ms: time after arrival at which its caller goes away
+    """
+
+    arrived_ms: float
+    objective_ms: float
+    limit_ms: float
+
+    def latest_start(self, left_ms: float) -> float:
+        """Return when a chain of ``left_ms`` has to start to be in time."""
+        return self.arrived_ms + self.objective_ms - left_ms
+
+    def last_use(self, left_ms: float) -> float:
+        """Return when a chain of ``left_ms`` has to start to be of any use."""
+        useful = min(LATE_FACTOR * self.objective_ms, self.limit_ms)
+        return self.arrived_ms + useful - left_ms
+
+
+class Rank(NamedTuple):
+    """Place of a job in the order of service; the least is served first.
+
+    :param is_late: 1 where the job cannot be in time any more
+    """
+
+    is_late: int
+    latest_start_ms: float
+
+
+def rank(timing: Timing, left_ms: float, now: float, has_started: bool) -> Rank:
+    """Return a job's place: by the latest start, and late ones after all others.
+
+    :param left_ms: expected time of what is left of its longest chain
+    :param has_started: whether some of its tasks have started, so that work is lost
+        where the rest does not follow
+    """
+    latest = timing.latest_start(left_ms)
+    tolerance = STARTED_TOLERANCE * timing.objective_ms if has_started else 0.0
+    return Rank(int(now > latest + tolerance), latest)
+
+
+class Demand(NamedTuple):
+    """Work and capacity as a dispatcher sees them, work in room times ms.
+
+    :param ahead: work that is served before the job
+    :param waiting_here: work of all jobs that wait at this dispatcher
+    :param waiting_all: work that waits at all dispatchers, as workers tell
+    :param capacity: room of all usable workers
+    :param free: part of it that is free now
+    """
+
+    ahead: float
+    waiting_here: float
+    waiting_all: float
+    capacity: float
+    free: float
+
+
+def predict_wait(demand: Demand, need: float) -> float:
+    """Return the time in ms until a job of room ``need`` can have started.
+
+    The other dispatchers' queues are taken to be like this one's.
+    """
+    if demand.capacity <= 0:
+        return float("inf")
+    others = max(1.0, demand.waiting_all / demand.waiting_here) if demand.waiting_here else 1.0
+    ahead = demand.ahead * others
+    if ahead <= 0 and need <= demand.free:
+        return 0.0
+    return ahead / demand.capacity
+
+
+def is_hopeless(timing: Timing, left_ms: float, wait_ms: float, now: float) -> bool:
+    """Return whether a job that waits ``wait_ms`` more would be late for certain."""
+    tolerance = ADMIT_TOLERANCE * timing.objective_ms
+    return now + wait_ms > timing.latest_start(left_ms) + tolerance
+
+
+def choose_retry(wait_ms: float) -> float:
+    """Return when a refused caller should come back, in ms, spread at random."""
+    base = max(MIN_RETRY_MS, wait_ms)
+    return base * (1 + RETRY_SPREAD * random.random())
--- a/geraniumspool/web.py
+++ b/geraniumspool/web.py
@@ -65,7 +65,7 @@
         reusable = True
         try:
             body = self._read_body(environ, connection)
-            reply = self._handle(environ, body)
+            reply = self.handle(environ, body)
         except _Refused as refused:
             reply, reusable = refused.reply, refused.reusable
         self._counters.add("http_requests", status=str(reply.status))
@@ -76,16 +76,13 @@
             return []
         return [reply.body]
 
-    def _handle(self, environ: dict[str, Any], body: bytes) -> Reply:
+    def handle(self, environ: dict[str, Any], body: bytes) -> Reply:
+        """Answer a request whose body was read whole; errors become replies.
+
+        :param environ: the WSGI environment
+        """
         try:
-            path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
-            method = environ["REQUEST_METHOD"]
-            node, parameters = self._router.find(path)
-            handler = node.handlers.get(method)
-            if handler is None:
-                return _reply_method_not_allowed(method, node)
-            query = _parse_query(environ.get("QUERY_STRING"))
-            return handler(Request(method, path, parameters, query, environ, body))
+            return self.dispatch(environ, body)
         except DispatchError as error:
             if error.status == HTTPStatus.INTERNAL_SERVER_ERROR:
                 self._logger.error("request failed: %s", error.detail, exc_info=True)
@@ -96,6 +93,17 @@
             self._logger.exception("request failed")
             return reply_problem(500, "internal", "the request failed unexpectedly")
 
+    def dispatch(self, environ: dict[str, Any], body: bytes) -> Reply:
+        """Find the handler of a request and call it."""
+        path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        node, parameters = self._router.find(path)
+        handler = node.handlers.get(method)
+        if handler is None:
+            return _reply_method_not_allowed(method, node)
+        query = _parse_query(environ.get("QUERY_STRING"))
+        return handler(Request(method, path, parameters, query, environ, body))
+
     def _read_body(self, environ: dict[str, Any], connection: Attachable) -> bytes:
         encoding = environ.get("HTTP_TRANSFER_ENCODING")
         length = environ.get("CONTENT_LENGTH")
--- a/geraniumspool/webserver.py
+++ b/geraniumspool/webserver.py
@@ -76,6 +76,7 @@
         self.connections: set[Connection] = set()
         self.max_header_bytes = max_header_bytes
         self.draining = False
+        self.retiring = False
         self.address = listen
         self._application = application
         self._pool = eventlet.GreenPool(max_connections)
@@ -96,6 +97,10 @@
         eventlet.sleep(0)
         self._sweep()
 
+    def retire(self) -> None:
+        """Go on serving, but close each connection after its next reply."""
+        self.retiring = True
+
     def drain(self, limit_ms: float) -> bool:
         """Refuse new connections and let the requests in flight finish.
 
--- a/tests/test_minion.py
+++ b/tests/test_minion.py
@@ -13,6 +13,7 @@
 
 import eventlet
 
+from geraniumspool import endpoint as endpoint_module
 from geraniumspool import minion as minion_module
 from geraniumspool.clock import ManualClock, SystemClock
 from geraniumspool.contracts import Announcement
@@ -182,13 +183,13 @@
         opened = []
         peaks = []
 
-        class Watched(minion_module._Connection):
+        class Watched(endpoint_module.EndpointConnection):
             def connect(self):
                 super().connect()
                 opened.append(self)
                 peaks.append(sum(connection.sock is not None for connection in opened))
 
-        self.enterContext(mock.patch.object(minion_module._Pool, "ConnectionCls", Watched))
+        self.enterContext(mock.patch.object(endpoint_module.EndpointPool, "ConnectionCls", Watched))
         self.run_many("calm")
         self.assertEqual(self.minion.connections, max(peaks))
         self.assertEqual(self.minion.connections, self.standin.peak_connections)
@@ -312,7 +313,7 @@
 
     def test_idle_connection_is_not_used_again(self):
         raw, client = self.start(OK_ANSWER, OK_ANSWER)
-        for idle_ms, accepted in ((0, 1), (minion_module.IDLE_LIMIT_MS + 1, 2)):
+        for idle_ms, accepted in ((0, 1), (endpoint_module.IDLE_LIMIT_MS + 1, 2)):
             self.clock.advance(idle_ms)
             client.run(raw.announcement, str(idle_ms), b"{}", LONG_MS)
             self.assertEqual(accepted, raw.accepted)
