A job that ran out of time is not called failed

Change: what has started goes on, behind all other jobs, until its caller's limit, and then ends as unfinished, which callers may repeat. Ruled out: refusing such a job, since some of its tasks have run.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -249,9 +249,8 @@
     def _place_job(self, job: DispatchJob, now: float) -> bool:
         """Order what fits of a job; return whether all its waiting tasks found room."""
         workers = self.fleet.of_service(job.queue.service)
-        is_late = self._rank(job, now).is_late
-        factor = urgency.LATE_FACTOR if is_late else 1.0
-        end = min(factor * job.timing.objective_ms, job.timing.limit_ms)
+        lateness = self._rank(job, now).lateness
+        end = urgency.allowed_end(job.timing, lateness)
         within_ms = job.timing.arrived_ms + end - now
         placed: dict[str, int] = {}
         for number, step in enumerate(job.steps):
@@ -265,7 +264,7 @@
                 job,
                 workers=",".join(f"{address}={count}" for address, count in placed.items()),
                 waited_ms=round(now - job.timing.arrived_ms),
-                late=is_late,
+                lateness=lateness,
             )
         return not job.has_pending
 
@@ -362,13 +361,13 @@
         for job in list(self._jobs.values()):
             if now >= job.timing.arrived_ms + job.timing.limit_ms:
                 self._give_up(job, "deadline")
-            elif job.has_pending and now > job.timing.last_use(job.left_ms()):
+            elif not job.was_ordered and now > job.timing.last_use(job.left_ms()):
                 self._give_up(job, "too_late")
 
     def _give_up(self, job: DispatchJob, code: str) -> None:
         """End a job that was not finished; one that never ran may come back."""
         if job.was_ordered:
-            self._end(job, JobResult(JobOutcome.FAILED, code))
+            self._end(job, JobResult(JobOutcome.UNFINISHED, code))
             return
         retry = urgency.choose_retry(urgency.MIN_RETRY_MS)
         self._end(job, JobResult(JobOutcome.REFUSED, code, retry))
--- a/geraniumspool/job_specs.py
+++ b/geraniumspool/job_specs.py
@@ -46,13 +46,15 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     REFUSED = "refused"
+    UNFINISHED = "unfinished"
     GONE = "gone"
 
 
 class JobResult(NamedTuple):
     """Answer to a job.
 
-    :param outcome: a refused job has not run and never will
+    :param outcome: a refused job has not run and never will; of an unfinished one some
+        tasks may have run, and none runs any more
     :param code: reason of a failure or refusal
     :param retry_after_ms: when a refused job may come back
     """
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -46,13 +46,19 @@
 class Rank(NamedTuple):
     """Place of a job in the order of service; the least is served first.
 
-    :param is_late: 1 where the job cannot be in time any more
+    :param lateness: one of the constants below
     """
 
-    is_late: int
+    lateness: int
     latest_start_ms: float
 
 
+IN_TIME = 0
+LATE = 1
+# No use to its caller by the objective, but it has begun: what is ready is still delivered.
+TOO_LATE = 2
+
+
 def rank(timing: Timing, left_ms: float, now: float, has_started: bool) -> Rank:
     """Return a job's place: by the latest start, and late ones after all others.
 
@@ -62,7 +68,17 @@
     """
     latest = timing.latest_start(left_ms)
     tolerance = STARTED_TOLERANCE * timing.objective_ms if has_started else 0.0
-    return Rank(int(now > latest + tolerance), latest)
+    if now <= latest + tolerance:
+        return Rank(IN_TIME, latest)
+    return Rank(LATE if now <= timing.last_use(left_ms) else TOO_LATE, latest)
+
+
+def allowed_end(timing: Timing, lateness: int) -> float:
+    """Return the time after arrival at which a run of a job has to end to be of use."""
+    if lateness == TOO_LATE:
+        return timing.limit_ms
+    factor = LATE_FACTOR if lateness == LATE else 1.0
+    return min(factor * timing.objective_ms, timing.limit_ms)
 
 
 class Demand(NamedTuple):
