--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -3,9 +3,10 @@
 import logging
 
 import eventlet
+import msgspec
 
 from geraniumspool.application import Application, ReadyLine
-from geraniumspool.contracts import Clock, Messenger, MinionControl, Store
+from geraniumspool.contracts import Clock, Messenger, MinionControl, MinionLife, Store
 from geraniumspool.daemon_settings import ExecutorSettings
 from geraniumspool.executor import Executor
 from geraniumspool.leased_key import LeasedKey
@@ -46,9 +47,8 @@
         )
         self.executor.reset_link = messenger.reset
         address = messenger.me.address
-        self._key = LeasedKey(
-            store, clock, WORKER_PREFIX + address, settings.name.encode(), KEY_TTL_MS
-        )
+        self._key = LeasedKey(store, clock, WORKER_PREFIX + address, b"", KEY_TTL_MS)
+        self.executor.on_life = self._keep_life
         self._servers: list[WebServer] = []
         self._handlers = {
             StartRuns: self.executor.take_start,
@@ -66,7 +66,7 @@
         self._messenger.start(self._receive)
         self._run(self.executor.run_looks)
         self._run(self.executor.run_ticks)
-        self._run(self._key.run)
+        self._run(self._keep_key)
         for server in self._servers:
             server.start()
         _LOG.info("started", extra={"fields": (("name", self._settings.name),)})
@@ -93,6 +93,22 @@
         self._messenger.stop()
         _LOG.info("stopped", extra={"fields": (("name", self._settings.name),)})
 
+    def _keep_key(self) -> None:
+        """Take up the minion that an earlier process here has left, then keep the key.
+
+        Without it a restarted process waits for the minion's next report, 0.8 s in the mean.
+        """
+        left = self._key.read()
+        if left:
+            try:
+                self.executor.take_life(msgspec.json.decode(left, type=MinionLife))
+            except msgspec.MsgspecError as error:
+                _LOG.warning("minion in the store not readable: %s", error)
+        self._key.run()
+
+    def _keep_life(self, life: MinionLife) -> None:
+        self._key.update(msgspec.json.encode(life._replace(draining=False, sequence=0)))
+
     def _take_renewal(self, home: Peer, message: RenewRuns) -> None:
         self.executor.take_renewal(home, message)
         if not message.is_listed:
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -117,6 +117,7 @@
     """Runs what dispatchers order on one minion.
 
     :ivar reset_link: has the next message to a peer take a new connection
+    :ivar on_life: called with each life of the minion that is taken, in a task of its own
     :ivar leaving: whether nothing new is taken, since the process is about to end
     """
 
@@ -149,6 +150,7 @@
         self._is_telling = False
         self._started_ms = clock.now()
         self.reset_link: Callable[[Peer], None] = _keep_link
+        self.on_life: Callable[[MinionLife], None] = _forget_life
         self.leaving = False
 
     @property
@@ -616,6 +618,7 @@
         self._pace = RunPace(self._clock)
         if not self._arrived.ready():
             self._arrived.send()
+        eventlet.spawn_n(self.on_life, told)
 
     def _clear(self, life: _Life, view: MinionView) -> None:
         """Begin to take runs once nothing of an earlier process runs here."""
@@ -770,3 +773,7 @@
 
 def _keep_link(_peer: Peer) -> None:
     pass
+
+
+def _forget_life(_life: MinionLife) -> None:
+    pass
--- a/geraniumspool/leased_key.py
+++ b/geraniumspool/leased_key.py
@@ -36,6 +36,25 @@
             kept = self.refresh()
             self._clock.sleep(self._ttl_ms / RENEWALS_PER_TTL if kept else RETRY_MS)
 
+    def read(self) -> bytes | None:
+        """Return what an earlier process has left under the key, None for nothing."""
+        try:
+            found = self._store.get(self._key)
+        except StoreError as error:
+            _LOG.info(
+                "key not read", extra={"fields": (("key", self._key), ("reason", error.code))}
+            )
+            return None
+        self._revision = found.revision if found else 0
+        return found.value if found else None
+
+    def update(self, value: bytes) -> None:
+        """Keep another value under the key from now on; may block for the store."""
+        if value != self._value:
+            self._value = value
+            self._is_written = False
+            self.refresh()
+
     def refresh(self) -> bool:
         """Renew the lease and write the key if need be; return whether it is there."""
         was_written = self._is_written
@@ -83,9 +102,10 @@
         if self._lease:
             try:
                 self._store.keep_alive(self._lease)
-                return
             except LeaseExpired:
                 _LOG.info("lease ended", extra={"fields": (("key", self._key),)})
+            else:
+                return
         self._lease = 0
         self._is_written = False
         self._lease = self._store.grant_lease(self._ttl_ms)
