--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -141,3 +141,5 @@
         else:
             self._addresses.add(address)
         self.dispatcher.fleet.list_addresses(self._addresses)
+        if change.value is not None:
+            self.dispatcher.fleet.note_written(address)
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -23,7 +23,7 @@
 RENEW_MS = 180.0
 # A worker without runs is asked for its state this often.
 IDLE_RENEW_MS = 600.0
-# Two renewals without an answer: nothing new is ordered there.
+# Two renewals without an answer: nothing new is ordered there. Counted from the first.
 SUSPECT_MS = 450.0
 # Runs of a silent worker are over once both leases and the time of a stop have passed.
 LOST_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
@@ -55,6 +55,7 @@
     :ivar state: as last heard
     :ivar echo_ms: the worker's clock in its last report
     :ivar heard_ms: when that report arrived
+    :ivar asked_ms: when the first message since then was sent, 0 where there is none
     :ivar upto: highest order number that the state counts in
     :ivar runs: open runs by number
     :ivar is_listed: whether its key was in the store at the last look
@@ -68,6 +69,7 @@
         self.heard_ms = 0.0
         self.reset_ms = 0.0
         self.renewed_ms = 0.0
+        self.asked_ms = 0.0
         self.known_ms = now
         self.upto = 0
         self.last_number = 0
@@ -107,6 +109,11 @@
         """Return its labels."""
         return self.state.labels
 
+    def note_sent(self, now: float) -> None:
+        """Take that a message was sent that will be answered."""
+        self.renewed_ms = now
+        self.asked_ms = self.asked_ms or now
+
     def add(self, run: OpenRun) -> None:
         """Count a run whose order is about to be sent."""
         self.runs[run.number] = run
@@ -117,6 +124,7 @@
         """Take a report."""
         self.echo_ms = max(self.echo_ms, report.now_ms)
         self.heard_ms = now
+        self.asked_ms = 0.0
         self.upto = max(self.upto, report.upto)
         self.state = report.state
         self.is_usable = report.state.accepts
@@ -171,6 +179,13 @@
             view.is_listed = address in listed
         self.renew()
 
+    def note_written(self, address: str) -> None:
+        """Take that a worker has just written its key: a silent one is up again."""
+        view = self._views.get(address)
+        if view is not None and view.is_silent:
+            self.reset_link(view.peer)
+            self._renew(view, self._clock.now())
+
     def order(self, view: WorkerView, order: RunOrder, owner: object) -> None:
         """Take room at a worker and put an order into the next message to it.
 
@@ -185,7 +200,7 @@
         now = self._clock.now()
         for peer, orders in outbox.items():
             view = self._views[peer.address]
-            view.renewed_ms = now
+            view.note_sent(now)
             self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.waiting_cpu_ms))
 
     def stop(self, runs: Iterable[tuple[WorkerView, int]]) -> None:
@@ -230,8 +245,9 @@
         now = self._clock.now()
         for view in list(self._views.values()):
             silent_ms = now - max(view.heard_ms, view.known_ms)
-            if silent_ms > SUSPECT_MS and not view.is_silent:
-                self._suspect(view, silent_ms)
+            unanswered_ms = now - view.asked_ms if view.asked_ms else 0.0
+            if unanswered_ms > SUSPECT_MS and not view.is_silent:
+                self._suspect(view, unanswered_ms)
             if view.runs and now - view.heard_ms > LOST_MS:
                 self._lose(view, "worker_silent")
             if silent_ms > FORGET_MS and not view.is_listed and not view.runs:
@@ -246,7 +262,7 @@
                 self._renew(view, now)
 
     def _renew(self, view: WorkerView, now: float) -> None:
-        view.renewed_ms = now
+        view.note_sent(now)
         old = now - LISTED_AFTER_MS
         numbers = [run.number for run in view.runs.values() if run.sent_ms < old]
         upto = max(numbers, default=0)
