Waits are predicted from the room that becomes free

Cause: with an empty queue and full workers the predicted wait was 0, so a burst was admitted late, and unstarted jobs were held up to three objectives. Change: the wait is the room that is short by the rate at which running tasks end; a job of which nothing runs is refused once it would be late and finds no room. Ruled out: work in room times ms, which ignores what runs.

--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -42,12 +42,15 @@
 
 
 class Placed(NamedTuple):
-    """A run of a task at a worker."""
+    """A run of a task at a worker.
+
+    :param run_ms: how long it is predicted to take there
+    """
 
     job: "DispatchJob"
     task: TaskId
     worker: WorkerView
-    expected_ms: float
+    run_ms: float
 
 
 class DispatchJob:
@@ -91,10 +94,6 @@
         """Return the expected time of the longest chain that has yet to start."""
         return max((step.chain_ms for step in self.ready_steps()), default=0.0)
 
-    def pending_work(self) -> float:
-        """Return the work that waits, in thousandths of a core times ms."""
-        return sum(len(step.pending) * step.spec.need.cpu * step.expected_ms for step in self.steps)
-
     def pending_cpu(self) -> int:
         """Return the processor room that its waiting tasks take at once."""
         return sum(len(step.pending) * step.spec.need.cpu for step in self.ready_steps())
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -48,6 +48,8 @@
 # A pass gives up after as many tasks in a row that find no room.
 MAX_MISSES = 6
 # Until workers are known a caller comes back after this.
+# Runs are taken to last this long where none of one's own tells.
+UNKNOWN_RUN_MS = 400.0
 NO_WORKER_RETRY_MS = 1_000.0
 RANDOM_REFUSALS = 4
 
@@ -213,22 +215,34 @@
 
     def _measure(self, job: DispatchJob, workers: list[WorkerView], now: float) -> Demand:
         own = urgency.rank(job.timing, job.left_ms(), now, False)
-        ahead = here = 0.0
+        ahead = here = 0
         for other in self._jobs.values():
-            work = other.pending_work()
-            if not work or other.queue.service != job.queue.service:
+            waiting = other.pending_cpu()
+            if not waiting or other.queue.service != job.queue.service:
                 continue
-            here += work
+            here += waiting
             if self._rank(other, now) < own:
-                ahead += work
+                ahead += waiting
         return Demand(
             ahead,
             here,
-            max((view.state.waiting_cpu_ms for view in workers), default=0.0),
-            sum(view.room.cpu for view in workers),
+            max((view.state.waiting_cpu for view in workers), default=0.0),
             sum(max(0, view.free.cpu) for view in workers),
+            self._measure_freeing(workers),
         )
 
+    def _measure_freeing(self, workers: list[WorkerView]) -> float:
+        """Return the room that becomes free in a ms, taking all runs to be like the own."""
+        own = 0
+        freeing = 0.0
+        for job in self._jobs.values():
+            for placed in job.runs.values():
+                cpu = job.steps[placed.task.step].spec.need.cpu
+                own += cpu
+                freeing += cpu / placed.run_ms
+        used = sum(view.state.used.cpu for view in workers)
+        return freeing * used / own if own else used / UNKNOWN_RUN_MS
+
     def _rank(self, job: DispatchJob, now: float) -> urgency.Rank:
         return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered)
 
@@ -241,9 +255,13 @@
         for job in waiting:
             if misses >= MAX_MISSES:
                 break
-            if not self._place_job(job, now):
-                misses += 1
-        self.fleet.waiting_cpu_ms = sum(job.pending_work() for job in self._jobs.values())
+            if self._place_job(job, now):
+                continue
+            misses += 1
+            if not job.was_ordered and self._rank(job, now).lateness != urgency.IN_TIME:
+                # Others wait that can still be in time.
+                self._give_up(job, "overload")
+        self.fleet.waiting_cpu = sum(job.pending_cpu() for job in self._jobs.values())
         self.fleet.flush()
 
     def _place_job(self, job: DispatchJob, now: float) -> bool:
@@ -287,12 +305,13 @@
             if place is None:
                 return
             step.pending.popleft()
-            self._order(job, task, step, place.worker)
+            self._order(job, task, step, place)
             address = place.worker.peer.address
             placed[address] = placed.get(address, 0) + 1
 
-    def _order(self, job: DispatchJob, task: TaskId, step: Step, view: WorkerView) -> None:
+    def _order(self, job: DispatchJob, task: TaskId, step: Step, place: packing.Place) -> None:
         now = self._clock.now()
+        view = place.worker
         order = RunOrder(
             self._next_number,
             job.task_name(task),
@@ -305,7 +324,7 @@
             job.timing.arrived_ms + job.timing.limit_ms - now,
         )
         self._next_number += 1
-        placed = Placed(job, task, view, step.expected_ms)
+        placed = Placed(job, task, view, place.run_ms)
         job.runs[order.number] = placed
         step.taken[id(view)] = step.taken.get(id(view), 0) + 1
         self.fleet.order(view, order, placed)
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -169,7 +169,7 @@
         if life is None:
             return WorkerState(domain=self._domain)
         told = life.told
-        waiting = sum(customer.waiting_cpu_ms for customer in self._table.customers.values())
+        waiting = sum(customer.waiting_cpu for customer in self._table.customers.values())
         return WorkerState(
             told.instance,
             told.service,
@@ -218,7 +218,7 @@
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
         customer = self._renew(home, message.echo_ms)
-        customer.waiting_cpu_ms = message.waiting_cpu_ms
+        customer.waiting_cpu = message.waiting_cpu
         now = self._clock.now()
         for order in message.orders:
             self._take_order(customer, order, now)
@@ -237,7 +237,7 @@
     def take_renewal(self, home: Peer, message: RenewRuns) -> None:
         """Renew a dispatcher's lease, and settle what both sides know of its runs."""
         customer = self._renew(home, message.echo_ms)
-        customer.waiting_cpu_ms = message.waiting_cpu_ms
+        customer.waiting_cpu = message.waiting_cpu
         wanted = set(message.numbers)
         for number, run in list(customer.runs.items()):
             if number not in wanted and number <= message.upto:
@@ -707,7 +707,7 @@
                     )
                 },
             )
-        customer.waiting_cpu_ms = 0.0
+        customer.waiting_cpu = 0.0
         for run in fresh:
             self._stop(run, "dispatcher_silent")
 
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -139,7 +139,7 @@
     """All workers of one dispatcher.
 
     :ivar reset_link: has the next message to a peer take a new connection
-    :ivar waiting_cpu_ms: work that waits here, told to workers
+    :ivar waiting_cpu: work that waits here, told to workers
     """
 
     def __init__(
@@ -158,7 +158,7 @@
         self._views: dict[str, WorkerView] = {}
         self.reset_link: Callable[[Peer], None] = _keep_link
         self._outbox: dict[Peer, list[RunOrder]] = {}
-        self.waiting_cpu_ms = 0.0
+        self.waiting_cpu = 0.0
 
     @property
     def views(self) -> Iterable[WorkerView]:
@@ -201,7 +201,7 @@
         for peer, orders in outbox.items():
             view = self._views[peer.address]
             view.note_sent(now)
-            self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.waiting_cpu_ms))
+            self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.waiting_cpu))
 
     def stop(self, runs: Iterable[tuple[WorkerView, int]]) -> None:
         """Ask workers to stop runs, with one message to each."""
@@ -266,7 +266,7 @@
         old = now - LISTED_AFTER_MS
         numbers = [run.number for run in view.runs.values() if run.sent_ms < old]
         upto = max(numbers, default=0)
-        message = RenewRuns(view.echo_ms, tuple(numbers), upto, self.waiting_cpu_ms, view.is_listed)
+        message = RenewRuns(view.echo_ms, tuple(numbers), upto, self.waiting_cpu, view.is_listed)
         self._send(view.peer, message)
 
     def _reset(self, view: WorkerView, now: float) -> None:
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -48,13 +48,12 @@
     """Dispatcher to executor: start these runs.
 
     :param echo_ms: the executor's clock as it was last heard
-    :param waiting_cpu_ms: work that waits at the dispatcher, in thousandths of a
-        core times milliseconds
+    :param waiting_cpu: processor room that waiting tasks of the dispatcher need
     """
 
     echo_ms: float
     orders: tuple[RunOrder, ...]
-    waiting_cpu_ms: float = 0.0
+    waiting_cpu: float = 0.0
 
 
 class StopRuns(NamedTuple):
@@ -79,7 +78,7 @@
     echo_ms: float
     numbers: tuple[int, ...] = ()
     upto: int = 0
-    waiting_cpu_ms: float = 0.0
+    waiting_cpu: float = 0.0
     is_listed: bool = True
 
 
@@ -116,7 +115,7 @@
     :param used: room of runs that are at work, starting or stopping
     :param queued: room of runs that wait there
     :param pace: actual by expected run times there, 1 where as usual
-    :param waiting_cpu_ms: work that waits at all its dispatchers
+    :param waiting_cpu: processor room that waiting tasks of all its dispatchers need
     """
 
     instance: str = ""
@@ -129,7 +128,7 @@
     used: Room = NO_ROOM
     queued: Room = NO_ROOM
     pace: float = 1.0
-    waiting_cpu_ms: float = 0.0
+    waiting_cpu: float = 0.0
 
     @property
     def free(self) -> Room:
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -64,7 +64,7 @@
 
     :ivar lease_until_ms: time up to which its runs may go on
     :ivar upto: highest order number taken
-    :ivar waiting_cpu_ms: work that waits there
+    :ivar waiting_cpu: work that waits there
     """
 
     def __init__(self, peer: Peer):
@@ -74,7 +74,7 @@
         self.heard_ms = 0.0
         self.reset_ms = 0.0
         self.upto = 0
-        self.waiting_cpu_ms = 0.0
+        self.waiting_cpu = 0.0
         self.runs: dict[int, Run] = {}
         self.ends: dict[int, RunEnd] = {}
         self.untold: list[RunEnd] = []
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -5,6 +5,7 @@
 job that crowds out others; the return of callers after an outage.
 """
 
+import math
 import random
 from typing import NamedTuple
 
@@ -16,6 +17,8 @@
 # Predicted waits are rough: a job is refused only if it would be late by this share of
 # its objective.
 ADMIT_TOLERANCE = 0.1
+# Of tasks that wait elsewhere, half are taken to be more urgent where nothing tells.
+UNKNOWN_AHEAD = 0.5
 MIN_RETRY_MS = 200.0
 # Callers that are refused together come back spread over as long again as they wait.
 RETRY_SPREAD = 1.0
@@ -82,20 +85,20 @@
 
 
 class Demand(NamedTuple):
-    """Work and capacity as a dispatcher sees them, work in room times ms.
+    """Room in thousandths of a core, as a dispatcher sees it.
 
-    :param ahead: work that is served before the job
-    :param waiting_here: work of all jobs that wait at this dispatcher
-    :param waiting_all: work that waits at all dispatchers, as workers tell
-    :param capacity: room of all usable workers
-    :param free: part of it that is free now
+    :param ahead: room that tasks served before the job wait for here
+    :param waiting_here: room that all tasks waiting here need
+    :param waiting_all: the same at all dispatchers, as workers tell
+    :param free: room that is free now at all usable workers
+    :param freeing: room that becomes free in a ms, by how long running tasks take
     """
 
     ahead: float
     waiting_here: float
     waiting_all: float
-    capacity: float
     free: float
+    freeing: float
 
 
 def predict_wait(demand: Demand, need: float) -> float:
@@ -103,13 +106,12 @@
 
     The other dispatchers' queues are taken to be like this one's.
     """
-    if demand.capacity <= 0:
-        return float("inf")
-    others = max(1.0, demand.waiting_all / demand.waiting_here) if demand.waiting_here else 1.0
-    ahead = demand.ahead * others
-    if ahead <= 0 and need <= demand.free:
+    share = demand.ahead / demand.waiting_here if demand.waiting_here else UNKNOWN_AHEAD
+    others = max(0.0, demand.waiting_all - demand.waiting_here) * share
+    short = demand.ahead + others + need - demand.free
+    if short <= 0:
         return 0.0
-    return ahead / demand.capacity
+    return short / demand.freeing if demand.freeing > 0 else math.inf
 
 
 def is_hopeless(timing: Timing, left_ms: float, wait_ms: float, now: float) -> bool:
