Orders that meet a full worker return sooner, and go less to nearly full ones

Cause: dispatchers that see the same room all chose the fastest workers, and an order that met a full one waited there 60 ms. Change: it returns after 8 ms; a full worker counts as half again slower, one that the task would fill as 15 ms worse, and chance adds up to a tenth. Ruled out: longer patience, since a report with the true room comes back in 2 ms.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -39,8 +39,8 @@
 ANSWER_MARGIN_MS = 40.0
 # A caller that names no time waits this long.
 DEFAULT_WAIT_MS = 15_000.0
-# A worker that refused keeps room for a moment's fresh report only.
-PATIENCE_MS = 60.0
+# An order that meets a full worker returns after this, and goes where there is room.
+PATIENCE_MS = 8.0
 # Learning of run times: about the last thirty jobs of a queue.
 RATIO_WEIGHT = 0.03
 MIN_RATIO = 0.2
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -15,12 +15,14 @@
 REMOTE_MS = 2.0
 # Away from its data a task takes this many times as long.
 FAR_FACTOR = 1.5
-# Predictions differ by less than they are off by; among near equals chance spreads tasks
-# of several dispatchers that see the same room.
-SPREAD_MS = 6.0
-# A fuller worker counts this much worse when it is full, as more of what shares it
-# disturbs, and keeps room for tasks of several dispatchers.
-FULL_MS = 10.0
+# A full worker counts as this share slower than an empty one, and chance adds as much as
+# the next: so dispatchers that know the same leave room at the fast workers.
+FULL_SHARE = 0.5
+SPREAD_SHARE = 0.1
+# A worker that this would fill to more than this share may be full already, as what is
+# known of it is some tens of ms old; then the order comes back and has lost about as much.
+CONFLICT_SHARE = 0.15
+CONFLICT_MS = 15.0
 
 
 class Candidate(Protocol):
@@ -81,8 +83,10 @@
         run_ms = predict_run(worker, step, expected_ms)
         if run_ms > within_ms:
             continue
-        score = run_ms + random.random() * SPREAD_MS
-        score += FULL_MS * (1 - worker.free.cpu / max(1, worker.room.cpu))
+        used = 1 - worker.free.cpu / max(1, worker.room.cpu)
+        score = run_ms * (1 + FULL_SHARE * used + SPREAD_SHARE * random.random())
+        if worker.free.cpu - step.need.cpu < CONFLICT_SHARE * worker.room.cpu:
+            score += CONFLICT_MS
         if worker.domain != domain:
             score += REMOTE_MS
         if score < best_score:
