Orders ahead of room, about one task a worker, where all workers are full

Cause: what became free at a full worker stayed idle until a report had gone to the dispatchers and an order had come back, and orders that met a full worker waited there although room was elsewhere. Change: an order for known room is refused at once where there is none; where all are full, a tenth of a worker's room may wait there for 80 ms.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -40,7 +40,10 @@
 # A caller that names no time waits this long.
 DEFAULT_WAIT_MS = 15_000.0
 # An order that meets a full worker returns after this, and goes where there is room.
-PATIENCE_MS = 8.0
+PATIENCE_MS = 0.0
+# One that was sent ahead of room waits about as long as a full worker takes to end two
+# of ten runs.
+AHEAD_PATIENCE_MS = 80.0
 # Learning of run times: about the last thirty jobs of a queue.
 RATIO_WEIGHT = 0.03
 MIN_RATIO = 0.2
@@ -320,7 +323,7 @@
             step.spec.need,
             step.expected_ms,
             job.timing.latest_start(step.chain_ms) - now,
-            PATIENCE_MS,
+            AHEAD_PATIENCE_MS if place.is_ahead else PATIENCE_MS,
             job.timing.arrived_ms + job.timing.limit_ms - now,
         )
         self._next_number += 1
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -225,6 +225,7 @@
         for order in message.orders:
             self._take_order(customer, order, now)
         self._fill()
+        self._refuse_impatient(now)
         if now - message.echo_ms > STALE_ECHO_MS:
             # Without a fresh clock the lease ends while the runs have just begun: it cost
             # up to one run in six of the first second of calm traffic.
@@ -297,6 +298,11 @@
         for run in self._table:
             self._stop(run, reason)
 
+    def _refuse_impatient(self, now: float) -> None:
+        for run in self._table.waiting():
+            if now - run.arrived_ms >= run.order.patience_ms:
+                self._finish(run, RunEnd(run.order.number, RUN_REFUSED, reason="no_room"))
+
     def _is_past_gone(self) -> bool:
         """Return whether nothing runs any more that an earlier process here has started."""
         if self._life is not None and self._life.is_clear:
@@ -683,11 +689,10 @@
             self._reset_deaf(customer, now)
             if now - customer.heard_ms > FORGET_DISPATCHER_MS and not customer.runs:
                 del self._table.customers[customer.peer]
+        self._refuse_impatient(now)
         for run in self._table:
             if run.limit_ms <= now:
                 self._stop(run, "limit_passed")
-            elif run.state is RunState.QUEUED and now - run.arrived_ms > run.order.patience_ms:
-                self._finish(run, RunEnd(run.order.number, RUN_REFUSED, reason="no_room"))
             elif run.state is RunState.RUNNING and self._is_stalled(run, now):
                 self._note_outcome(run, False)
                 self._stop(run, "stalled")
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -4,6 +4,7 @@
 minions that turn slow, racks near a job's data, limits of tasks on one worker.
 """
 
+import math
 import random
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
@@ -25,6 +26,11 @@
 CONFLICT_MS = 15.0
 
 
+# Where all are full, a worker may have this share of its room waiting for it, about one
+# task, so that what becomes free is used at once and not a message later.
+AHEAD_SHARE = 0.1
+
+
 class Candidate(Protocol):
     """What is known of a worker."""
 
@@ -38,10 +44,14 @@
 
 
 class Place(NamedTuple):
-    """A worker with the time that a task is predicted to take there."""
+    """A worker with the time that a task is predicted to take there.
+
+    :param is_ahead: whether it has to wait there for room
+    """
 
     worker: Candidate
     run_ms: float
+    is_ahead: bool = False
 
 
 def predict_run(worker: Candidate, step: StepSpec, expected_ms: float) -> float:
@@ -65,30 +75,42 @@
     domain: str,
     taken: dict[int, int],
 ) -> Place | None:
-    """Return the best worker with room for one task now, or None.
+    """Return the best worker for one task now, one without room if need be, or None.
 
     :param within_ms: longest run that is of use; slower workers are passed over
     :param domain: the dispatcher's failure domain
     :param taken: tasks of the step on each worker, by the worker's identity
     """
-    best = None
-    best_score = float("inf")
+    best = best_ahead = None
+    best_score = best_free = -math.inf
     for worker in workers:
-        if not worker.is_usable or not worker.free.fits(step.need):
-            continue
-        if not may_run(worker, step):
-            continue
-        if step.per_worker and taken.get(id(worker), 0) >= step.per_worker:
+        if not _may_take(worker, step, taken):
             continue
         run_ms = predict_run(worker, step, expected_ms)
         if run_ms > within_ms:
             continue
-        used = 1 - worker.free.cpu / max(1, worker.room.cpu)
-        score = run_ms * (1 + FULL_SHARE * used + SPREAD_SHARE * random.random())
-        if worker.free.cpu - step.need.cpu < CONFLICT_SHARE * worker.room.cpu:
-            score += CONFLICT_MS
-        if worker.domain != domain:
-            score += REMOTE_MS
-        if score < best_score:
-            best, best_score = Place(worker, run_ms), score
-    return best
+        if worker.free.fits(step.need):
+            score = -_measure_cost(worker, step, run_ms, domain)
+            if score > best_score:
+                best, best_score = Place(worker, run_ms), score
+            continue
+        free = (worker.free.cpu - step.need.cpu) / max(1, worker.room.cpu)
+        if free > max(best_free, -AHEAD_SHARE):
+            best_ahead, best_free = Place(worker, run_ms, True), free
+    return best or best_ahead
+
+
+def _may_take(worker: Candidate, step: StepSpec, taken: dict[int, int]) -> bool:
+    if not worker.is_usable or not may_run(worker, step):
+        return False
+    return not step.per_worker or taken.get(id(worker), 0) < step.per_worker
+
+
+def _measure_cost(worker: Candidate, step: StepSpec, run_ms: float, domain: str) -> float:
+    used = 1 - worker.free.cpu / max(1, worker.room.cpu)
+    cost = run_ms * (1 + FULL_SHARE * used + SPREAD_SHARE * random.random())
+    if worker.free.cpu - step.need.cpu < CONFLICT_SHARE * worker.room.cpu:
+        cost += CONFLICT_MS
+    if worker.domain != domain:
+        cost += REMOTE_MS
+    return cost
