Jobs that came just before count as ahead, and waits follow from all room

Cause: a test of forty jobs in one instant had none refused: equal ranks were not counted, and an idle cluster seemed to free no room. Change: equal ranks count as ahead; room is freed at all workers' rate of this mix of tasks. A new life of the minion is clear at once where nothing runs; a test found it 150 ms late. Tests of executor and dispatcher with a minion in memory.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -224,27 +224,32 @@
             if not waiting or other.queue.service != job.queue.service:
                 continue
             here += waiting
-            if self._rank(other, now) < own:
+            if self._rank(other, now) <= own:
                 ahead += waiting
         return Demand(
             ahead,
             here,
             max((view.state.waiting_cpu for view in workers), default=0.0),
             sum(max(0, view.free.cpu) for view in workers),
-            self._measure_freeing(workers),
+            sum(view.room.cpu for view in workers) / self._measure_run(job),
         )
 
-    def _measure_freeing(self, workers: list[WorkerView]) -> float:
-        """Return the room that becomes free in a ms, taking all runs to be like the own."""
-        own = 0
-        freeing = 0.0
-        for job in self._jobs.values():
-            for placed in job.runs.values():
-                cpu = job.steps[placed.task.step].spec.need.cpu
-                own += cpu
-                freeing += cpu / placed.run_ms
-        used = sum(view.state.used.cpu for view in workers)
-        return freeing * used / own if own else used / UNKNOWN_RUN_MS
+    def _measure_run(self, job: DispatchJob) -> float:
+        """Return how long room is taken for, in ms, by all tasks here and those of ``job``.
+
+        All workers are taken to run such a mix.
+        """
+        room = rate = 0.0
+        for other in (job, *self._jobs.values()):
+            for step in other.ready_steps():
+                cpu = len(step.pending) * step.spec.need.cpu
+                room += cpu
+                rate += cpu / step.expected_ms
+            for placed in other.runs.values():
+                cpu = other.steps[placed.task.step].spec.need.cpu
+                room += cpu
+                rate += cpu / placed.run_ms
+        return room / rate if rate else UNKNOWN_RUN_MS
 
     def _rank(self, job: DispatchJob, now: float) -> urgency.Rank:
         return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered)
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -630,6 +630,9 @@
         self._pace = RunPace(self._clock)
         if not self._arrived.ready():
             self._arrived.send()
+        if not view.running:
+            # The look at the life before may still wait for its answer, for up to 450 ms.
+            self._clear(life, view)
         eventlet.spawn_n(self.on_life, told)
 
     def _clear(self, life: _Life, view: MinionView) -> None:
--- /dev/null
+++ b/geraniumspool/memory_minion.py
@@ -0,0 +1,219 @@
+"""A minion in memory, with the faults that real ones show."""
+
+import enum
+from typing import NamedTuple
+
+from geraniumspool.contracts import (
+    Clock,
+    ListedEnd,
+    MinionLife,
+    MinionView,
+    RunKey,
+    StartAnswer,
+    StartOutcome,
+)
+from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.rooms import NO_ROOM, Room
+from geraniumspool.run_messages import RUN_DONE, RUN_FAILED, RUN_LAPSED, RUN_STOPPED
+
+DEFAULT_ROOM = Room(10_000, 10_000)
+# Looks end this often while they wait.
+LOOK_STEP_MS = 5.0
+STOP_MS = 20.0
+LONGEST_LEASE_MS = 1_000.0
+
+
+class CallFault(enum.Enum):
+    """What goes wrong with a call."""
+
+    LOST_BEFORE = "lost before it was carried out"
+    LOST_AFTER = "carried out, answer lost"
+    LATE = "no answer, carried out later"
+
+
+class Scripted(NamedTuple):
+    """A fault of the next call of one kind.
+
+    :param late_ms: how much later a late call is carried out
+    """
+
+    call: str
+    fault: CallFault
+    late_ms: float = 3_000.0
+
+
+class _Running:
+    def __init__(self, key: RunKey, need: Room, run_ms: float, now: float):
+        self.key = key
+        self.need = need
+        self.run_ms = run_ms
+        self.started_ms = now
+        self.ends_ms = now + run_ms
+        self.how = RUN_DONE
+
+
+class MemoryMinion:
+    """A :class:`~geraniumspool.contracts.MinionControl` that runs tasks by its clock.
+
+    A payload is the need in thousandths of a core and the run time, ``CPU:MS``,
+    and may end in ``:fail`` or ``:hang``.
+
+    :ivar over: most room that was ever used beyond what there is
+    :ivar started: every run that began, in order
+    """
+
+    def __init__(self, clock: Clock, instance: str = "i-1", room: Room = DEFAULT_ROOM):
+        """Begin a life."""
+        self._clock = clock
+        self.life = MinionLife(instance, "fitting", "127.0.0.1:1", room, ("a", "r1"), False, 1)
+        self._running: dict[RunKey, _Running] = {}
+        self._ended: list[ListedEnd] = []
+        self._closed: dict[str, int] = {}
+        self._next_end = 1
+        self._fence = 0
+        self._lease_until = 0.0
+        self._scripted: list[Scripted] = []
+        self.silent = False
+        self.slow_factor = 1.0
+        self.most_used = NO_ROOM
+        self.started: list[RunKey] = []
+        self.refuse_with: StartOutcome | None = None
+
+    @property
+    def running(self) -> set[str]:
+        """Return the names of the tasks at work now."""
+        self._advance()
+        return {key.task for key in self._running}
+
+    def script(self, fault: Scripted) -> None:
+        """Let one call go wrong."""
+        self._scripted.append(fault)
+
+    def reborn(self, instance: str) -> None:
+        """Crash and begin another life at the same address."""
+        self._running.clear()
+        self._ended.clear()
+        self._closed.clear()
+        self._next_end = 1
+        self._fence = 0
+        self.life = self.life._replace(instance=instance, sequence=1)
+
+    def start(
+        self, life: MinionLife, key: RunKey, payload: str, lease_until_ms: float, fence: int
+    ) -> StartAnswer:
+        """Start a run; see :class:`~geraniumspool.contracts.MinionControl`."""
+        return self._call("start", life, lambda: self._start(key, payload, lease_until_ms, fence))
+
+    def stop(self, life: MinionLife, key: RunKey, fence: int) -> None:
+        """Stop a run."""
+        self._call("stop", life, lambda: self._stop(key, fence))
+
+    def look(
+        self,
+        life: MinionLife,
+        fence: int,
+        acknowledged: int,
+        lease_until_ms: float | None,
+        wait_ms: float,
+    ) -> MinionView:
+        """Renew the lease and return what runs and has ended."""
+        self._call("look", life, lambda: self._hold(fence, acknowledged, lease_until_ms))
+        until = self._clock.now() + wait_ms
+        while not self._ended and self._clock.now() < until:
+            self._clock.sleep(LOOK_STEP_MS)
+            self._advance()
+        self._check(life)
+        now = self._clock.now()
+        running = {
+            run.key: min(0.99, (now - run.started_ms) / run.run_ms) if run.run_ms else 0.0
+            for run in self._running.values()
+        }
+        return MinionView(now, running, tuple(self._ended))
+
+    def _check(self, life: MinionLife) -> None:
+        if self.silent:
+            self._clock.sleep(STOP_MS)
+            raise MinionSilent("no answer")
+        if life.instance != self.life.instance:
+            raise MinionReplaced("another life")
+
+    def _call(self, kind: str, life: MinionLife, work):
+        self._check(life)
+        self._advance()
+        scripted = next((fault for fault in self._scripted if fault.call == kind), None)
+        if scripted is None:
+            return work()
+        self._scripted.remove(scripted)
+        if scripted.fault is CallFault.LOST_AFTER:
+            work()
+        elif scripted.fault is CallFault.LATE:
+            self._clock.after(scripted.late_ms, lambda: self._work_late(work))
+        raise MinionSilent(f"{kind}: scripted")
+
+    def _work_late(self, work) -> None:
+        self._advance()
+        try:
+            work()
+        except Fenced:
+            return
+
+    def _start(self, key: RunKey, payload: str, lease_until_ms: float, fence: int) -> StartAnswer:
+        now = self._clock.now()
+        if fence < self._fence:
+            return StartAnswer(StartOutcome.FENCED, now)
+        self._fence = fence
+        if self.refuse_with is not None:
+            return StartAnswer(self.refuse_with, now)
+        if key in self._running:
+            return StartAnswer(StartOutcome.STARTED, now)
+        if key.attempt <= self._closed.get(key.task, 0):
+            return StartAnswer(StartOutcome.OLD, now)
+        if lease_until_ms <= now:
+            return StartAnswer(StartOutcome.LATE, now)
+        self._extend(lease_until_ms)
+        cpu, run_ms, *how = payload.split(":")
+        run = _Running(key, Room(int(cpu)), float(run_ms) * self.slow_factor, now)
+        if how == ["fail"]:
+            run.how = RUN_FAILED
+        elif how == ["hang"]:
+            run.run_ms, run.ends_ms = 0.0, float("inf")
+        self._running[key] = run
+        self.started.append(key)
+        used = Room(sum(other.need.cpu for other in self._running.values()))
+        self.most_used = max(self.most_used, used)
+        return StartAnswer(StartOutcome.STARTED, now)
+
+    def _stop(self, key: RunKey, fence: int) -> None:
+        self._raise_fence(fence)
+        self._closed[key.task] = max(key.attempt, self._closed.get(key.task, 0))
+        run = self._running.get(key)
+        if run is not None and run.how is not RUN_STOPPED:
+            run.how = RUN_STOPPED
+            run.ends_ms = self._clock.now() + STOP_MS
+
+    def _hold(self, fence: int, acknowledged: int, lease_until_ms: float | None) -> None:
+        self._raise_fence(fence)
+        self._ended = [end for end in self._ended if end.number > acknowledged]
+        if lease_until_ms is not None:
+            self._extend(lease_until_ms)
+
+    def _raise_fence(self, fence: int) -> None:
+        if fence < self._fence:
+            raise Fenced("a higher token was seen")
+        self._fence = fence
+
+    def _extend(self, until_ms: float) -> None:
+        longest = self._clock.now() + LONGEST_LEASE_MS
+        self._lease_until = max(self._lease_until, min(until_ms, longest))
+
+    def _advance(self) -> None:
+        now = self._clock.now()
+        for run in sorted(self._running.values(), key=lambda run: run.ends_ms):
+            if min(run.ends_ms, self._lease_until) > now:
+                continue
+            lapsed = self._lease_until < run.ends_ms
+            del self._running[run.key]
+            self._closed[run.key.task] = max(run.key.attempt, self._closed.get(run.key.task, 0))
+            how = RUN_LAPSED if lapsed else run.how
+            self._ended.append(ListedEnd(self._next_end, run.key, how))
+            self._next_end += 1
--- /dev/null
+++ b/tests/dispatch_world.py
@@ -0,0 +1,151 @@
+"""A dispatcher or more with executors and minions, all in memory."""
+
+import eventlet
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.dispatch_job import DispatchJob
+from geraniumspool.dispatcher import Dispatcher
+from geraniumspool.executor import Executor
+from geraniumspool.job_specs import JobSpec, StepSpec
+from geraniumspool.link import MemoryMessenger, MemoryNetwork
+from geraniumspool.memory_minion import MemoryMinion
+from geraniumspool.messages import Peer, WrongIncarnation
+from geraniumspool.metrics import MemoryCounters
+from geraniumspool.queues import Queue
+from geraniumspool.rooms import Room
+from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
+
+QUEUE = Queue("scan", "h.example", "/scan/", "fitting", 0, 2, 1.6, 60.0)
+WORKER_ROOM = Room(10_000, 10_000)
+
+
+def make_spec(job_id, count=1, cpu=4_000, run_ms=100, how="", declared_ms=None, **step):
+    """Return a job of one step whose payload minions in memory understand."""
+    payload = f"{cpu}:{run_ms}" + (f":{how}" if how else "")
+    declared = run_ms if declared_ms is None else declared_ms
+    return JobSpec(job_id, payload, (StepSpec(count, Room(cpu), declared, **step),))
+
+
+class Worker:
+    """An executor with its minion, its messenger and its green tasks."""
+
+    def __init__(self, world, name, incarnation=1, minion=None, fence=1):
+        self.world = world
+        self.name = name
+        self.minion = minion or MemoryMinion(world.clock, f"i-{name}", WORKER_ROOM)
+        self.counters = MemoryCounters()
+        me = Peer(f"tcp://{name}", incarnation)
+        self.messenger = MemoryMessenger(world.network, me, self.counters)
+        self.executor = Executor(
+            world.clock, self.minion, self.messenger.send, self.counters, "north", fence
+        )
+        handlers = {
+            StartRuns: self.executor.take_start,
+            StopRuns: self.executor.take_stop,
+            RenewRuns: self.executor.take_renewal,
+            WrongIncarnation: lambda sender, message: self.executor.lose_dispatcher(
+                Peer(sender.address, message.meant)
+            ),
+        }
+        self.messenger.start(lambda d: handlers[type(d.message)](d.sender, d.message))
+        self.tasks = [
+            eventlet.spawn(self.executor.run_looks),
+            eventlet.spawn(self.executor.run_ticks),
+        ]
+        eventlet.spawn_n(self.executor.take_life, self.minion.life)
+
+    @property
+    def address(self):
+        return f"tcp://{self.name}"
+
+    def kill(self):
+        """End the process, as by a signal; the minion lives on."""
+        for task in self.tasks:
+            task.kill()
+        self.messenger.stop()
+
+
+class Home:
+    """A dispatcher with its messenger and its green tasks."""
+
+    def __init__(self, world, name, incarnation=1):
+        self.world = world
+        self.counters = MemoryCounters()
+        me = Peer(f"tcp://{name}", incarnation)
+        self.messenger = MemoryMessenger(world.network, me, self.counters)
+        self.dispatcher = Dispatcher(world.clock, self.messenger.send, self.counters, "north")
+        handlers = {
+            WorkerReport: self.dispatcher.take_report,
+            WrongIncarnation: lambda sender, _: self.dispatcher.fleet.take_rejection(sender),
+        }
+        self.messenger.start(lambda d: handlers[type(d.message)](d.sender, d.message))
+        self.tasks = [eventlet.spawn(self.dispatcher.run_ticks)]
+        self.dispatcher.fleet.list_addresses(worker.address for worker in world.workers)
+
+    @property
+    def address(self):
+        return self.messenger.me.address
+
+    def submit(self, spec, queue=QUEUE, wait_ms=3_000.0):
+        """Hand a job in; return what its caller will be told, once it is."""
+        told = Caller()
+        taken = self.dispatcher.submit(spec, queue, wait_ms)
+        if isinstance(taken, DispatchJob):
+            told.job = taken
+            eventlet.spawn_n(lambda: told.take(self.dispatcher.wait(taken), self.world.clock.now()))
+        else:
+            told.take(taken, self.world.clock.now())
+        return told
+
+    def kill(self):
+        """End the process; what it knew is gone."""
+        for task in self.tasks:
+            task.kill()
+        self.messenger.stop()
+
+
+class Caller:
+    """What one caller was told."""
+
+    def __init__(self):
+        self.job = None
+        self.result = None
+        self.at_ms = None
+
+    def take(self, result, now):
+        self.result = result
+        self.at_ms = now
+
+    @property
+    def outcome(self):
+        return self.result.outcome if self.result else None
+
+
+class DispatchWorld:
+    """Dispatchers and workers on one network in memory."""
+
+    def __init__(self, workers=3, homes=1):
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock, delay_ms=1.0)
+        self.workers = [Worker(self, f"w{number}") for number in range(workers)]
+        self.clock.advance(20)
+        self.homes = [Home(self, f"h{number}") for number in range(homes)]
+        self.clock.advance(100)
+
+    @property
+    def home(self):
+        return self.homes[0]
+
+    def close(self):
+        """End all green tasks."""
+        for part in (*self.workers, *self.homes):
+            part.kill()
+
+    def started(self, task):
+        """Return how often a task was started at all minions."""
+        return sum(key.task == task for worker in self.workers for key in worker.minion.started)
+
+    def running_twice(self):
+        """Return the tasks that run at two minions now."""
+        running = [task for worker in self.workers for task in worker.minion.running]
+        return {task for task in running if running.count(task) > 1}
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,293 @@
+"""Tests of the dispatcher with executors and minions in memory."""
+
+import unittest
+
+from geraniumspool.executor import DISPATCHER_LEASE_MS, MINION_LEASE_MS
+from geraniumspool.job_specs import JobOutcome, JobSpec, StepSpec
+from geraniumspool.memory_minion import CallFault, Scripted
+from geraniumspool.messages import Peer
+from geraniumspool.rooms import Room
+from geraniumspool.run_messages import RenewRuns
+from tests.dispatch_world import QUEUE, DispatchWorld, Home, Worker, make_spec
+
+TASK = "j1.0.0.0"
+# A caller that lost its connection sends its job again after this.
+RESEND_MS = 1_300.0
+
+
+class DispatchCase(unittest.TestCase):
+    """A world of one dispatcher and three workers."""
+
+    workers = 3
+    homes = 1
+
+    def setUp(self):
+        self.world = DispatchWorld(self.workers, self.homes)
+        self.addCleanup(self.world.close)
+        self.clock = self.world.clock
+        self.home = self.world.home
+
+    def advance(self, total_ms, step_ms=10):
+        """Let time pass, and check that no task runs twice at a time."""
+        for _ in range(int(total_ms // step_ms)):
+            self.clock.advance(step_ms)
+            self.assertEqual(set(), self.world.running_twice())
+
+    def find_worker(self, task):
+        """Return the worker that runs a task."""
+        return next(w for w in self.world.workers if task in w.minion.running)
+
+
+class AnswersTest(DispatchCase):
+    """How jobs end for their callers."""
+
+    def test_a_job_succeeds_when_all_tasks_are_done(self):
+        told = self.home.submit(make_spec("j1", count=5))
+        self.advance(50)
+        self.assertIsNone(told.outcome)
+        self.advance(200)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+        self.assertEqual([1] * 5, [self.world.started(f"j1.0.0.{index}") for index in range(5)])
+        self.assertTrue(self.home.dispatcher.is_idle)
+
+    def test_steps_wait_for_those_they_come_after(self):
+        steps = (StepSpec(2, Room(4_000), 100.0), StepSpec(2, Room(4_000), 100.0, (0,)))
+        told = self.home.submit(JobSpec("j1", "4000:100", steps))
+        self.advance(90)
+        self.assertEqual(0, self.world.started("j1.0.1.0"))
+        self.advance(200)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_a_job_fails_once_a_task_has_used_its_attempts(self):
+        told = self.home.submit(make_spec("j1", how="fail"))
+        self.advance(300)
+        self.assertEqual((JobOutcome.FAILED, "attempts_used"), told.result[:2])
+        self.assertEqual(QUEUE.attempts, self.world.started(TASK))
+
+    def test_a_failed_attempt_is_repeated_elsewhere(self):
+        told = self.home.submit(make_spec("j1", how="fail"), QUEUE._replace(attempts=3))
+        self.advance(600)
+        self.assertEqual(JobOutcome.FAILED, told.outcome)
+        used = [w for w in self.world.workers if w.minion.started]
+        self.assertGreater(len(used), 1)
+
+    def test_a_job_that_has_begun_ends_unfinished_at_its_callers_limit(self):
+        told = self.home.submit(make_spec("j1", run_ms=5_000, declared_ms=300), wait_ms=1_000.0)
+        self.advance(1_000)
+        self.assertEqual((JobOutcome.UNFINISHED, "deadline"), told.result[:2])
+        self.advance(100)
+        self.assertEqual([set()] * 3, [w.minion.running for w in self.world.workers])
+
+    def test_a_job_sent_again_joins_the_one_at_work(self):
+        first = self.home.submit(make_spec("j1"))
+        second = self.home.submit(make_spec("j1"))
+        self.advance(200)
+        self.assertEqual([JobOutcome.SUCCEEDED] * 2, [first.outcome, second.outcome])
+        self.assertEqual(1, self.world.started(TASK))
+
+    def test_runs_are_stopped_when_the_last_caller_has_gone(self):
+        first = self.home.submit(make_spec("j1", run_ms=2_000))
+        second = self.home.submit(make_spec("j1", run_ms=2_000))
+        self.advance(50)
+        self.home.dispatcher.leave_job(first.job)
+        self.advance(100)
+        self.assertEqual(1, len(self.find_worker(TASK).minion.running))
+        self.home.dispatcher.leave_job(second.job)
+        self.advance(100)
+        self.assertEqual([set()] * 3, [w.minion.running for w in self.world.workers])
+
+    def test_a_job_is_refused_at_once_where_nothing_serves_it(self):
+        cases = {
+            "no_worker": (make_spec("j1"), QUEUE._replace(service="other")),
+            "no_capacity": (make_spec("j2", cpu=99_000), QUEUE),
+            "kind_unsupported": (
+                make_spec("j3")._replace(unsupported="kind_unsupported"),
+                QUEUE,
+            ),
+        }
+        for code, (spec, queue) in cases.items():
+            with self.subTest(code=code):
+                told = self.home.submit(spec, queue)
+                self.assertEqual((JobOutcome.REFUSED, code), told.result[:2])
+                self.assertGreater(told.result.retry_after_ms, 0)
+                self.advance(50)
+                self.assertEqual(0, self.world.started(f"{spec.job_id}.0.0.0"))
+
+    def test_labels_and_limits_of_tasks_on_a_worker_hold(self):
+        told = self.home.submit(make_spec("j1", count=3, cpu=1_000, per_worker=1, label="a"))
+        self.advance(50)
+        self.assertEqual([1, 1, 1], [len(w.minion.running) for w in self.world.workers])
+        self.advance(200)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+        refused = self.home.submit(make_spec("j2", label="z"))
+        self.assertEqual("no_capacity", refused.result.code)
+
+
+class OverloadTest(DispatchCase):
+    """More work than room."""
+
+    workers = 2
+
+    def test_what_cannot_be_in_time_is_refused_at_once_with_a_time_to_return(self):
+        told = [self.home.submit(make_spec(f"j{n}", count=2, cpu=5_000)) for n in range(40)]
+        refused = [caller for caller in told if caller.outcome is JobOutcome.REFUSED]
+        self.assertGreater(len(refused), 20)
+        self.assertEqual({"overload"}, {caller.result.code for caller in refused})
+        returns = [caller.result.retry_after_ms for caller in refused]
+        self.assertGreater(max(returns) - min(returns), 100)
+        self.advance(1_500)
+        for number, caller in enumerate(told):
+            if caller.outcome is JobOutcome.REFUSED:
+                self.assertEqual(0, self.world.started(f"j{number}.0.0.0"))
+
+    def test_what_is_accepted_at_twice_the_load_is_mostly_in_time(self):
+        told = []
+        for number in range(100):
+            told.append((self.clock.now(), self.home.submit(make_spec(f"j{number}", cpu=5_000))))
+            self.clock.advance(12)
+        self.advance(1_000)
+        served = [
+            caller.at_ms - sent for sent, caller in told if caller.outcome is JobOutcome.SUCCEEDED
+        ]
+        in_time = sum(took <= 1.6 * 100 + 60 for took in served)
+        # Four run at a time for 100 ms each, so 48 fit into the 1.2 s.
+        self.assertGreater(in_time, 40)
+        self.assertGreater(in_time, 0.8 * len(served))
+
+    def test_the_tighter_job_is_served_first(self):
+        blocker = self.home.submit(make_spec("b", count=4, cpu=5_000, run_ms=150))
+        self.advance(20)
+        loose = self.home.submit(make_spec("l", cpu=10_000, run_ms=400))
+        tight = self.home.submit(make_spec("t", cpu=10_000, run_ms=250))
+        self.advance(200)
+        self.assertEqual(JobOutcome.SUCCEEDED, blocker.outcome)
+        self.assertEqual((1, 1), (self.world.started("t.0.0.0"), self.world.started("l.0.0.0")))
+        self.advance(900)
+        self.assertEqual([JobOutcome.SUCCEEDED] * 2, [loose.outcome, tight.outcome])
+
+    def test_orders_for_room_that_another_took_come_back_and_go_elsewhere(self):
+        other = Home(self.world, "h9")
+        self.world.homes.append(other)
+        self.clock.advance(100)
+        told = [self.home.submit(make_spec("a", count=3, cpu=5_000))]
+        told.append(other.submit(make_spec("b", count=1, cpu=5_000)))
+        self.advance(400)
+        self.assertEqual([JobOutcome.SUCCEEDED] * 2, [caller.outcome for caller in told])
+        for worker in self.world.workers:
+            self.assertLessEqual(worker.minion.most_used.cpu, 10_000)
+
+
+class FaultsTest(DispatchCase):
+    """Faults, during which no task runs twice at a time."""
+
+    homes = 2
+
+    def test_a_silent_worker_is_given_up_only_after_both_leases(self):
+        told = self.home.submit(make_spec("j1", run_ms=900), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        self.world.network.part(self.home.address, worker.address)
+        self.advance(DISPATCHER_LEASE_MS + MINION_LEASE_MS)
+        self.assertEqual(1, self.world.started(TASK))
+        self.advance(2_000)
+        self.assertEqual(2, self.world.started(TASK))
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_a_worker_that_is_heard_but_hears_nothing(self):
+        told = self.home.submit(make_spec("j1", run_ms=900), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        self.world.network.cut.add((self.home.address, worker.address))
+        self.advance(3_500)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_a_worker_that_hears_but_is_not_heard(self):
+        told = self.home.submit(make_spec("j1", run_ms=900), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        self.world.network.cut.add((worker.address, self.home.address))
+        self.advance(3_500)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_a_job_whose_dispatcher_died_comes_back_through_another(self):
+        self.home.submit(make_spec("j1", run_ms=3_000), wait_ms=8_000.0)
+        self.advance(50)
+        self.home.kill()
+        self.advance(RESEND_MS)
+        told = self.world.homes[1].submit(make_spec("j1", run_ms=300), wait_ms=8_000.0)
+        self.advance(600)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_a_job_comes_back_while_executor_and_dispatcher_died(self):
+        self.home.submit(make_spec("j1", run_ms=3_000), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        self.home.kill()
+        self.advance(DISPATCHER_LEASE_MS - 60)
+        worker.kill()
+        self.advance(RESEND_MS - DISPATCHER_LEASE_MS + 60)
+        told = self.world.homes[1].submit(make_spec("j1", run_ms=300), wait_ms=8_000.0)
+        self.advance(1_500)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_an_executor_that_is_replaced_clears_its_minion_first(self):
+        told = self.home.submit(make_spec("j1", run_ms=900), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        worker.kill()
+        self.advance(200)
+        place = self.world.workers.index(worker)
+        self.world.workers[place] = Worker(
+            self.world, worker.name, incarnation=2, minion=worker.minion, fence=2
+        )
+        self.advance(3_000)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_unanswered_starts_never_run_beside_others(self):
+        for number, fault in enumerate(CallFault):
+            with self.subTest(fault=fault):
+                for worker in self.world.workers:
+                    worker.minion.script(Scripted("start", fault))
+                job = f"j{number}"
+                told = self.home.submit(make_spec(job, run_ms=300), wait_ms=8_000.0)
+                self.advance(2_500)
+                self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+                self.advance(4_000)
+
+    def test_a_crashed_minion_loses_its_runs_to_others(self):
+        told = self.home.submit(make_spec("j1", run_ms=300), wait_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        worker.minion.reborn("i-new")
+        self.advance(700)
+        self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+
+    def test_workers_that_are_idle_for_long_keep_the_runs_they_get(self):
+        for number in range(12):
+            self.advance(437)
+            told = self.home.submit(make_spec(f"j{number}", run_ms=300))
+            self.advance(420)
+            self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
+            self.assertEqual(1, self.world.started(f"j{number}.0.0.0"))
+
+    def test_idle_workers_do_not_count_as_silent(self):
+        for _ in range(300):
+            self.clock.advance(10)
+            usable = [view.is_usable for view in self.home.dispatcher.fleet.views]
+            self.assertEqual([True] * 3, usable)
+
+    def test_a_worker_taken_off_the_list_serves_on_while_it_is_heard(self):
+        self.home.dispatcher.fleet.list_addresses(())
+        self.advance(5_000)
+        self.assertEqual(3, len(self.home.dispatcher.fleet.of_service("fitting")))
+        self.world.workers[0].kill()
+        self.advance(5_000)
+        self.assertEqual(2, len(self.home.dispatcher.fleet.of_service("fitting")))
+
+    def test_a_worker_is_known_by_its_report_alone(self):
+        late = Worker(self.world, "w9")
+        self.world.workers.append(late)
+        self.clock.advance(50)
+        late.executor.take_renewal(Peer(self.home.address, 1), RenewRuns(self.clock.now()))
+        self.advance(100)
+        self.assertEqual(4, len(self.home.dispatcher.fleet.of_service("fitting")))
