Callers wait for workers that are about to be heard

Cause: after a loss of power all jobs were refused for want of workers until the executors had answered, although most could wait that long. Change: while workers came up or fell silent less than 1.5 s ago, a job is taken if it could still be in time 250 ms later. Ruled out: nothing.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -50,6 +50,8 @@
 MAX_RATIO = 5.0
 # A pass gives up after as many tasks in a row that find no room.
 MAX_MISSES = 6
+# All workers are back within about this time after a loss of power.
+GATHERING_MS = 250.0
 # Until workers are known a caller comes back after this.
 # Runs are taken to last this long where none of one's own tells.
 UNKNOWN_RUN_MS = 400.0
@@ -196,11 +198,13 @@
         if self.leaving:
             return JobResult(JobOutcome.REFUSED, "leaving", urgency.MIN_RETRY_MS)
         workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
-        if not workers:
+        if not workers and not self.fleet.is_gathering:
             return JobResult(
                 JobOutcome.REFUSED, "no_worker", urgency.choose_retry(NO_WORKER_RETRY_MS)
             )
-        if not all(any(packing.may_run(view, step.spec) for view in workers) for step in job.steps):
+        if workers and not all(
+            any(packing.may_run(view, step.spec) for view in workers) for step in job.steps
+        ):
             return JobResult(
                 JobOutcome.REFUSED, "no_capacity", urgency.choose_retry(NO_WORKER_RETRY_MS)
             )
@@ -209,7 +213,9 @@
         objective_ms = measure(job.steps, job.queue, capacity)
         job.timing = Timing(now, objective_ms, wait_ms - ANSWER_MARGIN_MS)
         left_ms = job.left_ms()
-        delay = urgency.predict_wait(self._measure(job, workers, now), job.pending_cpu())
+        delay = GATHERING_MS
+        if workers:
+            delay = urgency.predict_wait(self._measure(job, workers, now), job.pending_cpu())
         if urgency.is_hopeless(job.timing, left_ms, delay, now):
             return JobResult(JobOutcome.REFUSED, "overload", urgency.choose_retry(delay))
         if left_ms > job.timing.limit_ms:
@@ -422,3 +428,8 @@
 
     def _log_job(self, text: str, job: DispatchJob, **fields: object) -> None:
         _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
+
+
+def _fit_all(job: DispatchJob, workers: list[WorkerView]) -> bool:
+    """Return whether each step of a job can run at some worker."""
+    return all(any(packing.may_run(view, step.spec) for view in workers) for step in job.steps)
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -27,6 +27,8 @@
 SUSPECT_MS = 450.0
 # Runs of a silent worker are over once both leases and the time of a stop have passed.
 LOST_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
+# Workers that came up with this process, or fell silent just now, are heard within this.
+GATHER_MS = 1_500.0
 # A worker that is not in the store and silent for this long is forgotten.
 FORGET_MS = 3_000.0
 # A renewal names runs only once their orders must have arrived.
@@ -172,6 +174,15 @@
         """Return the workers of a service that have been heard of."""
         return [view for view in self._views.values() if view.state.service == service]
 
+    @property
+    def is_gathering(self) -> bool:
+        """Whether workers are about to be heard that are silent now."""
+        now = self._clock.now()
+        return any(
+            view.is_silent and now - max(view.heard_ms, view.known_ms) < GATHER_MS
+            for view in self._views.values()
+        )
+
     def list_addresses(self, addresses: Iterable[str]) -> None:
         """Take the addresses that the store lists now."""
         listed = set(addresses)
