Contract tests of the adapter, and two faults that they found

Cause: the store's contract tests, run on the platform's client, showed that the answer to a write whose condition failed (412) was taken for a fault, so a key could not be written over an older one; a queue with advice in the configuration made all of it unreadable. Change: both mended.

--- a/geraniumspool/platform/configuration.py
+++ b/geraniumspool/platform/configuration.py
@@ -28,7 +28,7 @@
     stretch: float = 1.0
     target_duration_ms: float = 0.0
     timeout_ms: float = 0.0
-    hint: msgspec.Raw | None = None
+    hint: dict | None = None
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/geraniumspool/platform/store.py
+++ b/geraniumspool/platform/store.py
@@ -163,7 +163,7 @@
         body = {"expect": [{"key": key, "revision": expected_revision}], **body}
         response = self._call("swap", "POST", "/kv-txn", StoreUnknown, body)
         if response.status == 412:
-            items = _decode(response, Conflict, StoreUnavailable).items
+            items = _decode(response, Conflict, StoreUnavailable, 412).items
             current = next((_key_value(item) for item in items if item.revision), None)
             return SwapOutcome(False, current.revision if current else 0, current)
         if response.status == 404:
@@ -204,9 +204,12 @@
 
 
 def _decode(
-    response: urllib3.BaseHTTPResponse, kind: type[Reply], doubt: type[StoreError]
+    response: urllib3.BaseHTTPResponse,
+    kind: type[Reply],
+    doubt: type[StoreError],
+    status: int = 200,
 ) -> Reply:
-    if response.status != 200:
+    if response.status != status:
         raise doubt(f"unexpected status {response.status}")
     try:
         return msgspec.json.decode(response.data, type=kind)
--- /dev/null
+++ b/tests/test_platform_ingress.py
@@ -0,0 +1,244 @@
+"""Tests of callers' requests and minions' reports as the platform sends them."""
+
+import json
+import unittest
+
+import eventlet
+import urllib3
+
+from geraniumspool.clock import SystemClock
+from geraniumspool.counters import MemoryCounters
+from geraniumspool.executor import Executor
+from geraniumspool.memory_minion import MemoryMinion
+from geraniumspool.platform.configuration import decode_configuration
+from geraniumspool.platform.ingress import Ingress, ReadyCheck
+from geraniumspool.platform.reports import Reports
+from geraniumspool.queues import QueueConfiguration
+from geraniumspool.webserver import WebServer
+from tests.dispatch_world import DispatchWorld
+from tests.small import wait_until
+
+JOB = "5c0e7a21d94b36f8"
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "nony24.example",
+            "prefix": "/lohu930/",
+            "kind": "unsafe",
+            "timeout_ms": 1500,
+            "target_duration_ms": 60,
+            "priority": 0,
+            "service": "fitting",
+            "attempts": 2,
+            "stretch": 1.6,
+        },
+        {
+            "name": "r-2",
+            "host": "nony24.example",
+            "prefix": "/lohu930/deep/",
+            "service": "fitting",
+        },
+        {
+            "name": "r-3",
+            "host": "other.example",
+            "prefix": "/x/",
+            "service": "fitting",
+            "hint": {"decide_ms": 1},
+        },
+    ],
+    "services": [{"name": "fitting", "admission_control": False}],
+    "limits": {"max_body_bytes": 262144},
+}
+
+
+def make_body(run_ms=20, how="", **fields):
+    """Return a job's body as callers send it."""
+    spec = f"1000:{run_ms}" + (f":{how}" if how else "")
+    step = {"count": 2, "cpu": 1000, "estimate_ms": run_ms}
+    return {"spec": spec, "steps": [step], "best_effort": True} | fields
+
+
+class IngressTest(unittest.TestCase):
+    """Callers' requests, over loopback."""
+
+    def setUp(self):
+        self.world = DispatchWorld(2)
+        self.addCleanup(self.world.close)
+        self.dispatcher = self.world.home.dispatcher
+        self.configuration = QueueConfiguration()
+        ingress = Ingress(self.dispatcher, self.configuration, MemoryCounters())
+        self.server = WebServer(ingress, "127.0.0.1:0", SystemClock())
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.http = urllib3.PoolManager(retries=False)
+        self.driver = None
+
+    def configure(self, **changes):
+        document = json.dumps(CONFIGURATION | changes).encode()
+        return self.configuration.take(decode_configuration(document))
+
+    def drive(self):
+        """Let the world's time pass beside the real one."""
+
+        def run():
+            while True:
+                self.world.clock.advance(5)
+                eventlet.sleep(0.001)
+
+        task = eventlet.spawn(run)
+        self.addCleanup(task.kill)
+
+    def ask(self, method, path, body=None, host="nony24.example", **headers):
+        url = f"http://{self.server.address}{path}"
+        data = json.dumps(body).encode() if body is not None else None
+        headers = {"Host": host, "Content-Type": "application/json"} | headers
+        response = self.http.request(method, url, body=data, headers=headers, timeout=20)
+        return response.status, json.loads(response.data or b"{}"), response.headers
+
+    def test_without_a_configuration_nothing_is_taken(self):
+        status, answer, headers = self.ask("POST", f"/lohu930/{JOB}", make_body())
+        self.assertEqual((503, "configuration_unknown"), (status, answer["code"]))
+        self.assertIn("Retry-After", headers)
+
+    def test_requests_that_need_no_worker(self):
+        self.configure()
+        rows = [
+            ("GET", "/lohu930/", "nony24.example", 200),
+            ("GET", "/lohu930/", "nony24.example:8080", 200),
+            ("GET", "/lohu930/deep/", "nony24.example", 200),
+            ("GET", "/nothing/", "nony24.example", 404),
+            ("GET", "/lohu930/", "elsewhere.example", 404),
+            ("GET", f"/lohu930/{JOB}", "nony24.example", 410),
+            ("DELETE", f"/lohu930/{JOB}", "nony24.example", 410),
+            ("POST", "/lohu930/not-an-id", "nony24.example", 404),
+            ("PUT", f"/lohu930/{JOB}", "nony24.example", 405),
+        ]
+        for method, path, host, expected in rows:
+            with self.subTest(method=method, path=path, host=host):
+                status, answer, _ = self.ask(method, path, host=host)
+                self.assertEqual(expected, status)
+                if expected == 200:
+                    self.assertEqual({"pending": 0}, answer)
+
+    def test_a_job_is_answered_when_it_has_ended(self):
+        self.configure()
+        self.drive()
+        for how, state in (("", "succeeded"), ("fail", "failed")):
+            with self.subTest(how=how):
+                job = f"{JOB[:-1]}{len(how)}"
+                status, answer, _ = self.ask("POST", f"/lohu930/{job}", make_body(how=how))
+                self.assertEqual((200, state), (status, answer["state"]))
+
+    def test_a_job_not_finished_in_time_may_have_run(self):
+        self.configure()
+        self.drive()
+        body = make_body(run_ms=60_000)
+        body["steps"][0]["estimate_ms"] = 100
+        headers = {"Deadline-Ms": "400"}
+        status, answer, _ = self.ask("POST", f"/lohu930/{JOB}", body, **headers)
+        self.assertEqual((504, "deadline"), (status, answer["code"]))
+
+    def test_kinds_that_are_not_served_are_refused_at_once(self):
+        self.configure()
+        step = {"count": 1, "cpu": 1000}
+        rows = [
+            ("durable_jobs_unsupported", make_body(best_effort=False)),
+            ("kind_unsupported", make_body(times=3)),
+            ("kind_unsupported", make_body(steps=[step | {"gang": True}])),
+            ("kind_unsupported", make_body(steps=[step | {"long_running": True}])),
+            ("kind_unsupported", make_body(steps=[step | {"fills": True}])),
+            ("steps_invalid", make_body(steps=[])),
+            ("steps_invalid", make_body(steps=[step | {"after": [0]}])),
+        ]
+        for code, body in rows:
+            with self.subTest(code=code, body=body):
+                status, answer, headers = self.ask("POST", f"/lohu930/{JOB}", body)
+                self.assertEqual((503, code), (status, answer["code"]))
+                self.assertIn("Retry-After", headers)
+        advised = self.ask("POST", f"/x/{JOB}", make_body(), "other.example")
+        self.assertEqual((503, "kind_unsupported"), (advised[0], advised[1]["code"]))
+        self.assertEqual(400, self.ask("POST", f"/lohu930/{JOB}", {"steps": "no"})[0])
+        self.assertEqual([], [w.minion.started for w in self.world.workers if w.minion.started])
+
+    def test_the_runs_of_a_caller_who_leaves_are_stopped(self):
+        self.configure()
+        self.drive()
+        caller = eventlet.connect(("127.0.0.1", int(self.server.address.rpartition(":")[2])))
+        job = make_body(run_ms=50_000)
+        job["steps"][0]["estimate_ms"] = 100
+        body = json.dumps(job).encode()
+        head = f"POST /lohu930/{JOB} HTTP/1.1\r\nHost: nony24.example\r\n"
+        caller.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        running = [w.minion for w in self.world.workers]
+        wait_until(lambda: any(minion.running for minion in running))
+        caller.close()
+        wait_until(lambda: not any(minion.running for minion in running))
+        self.assertTrue(self.dispatcher.is_idle)
+
+    def test_an_older_configuration_never_comes_back(self):
+        self.assertTrue(self.configure())
+        self.assertTrue(self.configure(version=9, routes=[]))
+        self.assertFalse(self.configure(version=8))
+        self.assertEqual(404, self.ask("GET", "/lohu930/")[0])
+        self.assertIsNone(decode_configuration(b"{"))
+
+    def test_readiness(self):
+        ready = [False]
+        server = WebServer(
+            ReadyCheck(lambda: ready[0], MemoryCounters()), "127.0.0.1:0", SystemClock()
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        for state, expected in ((False, 503), (True, 200)):
+            ready[0] = state
+            response = self.http.request("GET", f"http://{server.address}/ready")
+            self.assertEqual(expected, response.status)
+
+
+class ReportsTest(unittest.TestCase):
+    """A minion's reports, over loopback."""
+
+    def setUp(self):
+        clock = SystemClock()
+        self.minion = MemoryMinion(clock, "i-7f3a91c2")
+        self.executor = Executor(clock, self.minion, lambda *_: True, MemoryCounters(), "north", 1)
+        self.server = WebServer(Reports(self.executor, MemoryCounters()), "127.0.0.1:0", clock)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.http = urllib3.PoolManager(retries=False)
+
+    def post(self, path, body):
+        url = f"http://{self.server.address}{path}"
+        return self.http.request("POST", url, body=json.dumps(body)).status
+
+    def test_reports_are_taken(self):
+        body = {
+            "service": "huvo11a",
+            "addr": "10.128.0.9:8080",
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "room": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+            "labels": ["a", "r1-3"],
+            "seq": 4,
+            "machine": "m-1",
+        }
+        self.assertEqual(200, self.post("/instances/i-7f3a91c2/heartbeat", body))
+        wait_until(lambda: self.executor.state().instance)
+        state = self.executor.state()
+        self.assertEqual(("huvo11a", "r1-3"), (state.service, state.rack))
+        self.assertEqual((16_000, 32_768, 0), state.room)
+        self.post("/instances/i-7f3a91c2/heartbeat", body | {"state": "draining", "seq": 5})
+        wait_until(lambda: not self.executor.state().accepts)
+        self.post("/instances/i-7f3a91c2/heartbeat", body | {"seq": 4})
+        eventlet.sleep(0.05)
+        self.assertFalse(self.executor.state().accepts)
+        self.assertEqual(200, self.post("/instances/i-7f3a91c2/deregister", {}))
+        self.assertEqual("", self.executor.state().instance)
+
+    def test_reports_that_are_none(self):
+        self.assertEqual(400, self.post("/instances/i-1/heartbeat", {"service": 3}))
+        self.assertEqual(404, self.post("/instances/i-1/other", {}))
--- /dev/null
+++ b/tests/test_platform_minion.py
@@ -0,0 +1,100 @@
+"""Contract tests of the calls to a minion: its answers, its faults, a whole session."""
+
+import json
+import unittest
+from pathlib import Path
+
+from geraniumspool.clock import ManualClock, SystemClock
+from geraniumspool.contracts import ListedEnd, RunKey, StartOutcome
+from geraniumspool.counters import MemoryCounters
+from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.memory_minion import MemoryMinion
+from geraniumspool.platform.minion import HttpMinionControl
+from geraniumspool.run_messages import RUN_DONE, RUN_STOPPED
+from tests.platform_standin import MinionStandin
+from tests.small import serve
+
+GOLDEN = Path(__file__).parent / "golden" / "minion_session.json"
+FAR = 1e9
+
+
+class MinionControlTest(unittest.TestCase):
+    """The client against a stand-in over loopback."""
+
+    def setUp(self):
+        self.clock = ManualClock(5_000.0)
+        self.minion = MemoryMinion(self.clock)
+        self.standin = MinionStandin(self.minion)
+        self.life = self.minion.life._replace(address=serve(self, self.standin))
+        self.control = HttpMinionControl(SystemClock(), MemoryCounters())
+
+    def start(self, task="j.0.0.0", attempt=1, payload="1000:100", lease=FAR, fence=3):
+        return self.control.start(self.life, RunKey(task, attempt), payload, lease, fence).outcome
+
+    def test_answers_to_a_start(self):
+        self.assertEqual(StartOutcome.STARTED, self.start())
+        self.assertEqual(StartOutcome.STARTED, self.start())
+        self.assertEqual(StartOutcome.FENCED, self.start("k", fence=2))
+        self.assertEqual(StartOutcome.LATE, self.start("l", lease=4_999))
+        self.control.stop(self.life, RunKey("m", 2), 3)
+        self.assertEqual(StartOutcome.OLD, self.start("m", attempt=2))
+        for outcome in (StartOutcome.FULL, StartOutcome.UNHEALTHY, StartOutcome.REJECTED):
+            with self.subTest(outcome=outcome):
+                self.minion.refuse_with = outcome
+                self.assertEqual(outcome, self.start("n"))
+
+    def test_statuses_without_meaning_started_nothing(self):
+        for status, outcome in (
+            (400, StartOutcome.REJECTED),
+            (429, StartOutcome.UNHEALTHY),
+            (503, StartOutcome.UNHEALTHY),
+        ):
+            with self.subTest(status=status):
+                self.standin.forced = status
+                self.assertEqual(outcome, self.start())
+
+    def test_another_life_is_told_apart(self):
+        self.minion.reborn("i-2")
+        for call in (
+            self.start,
+            lambda: self.control.stop(self.life, RunKey("j", 1), 3),
+            lambda: self.control.look(self.life, 3, 0, None, 0.0),
+        ):
+            with self.assertRaises(MinionReplaced):
+                call()
+
+    def test_calls_without_an_answer(self):
+        for fault in ({"lose": 1}, {"hang": True}):
+            for name, call in (
+                ("start", self.start),
+                ("stop", lambda: self.control.stop(self.life, RunKey("j", 1), 3)),
+                ("look", lambda: self.control.look(self.life, 3, 0, None, 0.0)),
+            ):
+                with self.subTest(call=name, **fault):
+                    self.standin.lose, self.standin.hang = 0, False
+                    for key, value in fault.items():
+                        setattr(self.standin, key, value)
+                    with self.assertRaises(MinionSilent):
+                        call()
+
+    def test_a_lower_token_is_refused(self):
+        self.control.look(self.life, 9, 0, None, 0.0)
+        with self.assertRaises(Fenced):
+            self.control.look(self.life, 8, 0, None, 0.0)
+        with self.assertRaises(Fenced):
+            self.control.stop(self.life, RunKey("j", 1), 8)
+
+    def test_a_whole_session_is_as_recorded(self):
+        self.start(payload="1000:100")
+        self.start("k.0.0.1", payload="1000:900")
+        view = self.control.look(self.life, 3, 0, FAR, 0.0)
+        self.assertEqual({RunKey("j.0.0.0", 1): 0.4, RunKey("k.0.0.1", 1): 0.4}, view.running)
+        self.control.stop(self.life, RunKey("k.0.0.1", 1), 3)
+        self.clock.advance(150)
+        view = self.control.look(self.life, 3, 0, FAR, 0.0)
+        ends = {end.key.task: end for end in view.ended}
+        self.assertEqual(RUN_STOPPED, ends["k.0.0.1"].how)
+        self.assertEqual(ListedEnd(2, RunKey("j.0.0.0", 1), RUN_DONE), ends["j.0.0.0"])
+        view = self.control.look(self.life, 3, 2, FAR, 0.0)
+        self.assertEqual(((), {}), (view.ended, view.running))
+        self.assertEqual(json.loads(GOLDEN.read_text()), self.standin.session)
--- /dev/null
+++ b/tests/test_platform_words.py
@@ -0,0 +1,62 @@
+"""The platform's names stay in the one folder that translates them."""
+
+import re
+import unittest
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent / "geraniumspool"
+FOLDER = PACKAGE / "platform"
+# Names of calls, headers, keys and fields that mean nothing elsewhere.
+WORDS = (
+    r"kv-(?:key|range|watch|txn|lease|keep)",
+    r"op/config",
+    r"run-st(?:art|op)\b",
+    r"/hold\b",
+    r"acked_upto",
+    r"checkpoint_data",
+    r"best_effort",
+    r"target_duration_ms",
+    r"mem_mb",
+    r"max_per_server",
+    r"preferred_rack",
+    r"required_label",
+    r"admission_control",
+    r"heartbeat_addr",
+    r"cold_left_ms",
+    r"remaining_ms",
+    r"Expect-Instance",
+    r"Deadline-Ms|DEADLINE_MS\"",
+    r"GERANIUMSPOOL_SETTINGS",
+    r"port_range",
+    r"set_keys|delete_keys|as_of|has_more",
+    r"deregister",
+    r"\bstretch[:=]",
+)
+# A tenth of the package and less.
+LARGEST_SHARE = 0.1
+
+
+class WordsTest(unittest.TestCase):
+    """Where the platform's names stand."""
+
+    def test_names_are_used_in_the_folder_alone(self):
+        pattern = re.compile("|".join(WORDS))
+        for path in sorted(PACKAGE.glob("*.py")):
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                with self.subTest(file=path.name, line=number):
+                    self.assertIsNone(pattern.search(line), line)
+
+    def test_every_name_is_one_that_the_folder_uses(self):
+        text = "".join(path.read_text() for path in FOLDER.glob("*.py"))
+        unused = {"checkpoint_data", "heartbeat_addr", "cold_left_ms", "remaining_ms", "port_range"}
+        for word in WORDS:
+            if word not in unused | {"admission_control"}:
+                with self.subTest(word=word):
+                    self.assertRegex(text, word)
+
+    def test_the_folder_is_small(self):
+        def count(paths):
+            return sum(len(path.read_text().splitlines()) for path in paths)
+
+        folder = count(FOLDER.glob("*.py"))
+        self.assertLess(folder, LARGEST_SHARE * count(PACKAGE.glob("*.py")))
