Refusals log what they were decided by; tests of the decisions and the programs

Cause: a refusal's line gave its reason but not the figures behind it. Change: workers, room ahead, waiting, free and freeing, the predicted delay and the objective stand in the line.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -123,6 +123,7 @@
                 reason=refusal.code,
                 retry_after_ms=round(refusal.retry_after_ms),
                 version=version,
+                **dict(refusal.inputs),
             )
             return refusal
         self._jobs[spec.job_id] = job
@@ -214,12 +215,17 @@
         job.timing = Timing(now, objective_ms, wait_ms - ANSWER_MARGIN_MS)
         left_ms = job.left_ms()
         delay = GATHERING_MS
+        inputs = [("workers", len(workers)), ("left_ms", round(left_ms))]
         if workers:
-            delay = urgency.predict_wait(self._measure(job, workers, now), job.pending_cpu())
+            demand = self._measure(job, workers, now)
+            delay = urgency.predict_wait(demand, job.pending_cpu())
+            inputs += [(name, round(value, 1)) for name, value in demand._asdict().items()]
+        inputs += [("delay_ms", round(delay)), ("objective_ms", round(objective_ms))]
+        retry_ms = urgency.choose_retry(delay)
         if urgency.is_hopeless(job.timing, left_ms, delay, now):
-            return JobResult(JobOutcome.REFUSED, "overload", urgency.choose_retry(delay))
+            return JobResult(JobOutcome.REFUSED, "overload", retry_ms, tuple(inputs))
         if left_ms > job.timing.limit_ms:
-            return JobResult(JobOutcome.REFUSED, "deadline", urgency.choose_retry(delay))
+            return JobResult(JobOutcome.REFUSED, "deadline", retry_ms, tuple(inputs))
         return None
 
     def _measure(self, job: DispatchJob, workers: list[WorkerView], now: float) -> Demand:
--- a/geraniumspool/job_specs.py
+++ b/geraniumspool/job_specs.py
@@ -57,8 +57,10 @@
         tasks may have run, and none runs any more
     :param code: reason of a failure or refusal
     :param retry_after_ms: when a refused job may come back
+    :param inputs: what a refusal was decided by, for logs
     """
 
     outcome: JobOutcome
     code: str = ""
     retry_after_ms: float = 0.0
+    inputs: tuple[tuple[str, float], ...] = ()
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,154 @@
+"""Tests of the programs' settings, of their logs, and of the programs as processes."""
+
+import json
+import logging
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+import eventlet
+import yaml
+from eventlet.patcher import original
+
+from geraniumspool.bounded_log import BURST_LINES, LEFT_OUT, BoundedHandler, Stream
+from geraniumspool.clock import ManualClock
+from geraniumspool.counters import MemoryCounters
+from geraniumspool.daemon_settings import DispatcherSettings, ExecutorSettings, load_settings
+from geraniumspool.errors import InvalidInput
+from geraniumspool.metrics_page import MetricsPage
+from geraniumspool.routes import Request
+
+# The patched one waits where there is nothing to read.
+_READ = original("os").read
+DEPLOY = Path(__file__).parent.parent / "deploy"
+DISPATCHER = {
+    "name": "front-1",
+    "domain": "north",
+    "inbox": "tcp://127.0.0.1:0",
+    "store": "127.0.0.1:1",
+    "callers_listen": "127.0.0.1:0",
+    "ready_listen": "127.0.0.1:0",
+}
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings files."""
+
+    def load(self, text, kind=DispatcherSettings):
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+            file.write(text)
+            file.flush()
+            return load_settings(file.name, kind)
+
+    def test_a_whole_file(self):
+        settings = self.load(yaml.safe_dump(DISPATCHER | {"grace_s": 4}))
+        self.assertEqual(
+            ("front-1", 4.0, "info"), (settings.name, settings.grace_s, settings.log_level)
+        )
+
+    def test_all_faults_are_told_at_once(self):
+        broken = {key: value for key, value in DISPATCHER.items() if key != "store"}
+        broken |= {"grace_s": "soon", "colour": "red", "name": 7}
+        with self.assertRaises(InvalidInput) as raised:
+            self.load(yaml.safe_dump(broken))
+        paths = [finding.path for finding in raised.exception.findings]
+        self.assertEqual(["name", "store", "grace_s", "colour"], paths)
+
+    def test_files_that_are_none(self):
+        for text in ("- a\n", "a: [\n", ""):
+            with self.subTest(text=text), self.assertRaises(InvalidInput):
+                self.load(text)
+        with self.assertRaises(InvalidInput):
+            load_settings("/nowhere/settings.yaml", ExecutorSettings)
+
+    def test_templates_name_settings_alone(self):
+        for name, kind in (("dispatcher", DispatcherSettings), ("executor", ExecutorSettings)):
+            lines = (DEPLOY / f"{name}.yaml").read_text().splitlines()
+            used = {line.partition(":")[0] for line in lines}
+            with self.subTest(name):
+                self.assertLessEqual(used, set(kind.__struct_fields__))
+
+    def test_requirements_are_those_of_the_lock_file(self):
+        wanted = (DEPLOY / "requirements.txt").read_text().split()
+        locked = (DEPLOY.parent / "requirements.lock").read_text().split()
+        self.assertLessEqual(set(wanted), set(locked))
+
+
+class BoundedLogTest(unittest.TestCase):
+    """Logs neither flood nor block."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.reading, writing = os.pipe()
+        self.addCleanup(os.close, self.reading)
+        self.addCleanup(os.close, writing)
+        os.set_blocking(self.reading, False)
+        self.handler = BoundedHandler(Stream(writing), self.clock)
+        self.logger = logging.Logger("test")
+        self.logger.addHandler(self.handler)
+
+    def read(self):
+        try:
+            return [json.loads(line) for line in _READ(self.reading, 1 << 20).splitlines()]
+        except BlockingIOError:
+            return []
+
+    def test_a_line_has_its_fields(self):
+        self.logger.info("job ended", extra={"fields": (("job", "a1"), ("took_ms", 3.5))})
+        (line,) = self.read()
+        self.assertEqual(("job ended", "a1", 3.5), (line["message"], line["job"], line["took_ms"]))
+
+    def test_a_flood_is_bounded_and_what_was_left_out_is_told(self):
+        seen = []
+        for number in range(3 * BURST_LINES):
+            self.logger.info("line %s", number)
+            if number % 50 == 0:
+                seen += self.read()
+        seen += self.read()
+        self.assertLessEqual(len(seen), BURST_LINES)
+        self.logger.warning("this matters")
+        self.assertIn("this matters", [line["message"] for line in self.read()])
+        self.clock.advance(1_000)
+        self.logger.info("later")
+        messages = self.read()
+        self.assertEqual("later", messages[-1]["message"])
+        self.assertEqual(0, self.handler.left_out)
+
+    def test_the_count_of_lines_left_out_is_told(self):
+        for number in range(2 * BURST_LINES):
+            self.logger.info("line %s", number)
+            if number % 50 == 0:
+                self.read()
+        left_out = self.handler.left_out
+        self.assertGreater(left_out, 0)
+        self.clock.advance(1_000)
+        self.read()
+        self.logger.info("later")
+        note = self.read()[0]
+        self.assertEqual((LEFT_OUT, left_out), (note["message"], note["count"]))
+
+    def test_a_reader_that_does_not_read_blocks_nobody(self):
+        with eventlet.Timeout(5):
+            for _ in range(40):
+                self.clock.advance(1_000)
+                for _ in range(100):
+                    self.logger.info("x" * 200)
+        self.assertGreater(self.handler.left_out, 0)
+
+
+class MetricsPageTest(unittest.TestCase):
+    """Counters and histograms as they are scraped."""
+
+    def test_what_is_served(self):
+        counters = MemoryCounters()
+        counters.add("runs_started")
+        for value in (3.0, 70.0, 20_000.0):
+            counters.observe("job_ms", value, queue="scan")
+        page = MetricsPage(counters, "dispatcher", "north")
+        text = page._render(Request("GET", "/metrics", (), {}, {}, b"")).body.decode()
+        self.assertIn("geraniumspool_runs_started_total{", text)
+        buckets = [line for line in text.splitlines() if line.startswith("geraniumspool_job_ms_b")]
+        self.assertIn('le="5.0"', buckets[0])
+        self.assertTrue(buckets[-1].endswith(" 3.0"))
+        self.assertIn('geraniumspool_job_ms_sum{domain="north",queue="scan"', text)
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,75 @@
+"""Tests of the choice of a worker."""
+
+import unittest
+from collections import Counter
+from typing import NamedTuple
+
+from geraniumspool import packing
+from geraniumspool.job_specs import StepSpec
+from geraniumspool.rooms import Room
+
+
+class Fake(NamedTuple):
+    """A worker as the choice sees it."""
+
+    name: str = "w"
+    free: Room = Room(10_000, 1_000)
+    room: Room = Room(10_000, 1_000)
+    pace: float = 1.0
+    domain: str = "north"
+    rack: str = "r1"
+    labels: tuple[str, ...] = ("a", "r1")
+    is_usable: bool = True
+
+
+def choose(workers, step=None, expected_ms=100.0, within_ms=1_000.0, taken=None):
+    """Return the place chosen for a task of 4,000."""
+    step = step or StepSpec(1, Room(4_000, 10))
+    return packing.choose(workers, step, expected_ms, within_ms, "north", taken or {})
+
+
+class ChoiceTest(unittest.TestCase):
+    """Which worker a task goes to."""
+
+    def test_workers_that_may_not_run_it_are_passed_over(self):
+        step = StepSpec(1, Room(4_000, 10), label="a", per_worker=2)
+        full = Fake()
+        rows = [
+            ("not usable", Fake(is_usable=False), {}),
+            ("too small", Fake(room=Room(3_000, 1_000)), {}),
+            ("too little memory", Fake(room=Room(10_000, 5)), {}),
+            ("without the label", Fake(labels=("b",)), {}),
+            ("too slow", Fake(pace=11.0), {}),
+            ("enough of the step", full, {id(full): 2}),
+        ]
+        for name, worker, taken in rows:
+            with self.subTest(name):
+                self.assertIsNone(choose([worker], step, taken=taken))
+
+    def test_a_slow_worker_gets_nothing_while_another_has_room(self):
+        chosen = Counter(
+            choose([Fake("slow", pace=6.0), Fake("usual")]).worker.name for _ in range(50)
+        )
+        self.assertEqual({"usual": 50}, chosen)
+
+    def test_equal_workers_share_tasks(self):
+        chosen = Counter(choose([Fake("a"), Fake("b")]).worker.name for _ in range(400))
+        self.assertGreater(min(chosen.values()), 120)
+
+    def test_an_emptier_worker_goes_before_a_slightly_faster_one(self):
+        fast = Fake("fast", pace=0.8, free=Room(4_500, 1_000))
+        empty = Fake("empty", pace=1.0)
+        self.assertEqual("empty", choose([fast, empty]).worker.name)
+
+    def test_a_task_goes_to_the_rack_of_its_data(self):
+        step = StepSpec(1, Room(4_000, 10), rack="r2")
+        near = Fake("near", rack="r2")
+        self.assertEqual("near", choose([Fake("far"), near], step).worker.name)
+
+    def test_orders_go_ahead_of_room_only_where_all_are_full(self):
+        busy = Fake("busy", free=Room(3_500, 1_000))
+        self.assertTrue(choose([busy]).is_ahead)
+        self.assertFalse(choose([busy, Fake("free")]).is_ahead)
+        queued = Fake("queued", free=Room(2_500, 1_000))
+        self.assertIsNone(choose([queued]))
+        self.assertEqual("busy", choose([queued, busy]).worker.name)
