--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -212,6 +212,16 @@
                 self.assertEqual(set(), self.minion.running)
                 self.assertTrue(self.executor.is_idle)
 
+    def test_a_start_carried_out_soon_after_all_is_over_before_it_is_told(self):
+        self.minion.script(Scripted("start", CallFault.LATE, late_ms=150.0))
+        self.minion.script(Scripted("look", CallFault.LOST_BEFORE))
+        self.start(make_order(1, run_ms=400))
+        for _ in range(60):
+            self.renew(1)
+            self.clock.advance(10)
+            if self.how(1) is not None:
+                self.assertEqual(set(), self.minion.running)
+
     def test_a_stop_is_repeated_until_it_is_answered(self):
         self.start(make_order(1, run_ms=2_000))
         self.minion.script(Scripted("stop", CallFault.LOST_BEFORE))
@@ -372,6 +382,17 @@
         self.assertEqual(RUN_DONE, self.how(1))
         self.assertLessEqual(self.minion.most_used.cpu, 10_000)
 
+    def test_a_new_executor_takes_nothing_while_something_runs(self):
+        self.minion.start(self.minion.life, RunKey("old.0.0.0", 1), "8000:900", 1e9, 5)
+        for _ in range(3):
+            self.minion.script(Scripted("stop", CallFault.LOST_BEFORE))
+        self.executor = self.make_executor(fence=9)
+        for _ in range(20):
+            self.assertFalse(self.minion.running and self.executor.state().accepts)
+            self.clock.advance(20)
+        self.assertEqual(set(), self.minion.running)
+        self.assertTrue(self.executor.state().accepts)
+
     def test_unknown_runs_are_told_as_lost_only_once_they_must_be_over(self):
         self.minion.silent = True
         self.executor = Executor(
