A soak of the platform's programs as processes

Dispatchers and executors run as processes; store, minions, callers and proxies are in the soak, and faults come from a seed: processes stopped, killed, restarted and asked to leave, minions and store silenced, connections reset, calls lost or late. It checks that no task runs twice at a time, that room holds, that what was refused never ran, that what succeeded was done, and that processes leave in time.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 # Storms and other seeded tests are the same in each run only with this.
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test lint measure slopes explore
+SEEDS ?= 5
+FIRST ?= 1
+
+.PHONY: setup demo test lint measure slopes explore soak
 
 setup: $(STAMP)
 
@@ -33,3 +36,6 @@
 
 explore: setup
 	$(PYTHON) -m benchmarks.explore
+
+soak: setup
+	$(PYTHON) -W ignore -m benchmarks.soak $(FIRST) $(SEEDS)
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -85,6 +85,11 @@
         self._advance()
         return {key.task for key in self._running}
 
+    @property
+    def clock_ms(self) -> float:
+        """Return the minion's clock."""
+        return self._clock.now()
+
     def script(self, fault: Scripted) -> None:
         """Let one call go wrong."""
         self._scripted.append(fault)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -181,7 +181,7 @@
         minion = self.minion
         if environ.get("HTTP_EXPECT_INSTANCE") != minion.life.instance:
             return 421, {}
-        clock = {"clock_ms": 5_000}
+        clock = {"clock_ms": int(minion.clock_ms)}
         try:
             if path == "/run-start":
                 key = RunKey(body["task"], body["run"])
@@ -196,7 +196,11 @@
                 minion.stop(minion.life, RunKey(body["task"], body["run"]), body["fence"])
                 return 200, clock
             view = minion.look(
-                minion.life, body["fence"], body["acked_upto"], body.get("deadline_ms"), 0.0
+                minion.life,
+                body["fence"],
+                body["acked_upto"],
+                body.get("deadline_ms"),
+                body.get("wait_ms", 0.0),
             )
         except Fenced:
             return 409, clock | {"reason": "fence"}
