--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -114,7 +114,9 @@
         """Reset all open connections."""
         for connection in list(self._open):
             linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            # It may have been closed meanwhile.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             connection.close()
 
     def close(self) -> None:
