The soak ends its processes whatever happens to it

Cause: a soak that ended by an error of its own left four executors behind, since a closing that failed skipped those after it. Change: an exit stack closes, which goes on past errors; SIGTERM ends it in order.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -217,13 +217,14 @@
         self._clock = SystemClock()
         self.witness = Witness()
         self.outcomes: list[Outcome] = []
-        self._closing: list = []
+        # It goes on past a closing that fails, so that no process is left behind.
+        self._closing = contextlib.ExitStack()
         self._processes: list[Process] = []
         self._minion_proxies: list[Proxy] = []
 
     def run(self) -> None:
         """Play the seed."""
-        try:
+        with self._closing:
             self._build()
             callers = eventlet.GreenPool(2_000)
             faults = eventlet.spawn(self._trouble)
@@ -237,14 +238,12 @@
             callers.waitall()
             self._leave()
             self._judge()
-        finally:
-            for close in reversed(self._closing):
-                close()
 
     def _serve(self, application) -> str:
         listener = eventlet.listen(("127.0.0.1", 0))
         task = eventlet.spawn(wsgi.server, listener, application, log_output=False, debug=False)
-        self._closing += [listener.close, task.kill]
+        self._closing.callback(listener.close)
+        self._closing.callback(task.kill)
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
     def _build(self) -> None:
@@ -252,7 +251,7 @@
         document = {"version": 1, "routes": [QUEUE], "limits": {}}
         store.store.swap("op/config", 0, json.dumps(document).encode())
         self._store = Proxy(self._serve(store))
-        self._closing.append(self._store.close)
+        self._closing.callback(self._store.close)
         for number in range(EXECUTORS):
             self._build_worker(number)
         self._callers = [self._build_dispatcher(number) for number in range(DISPATCHERS)]
@@ -263,12 +262,12 @@
         minion = WatchedMinion(self._clock, f"i-{number}", self.witness)
         proxy = Proxy(self._serve(MinionStandin(minion)))
         self._minion_proxies.append(proxy)
-        self._closing.append(proxy.close)
+        self._closing.callback(proxy.close)
         listen = _take_address()
         settings = self._common(f"executor-{number}") | {"minion_listen": listen}
         self._start("executor", settings)
         task = eventlet.spawn(self._beat, minion, proxy.address, listen)
-        self._closing.append(task.kill)
+        self._closing.callback(task.kill)
 
     def _build_dispatcher(self, number: int) -> str:
         callers, ready = _take_address(), _take_address()
@@ -285,7 +284,7 @@
     def _start(self, role: str, settings: dict) -> None:
         process = Process(role, settings, self._folder)
         self._processes.append(process)
-        self._closing.append(process.close)
+        self._closing.callback(process.close)
 
     def _beat(self, minion: WatchedMinion, address: str, listen: str) -> None:
         http = urllib3.PoolManager(retries=False)
@@ -418,6 +417,8 @@
 
 def main(first: int, count: int) -> int:
     """Play seeds; return 1 if one of them failed."""
+    # An interrupted soak ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed, jobs, starts = [], 0, 0
     for seed in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
