Runs of a minion whose answers are lost are given up only once they are over

The minion lost the answers of 27% of its calls but had carried them out. The executor counted the lease from the last answer that it heard; looks sent after it, whose answers were lost, had extended it by up to 0.4 s more.

Change: the lease counts from the last call that carried one, answered or not, and after 250 ms without an answer looks renew nothing and do not wait. Beside it, found by reading: a run whose stop is lost again and again, while looks are answered, went on for 500 ms more than the sum of leases allows; the lease is held back after 100 ms now, and only for runs that others may start anew; stops are repeated after 20 ms, not 100.

Tests: two that fail before (9 failures with subtests) and pass after; one more holds that a lost stop ends no other run.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -53,7 +53,15 @@
 LOOK_AGAIN_MS = 5.0
 # The minion counts as silent after two looks without an answer.
 SILENT_MS = 450.0
-STOP_AGAIN_MS = 100.0
+# Looks renew the lease while the minion has answered within this time: long enough for
+# one lost look. What is given up later has to outlast all leases that may have arrived.
+RENEW_WITHIN_MS = 250.0
+# A stop that is not answered is sent again after this.
+STOP_AGAIN_MS = 20.0
+# A run that goes on for longer after its stop was asked for holds back the lease: with the
+# minion's lease it has to end before a caller who lost its connection is back, 1.3 s after
+# the dispatcher was last heard.
+STUCK_MS = 100.0
 # Reports on ends wait this long for company.
 GATHER_MS = 2.0
 # Each of n dispatchers hears of changed room at most every 10 n ms, so that all
@@ -86,6 +94,10 @@
 }
 
 
+# Reasons of stops after which others may start the same task without waiting for its end.
+_OVER_FOR_OTHERS = frozenset({"asked", "not_wanted", "dispatcher_silent", "process_stops"})
+
+
 class _Life:
     """What the executor knows of one life of its minion."""
 
@@ -93,6 +105,7 @@
         self.told = life
         self.clock_ms = 0.0
         self.clock_at = now
+        self.leased_ms = now
         self.acknowledged = 0
         self.is_clear = False
         self.answered_ms = now
@@ -102,6 +115,18 @@
         """Return the least that the minion's clock can show now."""
         return self.clock_ms + (now - self.clock_at) * (1 - CLOCK_DRIFT)
 
+    def grant(self, now: float) -> float:
+        """Return the lease, by the minion's clock, of a call that is about to be sent."""
+        self.leased_ms = now
+        return self.clock(now) + MINION_LEASE_MS
+
+    def lease_over_ms(self) -> float:
+        """Return the time when the lease of the last call that had one is over.
+
+        The call counts whether or not it was answered: the minion may have taken it.
+        """
+        return self.leased_ms + MINION_LEASE_MS * (1 + CLOCK_DRIFT) + 2 * TICK_MS
+
     def hear(self, clock_ms: float, sent_ms: float, now: float) -> None:
         """Take the minion's clock from an answer to a call sent at ``sent_ms``."""
         self.answered_ms = now
@@ -365,10 +390,9 @@
         for _ in range(MAX_ATTEMPT_STEPS):
             now = self._clock.now()
             run.sent_ms = now
-            lease = life.clock(now) + MINION_LEASE_MS
             try:
                 answer = self._control.start(
-                    life.told, run.key, run.order.payload, lease, self._fence
+                    life.told, run.key, run.order.payload, life.grant(now), self._fence
                 )
             except MinionSilent:
                 self._doubt(life, run)
@@ -432,10 +456,11 @@
     def _look(self, life: _Life) -> bool:
         """Ask the minion once; return whether it answered."""
         now = self._clock.now()
+        is_answering = now - life.answered_ms <= RENEW_WITHIN_MS
         lease = None
-        if life.is_clear and not self._is_stuck(now):
-            lease = life.clock(now) + MINION_LEASE_MS
-        wait_ms = LOOK_WAIT_MS if life.is_clear else 0.0
+        if life.is_clear and is_answering and not self._is_stuck(now):
+            lease = life.grant(now)
+        wait_ms = LOOK_WAIT_MS if life.is_clear and is_answering else 0.0
         try:
             view = self._control.look(life.told, self._fence, life.acknowledged, lease, wait_ms)
         except MinionSilent:
@@ -454,13 +479,15 @@
         return True
 
     def _is_stuck(self, now: float) -> bool:
-        """Return whether a run must not go on that the minion does not stop.
+        """Return whether a run goes on that others take to be over soon.
 
         Then the lease of all has to run out.
         """
-        limit = now - MINION_LEASE_MS
         return any(
-            run.state is RunState.STOPPING and run.moved_ms < limit and run.confirmed_ms
+            run.is_stopping
+            and run.confirmed_ms
+            and run.stop_reason in _OVER_FOR_OTHERS
+            and now - run.stop_asked_ms > STUCK_MS
             for run in self._table
         )
 
@@ -553,6 +580,7 @@
             return
         run.is_stopping = True
         run.stop_reason = reason
+        run.stop_asked_ms = self._clock.now()
         if run.state is RunState.RUNNING:
             run.state = RunState.STOPPING
             run.moved_ms = self._clock.now()
@@ -668,12 +696,10 @@
     def _lapse(self, life: _Life) -> None:
         """Give up what ran at a silent minion, once its lease must have run out."""
         now = self._clock.now()
-        over = life.clock_at + MINION_LEASE_MS * (1 + CLOCK_DRIFT) + 2 * TICK_MS
-        if self._life is not life or now < over:
+        if self._life is not life or now < life.lease_over_ms():
             return
         for run in self._table:
-            sent_over = run.sent_ms + MINION_LEASE_MS * (1 + CLOCK_DRIFT) + 2 * TICK_MS
-            if run.state is not RunState.QUEUED and now > sent_over:
+            if run.state is not RunState.QUEUED:
                 self._finish(run, _lapse_of(run, life, "minion_silent"))
         self._refuse_waiting("minion_silent")
 
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -21,6 +21,10 @@
 LOOK_STEP_MS = 5.0
 STOP_MS = 20.0
 LONGEST_LEASE_MS = 1_000.0
+# A call counts as unanswered after this.
+UNANSWERED_MS = 120.0
+# A minion that fails all does so this early in a run.
+EARLY_FAILURE = 0.1
 
 
 class CallFault(enum.Enum):
@@ -60,6 +64,11 @@
 
     :ivar over: most room that was ever used beyond what there is
     :ivar started: every run that began, in order
+    :ivar spent: room times time that tasks have had, in thousandths of a core times ms
+    :ivar mute: whether calls are carried out and not answered
+    :ivar deaf_to: kinds of calls that are neither carried out nor answered
+    :ivar fails_all: whether every run fails, after a tenth of its time
+    :ivar hangs_all: whether no run goes on
     """
 
     def __init__(self, clock: Clock, instance: str = "i-1", room: Room = DEFAULT_ROOM):
@@ -77,6 +86,11 @@
         self.slow_factor = 1.0
         self.most_used = NO_ROOM
         self.started: list[RunKey] = []
+        self.spent: dict[str, float] = {}
+        self.mute = False
+        self.deaf_to: set[str] = set()
+        self.fails_all = False
+        self.hangs_all = False
         self.refuse_with: StartOutcome | None = None
 
     @property
@@ -96,6 +110,8 @@
 
     def reborn(self, instance: str) -> None:
         """Crash and begin another life at the same address."""
+        for run in self._running.values():
+            self._count(run, self._clock.now())
         self._running.clear()
         self._ended.clear()
         self._closed.clear()
@@ -145,6 +161,13 @@
     def _call(self, kind: str, life: MinionLife, work):
         self._check(life)
         self._advance()
+        if kind in self.deaf_to:
+            self._clock.sleep(UNANSWERED_MS)
+            raise MinionSilent(f"{kind}: not heard")
+        if self.mute:
+            work()
+            self._clock.sleep(UNANSWERED_MS)
+            raise MinionSilent(f"{kind}: not answered")
         scripted = next((fault for fault in self._scripted if fault.call == kind), None)
         if scripted is None:
             return work()
@@ -180,7 +203,10 @@
         run = _Running(key, Room(int(cpu)), float(run_ms) * self.slow_factor, now)
         if how == ["fail"]:
             run.how = RUN_FAILED
-        elif how == ["hang"]:
+        elif self.fails_all:
+            run.how = RUN_FAILED
+            run.ends_ms = now + run.run_ms * EARLY_FAILURE
+        elif how == ["hang"] or self.hangs_all:
             run.run_ms, run.ends_ms = 0.0, float("inf")
         self._running[key] = run
         self.started.append(key)
@@ -211,12 +237,18 @@
         longest = self._clock.now() + LONGEST_LEASE_MS
         self._lease_until = max(self._lease_until, min(until_ms, longest))
 
+    def _count(self, run: _Running, end_ms: float) -> None:
+        task = run.key.task
+        spent = run.need.cpu * (end_ms - run.started_ms)
+        self.spent[task] = self.spent.get(task, 0.0) + spent
+
     def _advance(self) -> None:
         now = self._clock.now()
         for run in sorted(self._running.values(), key=lambda run: run.ends_ms):
             if min(run.ends_ms, self._lease_until) > now:
                 continue
             lapsed = self._lease_until < run.ends_ms
+            self._count(run, min(run.ends_ms, self._lease_until))
             del self._running[run.key]
             self._closed[run.key.task] = max(run.key.attempt, self._closed.get(run.key.task, 0))
             how = RUN_LAPSED if lapsed else run.how
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -31,6 +31,7 @@
     :ivar confirmed_ms: when the minion said that it has started
     :ivar share: share of its work done, as last listed
     :ivar moved_ms: when that share last grew
+    :ivar stop_asked_ms: when its stop was asked for
     :ivar is_stopping: whether somebody is already asking the minion to stop it
     """
 
@@ -45,6 +46,7 @@
         self.confirmed_ms = 0.0
         self.share = 0.0
         self.moved_ms = now
+        self.stop_asked_ms = 0.0
         self.is_stopping = False
         self.stop_reason = ""
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -14,6 +14,7 @@
     MINION_LEASE_MS,
     Executor,
 )
+from geraniumspool.fleet import LOST_MS
 from geraniumspool.memory_minion import CallFault, MemoryMinion, Scripted
 from geraniumspool.messages import Peer
 from geraniumspool.platform.minion import LOOK_ANSWER_MS
@@ -242,6 +243,23 @@
         self.minion.silent = False
         self.assertEqual(set(), self.minion.running)
 
+    def test_runs_of_a_mute_minion_are_given_up_only_once_they_are_over(self):
+        # It carries out what it is asked: looks with lost answers extend its lease.
+        for number in range(1, 9):
+            with self.subTest(number=number):
+                self.ends.clear()
+                self.minion = MemoryMinion(self.clock)
+                self.executor = self.make_executor()
+                self.start(make_order(number, run_ms=9_000))
+                self.keep(300, number)
+                self.clock.advance(15 * number)
+                self.minion.mute = True
+                while self.how(number) is None:
+                    self.renew(number)
+                    self.clock.advance(10)
+                self.assertEqual(RUN_LAPSED, self.how(number))
+                self.assertEqual(set(), self.minion.running)
+
     def test_two_lost_looks_fit_into_the_lease(self):
         self.assertLess(2 * (LOOK_WAIT_MS + LOOK_ANSWER_MS + LOOK_AGAIN_MS), MINION_LEASE_MS)
 
@@ -261,6 +279,21 @@
         self.clock.advance(DISPATCHER_LEASE_MS + MINION_LEASE_MS)
         self.assertEqual(set(), self.minion.running)
 
+    def test_runs_of_a_silent_dispatcher_are_over_though_no_stop_arrives(self):
+        # Stops are lost while looks are answered: the minion's lease has to end the runs.
+        self.start(make_order(1, run_ms=5_000))
+        self.minion.deaf_to = {"stop"}
+        self.clock.advance(LOST_MS)
+        self.assertEqual(set(), self.minion.running)
+
+    def test_one_stop_that_is_lost_ends_no_other_run(self):
+        self.start(make_order(1, "j.0.0.0", run_ms=5_000))
+        self.start(make_order(1, "k.0.0.0", run_ms=5_000), home=OTHER)
+        self.minion.script(Scripted("stop", CallFault.LOST_BEFORE))
+        self.minion.script(Scripted("stop", CallFault.LOST_BEFORE))
+        self.keep(2_000, 1, home=OTHER)
+        self.assertEqual({"k.0.0.0"}, self.minion.running)
+
     def test_runs_end_even_if_the_executor_dies_as_well(self):
         self.start(make_order(1, run_ms=5_000))
         self.clock.advance(DISPATCHER_LEASE_MS - 10)
