Storms of dispatchers and executors in memory; a life of a minion ends once; smaller modules

Cause: several calls may find at once that a minion has begun another life. The second of them met no life any more and its green task ended with an AttributeError; had the next life been taken in between, it would have been given up instead.

Change: a life is given up by name, and once. tests.test_dispatch_storm draws lost calls, mute and silent minions, crashes, cuts, replaced executors and dispatchers; it checks in steps of 10 ms that no task runs twice at a time and no minion is over its room, and at the end that each job was answered.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -11,6 +11,7 @@
 import eventlet
 from eventlet.event import Event
 
+from geraniumspool import run_progress
 from geraniumspool.contracts import (
     Clock,
     Counters,
@@ -23,6 +24,7 @@
 )
 from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
 from geraniumspool.messages import Message, Peer
+from geraniumspool.minion_life import LifeView
 from geraniumspool.minion_trust import FailureJudge, RunPace
 from geraniumspool.run_leases import CLOCK_DRIFT, DISPATCHER_LEASE_MS, MINION_LEASE_MS
 from geraniumspool.run_messages import (
@@ -36,11 +38,10 @@
     RunOrder,
     StartRuns,
     StopRuns,
-    Straggler,
-    WorkerReport,
     WorkerState,
 )
 from geraniumspool.run_table import Customer, Run, RunState, RunTable
+from geraniumspool.worker_reporter import WorkerReporter
 
 _LOG = logging.getLogger(__name__)
 
@@ -62,11 +63,6 @@
 # minion's lease it has to end before a caller who lost its connection is back, 1.3 s after
 # the dispatcher was last heard.
 STUCK_MS = 100.0
-# Reports on ends wait this long for company.
-GATHER_MS = 2.0
-# Each of n dispatchers hears of changed room at most every 10 n ms, so that all
-# reports cost a worker the same whatever their number.
-TELL_EVERY_MS = 10.0
 # Other life's runs are asked for this often while it is cleared.
 CLEAR_PAUSE_MS = 30.0
 MAX_ATTEMPT_STEPS = 8
@@ -74,14 +70,7 @@
 # A link whose other end does not hear is opened anew after this.
 RESET_MS = 900.0
 FORGET_DISPATCHER_MS = 30_000.0
-# A run counts as a straggler at twice its expected time and this much more.
-STRAGGLER_FACTOR = 1.8
-STRAGGLER_MARGIN_MS = 100.0
-# Work of a run whose share does not grow for this long, or a fifth of its expected time,
-# stands still; shares are told in whole per cent.
-STALLED_MS = 600.0
-STALLED_FACTOR = 0.3
-MIN_SHARE = 0.02
+# Of a run that takes longer than expected each look tells a little about the pace.
 PROGRESS_WEIGHT = 0.05
 
 _FREE_OUTCOMES = {
@@ -98,43 +87,6 @@
 _OVER_FOR_OTHERS = frozenset({"asked", "not_wanted", "dispatcher_silent", "process_stops"})
 
 
-class _Life:
-    """What the executor knows of one life of its minion."""
-
-    def __init__(self, life: MinionLife, now: float):
-        self.told = life
-        self.clock_ms = 0.0
-        self.clock_at = now
-        self.leased_ms = now
-        self.acknowledged = 0
-        self.is_clear = False
-        self.answered_ms = now
-        self.strays: set[RunKey] = set()
-
-    def clock(self, now: float) -> float:
-        """Return the least that the minion's clock can show now."""
-        return self.clock_ms + (now - self.clock_at) * (1 - CLOCK_DRIFT)
-
-    def grant(self, now: float) -> float:
-        """Return the lease, by the minion's clock, of a call that is about to be sent."""
-        self.leased_ms = now
-        return self.clock(now) + MINION_LEASE_MS
-
-    def lease_over_ms(self) -> float:
-        """Return the time when the lease of the last call that had one is over.
-
-        The call counts whether or not it was answered: the minion may have taken it.
-        """
-        return self.leased_ms + MINION_LEASE_MS * (1 + CLOCK_DRIFT) + 2 * TICK_MS
-
-    def hear(self, clock_ms: float, sent_ms: float, now: float) -> None:
-        """Take the minion's clock from an answer to a call sent at ``sent_ms``."""
-        self.answered_ms = now
-        if clock_ms > self.clock_ms:
-            self.clock_ms = clock_ms
-            self.clock_at = now
-
-
 class Executor:
     """Runs what dispatchers order on one minion.
 
@@ -160,16 +112,15 @@
         """
         self._clock = clock
         self._control = control
-        self._send = send
         self._counters = counters
         self._domain = domain
         self._fence = first_fence
-        self._life: _Life | None = None
+        self._life: LifeView | None = None
         self._table = RunTable()
+        self._reporter = WorkerReporter(clock, send, self._table, self.state)
         self._judge = FailureJudge(clock)
         self._pace = RunPace(clock)
         self._arrived = Event()
-        self._is_telling = False
         self._started_ms = clock.now()
         self.reset_link: Callable[[Peer], None] = _keep_link
         self.on_life: Callable[[MinionLife], None] = _forget_life
@@ -235,7 +186,7 @@
     def lose_life(self, instance: str) -> None:
         """Take that a minion has left."""
         if self._life is not None and self._life.told.instance == instance:
-            self._end_life("minion_left")
+            self._end_life(self._life, "minion_left")
 
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
@@ -249,7 +200,7 @@
         if now - message.echo_ms > STALE_ECHO_MS:
             # Without a fresh clock the lease ends while the runs have just begun: it cost
             # up to one run in six of the first second of calm traffic.
-            self._tell(customer)
+            self._reporter.tell(customer)
 
     def take_stop(self, home: Peer, message: StopRuns) -> None:
         """Stop runs on the word of their dispatcher."""
@@ -281,7 +232,7 @@
                 customer.ends[number] = known
             if known not in customer.untold:
                 customer.untold.append(known)
-        self._tell(customer)
+        self._reporter.tell(customer)
 
     def run_looks(self) -> None:
         """Watch the minion for ever: renew its lease and take ends."""
@@ -304,7 +255,7 @@
         self.leaving = True
         for run in self._table.waiting():
             self._finish(run, RunEnd(run.order.number, RUN_REFUSED, reason="leaving"))
-        self._tell_all()
+        self._reporter.tell_all()
 
     def lose_dispatcher(self, home: Peer) -> None:
         """Take that a dispatcher is no more: another process has its address."""
@@ -343,7 +294,7 @@
                 "run refused",
                 extra={"fields": (("task", order.task), ("reason", refusal))},
             )
-            self._tell_soon(customer)
+            self._reporter.tell_soon(customer)
             return
         self._table.add(Run(customer.peer, order, now))
 
@@ -384,9 +335,9 @@
                 break
             self._table.reserve(run)
             eventlet.spawn_n(self._start, life, run)
-        self._note_change()
+        self._reporter.note_change()
 
-    def _start(self, life: _Life, run: Run) -> None:
+    def _start(self, life: LifeView, run: Run) -> None:
         for _ in range(MAX_ATTEMPT_STEPS):
             now = self._clock.now()
             run.sent_ms = now
@@ -398,7 +349,7 @@
                 self._doubt(life, run)
                 return
             except MinionReplaced:
-                self._end_life("minion_replaced")
+                self._end_life(life, "minion_replaced")
                 return
             life.hear(answer.clock_ms, now, self._clock.now())
             if answer.outcome is not StartOutcome.OLD:
@@ -425,7 +376,7 @@
             run.state = RunState.STOPPING if run.is_stopping else RunState.RUNNING
             self._counters.add("runs_started")
 
-    def _doubt(self, life: _Life, run: Run) -> None:
+    def _doubt(self, life: LifeView, run: Run) -> None:
         """Find out whether a run has started whose start was not answered."""
         if self._table.find(run.key) is not run:
             return
@@ -441,7 +392,7 @@
             return
         self._stop(run, "unanswered")
 
-    def _is_running(self, life: _Life, run: Run) -> bool:
+    def _is_running(self, life: LifeView, run: Run) -> bool:
         """Return whether the minion says now that a run has started.
 
         Where only the answer was lost, the run goes on, which saves the time it has had.
@@ -453,7 +404,7 @@
             return False
         return run.key in view.running
 
-    def _look(self, life: _Life) -> bool:
+    def _look(self, life: LifeView) -> bool:
         """Ask the minion once; return whether it answered."""
         now = self._clock.now()
         is_answering = now - life.answered_ms <= RENEW_WITHIN_MS
@@ -468,8 +419,7 @@
                 self._lapse(life)
             return False
         except MinionReplaced:
-            if self._life is life:
-                self._end_life("minion_replaced")
+            self._end_life(life, "minion_replaced")
             return False
         except Fenced:
             self._raise_fence()
@@ -491,7 +441,7 @@
             for run in self._table
         )
 
-    def _take_view(self, life: _Life, view: MinionView, sent_ms: float) -> None:
+    def _take_view(self, life: LifeView, view: MinionView, sent_ms: float) -> None:
         life.hear(view.clock_ms, sent_ms, self._clock.now())
         for end in sorted(view.ended):
             if end.number > life.acknowledged:
@@ -554,23 +504,21 @@
                 )
             },
         )
-        self._tell_soon(customer)
-        self._note_change()
+        self._reporter.tell_soon(customer)
+        self._reporter.note_change()
 
     def _note_outcome(self, run: Run, ok: bool) -> None:
         job = run.key.task.partition(".")[0]
         if self._judge.note(job, ok):
-            self._note_change()
+            self._reporter.note_change()
             change = "minion ejected" if self._judge.is_ejected else "minion restored"
             _LOG.warning(change, extra={"fields": (("task", run.key.task),)})
             self._counters.add("minion_judged", ejected=str(self._judge.is_ejected).lower())
 
     def _note_progress(self, run: Run, now: float) -> None:
-        age = now - run.confirmed_ms
-        if age < run.order.expected_ms or run.state is not RunState.RUNNING:
-            return
-        predicted = age / max(MIN_SHARE, run.share)
-        self._pace.note(run.order.expected_ms, predicted, PROGRESS_WEIGHT)
+        if run.state is RunState.RUNNING and run.age_ms(now) >= run.order.expected_ms:
+            predicted = run_progress.predict_total(run, now)
+            self._pace.note(run.order.expected_ms, predicted, PROGRESS_WEIGHT)
 
     def _stop(self, run: Run, reason: str) -> None:
         if run.state is RunState.QUEUED:
@@ -586,7 +534,7 @@
             run.moved_ms = self._clock.now()
         eventlet.spawn_n(self._stop_until_answered, self._life, run)
 
-    def _stop_until_answered(self, life: _Life | None, run: Run) -> None:
+    def _stop_until_answered(self, life: LifeView | None, run: Run) -> None:
         while life is not None and self._life is life and self._table.find(run.key) is run:
             try:
                 self._control.stop(life.told, run.key, self._fence)
@@ -594,7 +542,7 @@
                 self._clock.sleep(STOP_AGAIN_MS)
                 continue
             except MinionReplaced:
-                self._end_life("minion_replaced")
+                self._end_life(life, "minion_replaced")
                 return
             except Fenced:
                 self._raise_fence()
@@ -603,7 +551,7 @@
                 self._settle_doubt(life, run)
             return
 
-    def _settle_doubt(self, life: _Life, run: Run) -> None:
+    def _settle_doubt(self, life: LifeView, run: Run) -> None:
         """End a run that was stopped before anybody saw it start."""
         try:
             sent_ms = self._clock.now()
@@ -629,7 +577,7 @@
         _LOG.warning("stray run", extra={"fields": (("task", key.task), ("attempt", key.attempt))})
         eventlet.spawn_n(self._stop_stray_once, life, key)
 
-    def _stop_stray_once(self, life: _Life, key: RunKey) -> None:
+    def _stop_stray_once(self, life: LifeView, key: RunKey) -> None:
         try:
             self._control.stop(life.told, key, self._fence)
         except (MinionSilent, MinionReplaced, Fenced) as error:
@@ -637,7 +585,7 @@
         self._clock.sleep(STOP_AGAIN_MS)
         life.strays.discard(key)
 
-    def _update(self, life: _Life, told: MinionLife) -> None:
+    def _update(self, life: LifeView, told: MinionLife) -> None:
         if told.draining != life.told.draining or told.room != life.told.room:
             _LOG.info(
                 "minion changed",
@@ -646,14 +594,14 @@
             life.told = told
             if told.draining:
                 self._refuse_waiting("minion_draining")
-            self._tell_all()
+            self._reporter.tell_all()
         life.told = told
 
     def _adopt(self, told: MinionLife, view: MinionView) -> None:
         if self._life is not None:
-            self._end_life("minion_replaced")
+            self._end_life(self._life, "minion_replaced")
         now = self._clock.now()
-        life = self._life = _Life(told, now)
+        life = self._life = LifeView(told, now)
         life.hear(view.clock_ms, now, now)
         _LOG.info(
             "minion taken",
@@ -674,26 +622,29 @@
             self._clear(life, view)
         eventlet.spawn_n(self.on_life, told)
 
-    def _clear(self, life: _Life, view: MinionView) -> None:
+    def _clear(self, life: LifeView, view: MinionView) -> None:
         """Begin to take runs once nothing of an earlier process runs here."""
         if view.running:
             self._clock.sleep(CLEAR_PAUSE_MS)
             return
         life.is_clear = True
-        self._tell_all()
+        self._reporter.tell_all()
 
-    def _end_life(self, reason: str) -> None:
+    def _end_life(self, life: LifeView, reason: str) -> None:
+        """Give up a life of the minion, once: several calls to it may find it gone."""
+        if self._life is not life:
+            return
         _LOG.warning(
             "minion lost",
-            extra={"fields": (("instance", self._life.told.instance), ("reason", reason))},
+            extra={"fields": (("instance", life.told.instance), ("reason", reason))},
         )
         self._counters.add("minion_lives_ended", reason=reason)
-        life, self._life = self._life, None
+        self._life = None
         for run in self._table:
             self._finish(run, _lapse_of(run, life, reason))
-        self._tell_all()
+        self._reporter.tell_all()
 
-    def _lapse(self, life: _Life) -> None:
+    def _lapse(self, life: LifeView) -> None:
         """Give up what ran at a silent minion, once its lease must have run out."""
         now = self._clock.now()
         if self._life is not life or now < life.lease_over_ms():
@@ -730,10 +681,12 @@
             if now - customer.heard_ms > FORGET_DISPATCHER_MS and not customer.runs:
                 del self._table.customers[customer.peer]
         self._refuse_impatient(now)
+        life = self._life
+        is_heard = life is not None and now - life.answered_ms < SILENT_MS
         for run in self._table:
             if run.limit_ms <= now:
                 self._stop(run, "limit_passed")
-            elif run.state is RunState.RUNNING and self._is_stalled(run, now):
+            elif is_heard and run_progress.is_stalled(run, self._pace.value, now):
                 self._note_outcome(run, False)
                 self._stop(run, "stalled")
 
@@ -762,62 +715,8 @@
         for run in fresh:
             self._stop(run, "dispatcher_silent")
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
-        limit = max(STALLED_MS, STALLED_FACTOR * run.order.expected_ms * self._pace.value)
-        life = self._life
-        heard = life is not None and now - life.answered_ms < SILENT_MS
-        return heard and run.share < 1.0 and now - run.moved_ms > limit
-
-    def _stragglers(self, customer: Customer) -> tuple[Straggler, ...]:
-        now = self._clock.now()
-        late = []
-        for number, run in customer.runs.items():
-            if run.state is not RunState.RUNNING:
-                continue
-            age = now - run.confirmed_ms
-            total = age / max(MIN_SHARE, run.share)
-            if age < run.order.expected_ms / 2:
-                continue
-            if total > STRAGGLER_FACTOR * run.order.expected_ms + STRAGGLER_MARGIN_MS:
-                late.append(Straggler(number, round(total - age, 1)))
-        return tuple(late)
-
-    def _note_change(self) -> None:
-        """Tell all dispatchers soon that the room has changed."""
-        for customer in self._table.customers.values():
-            customer.is_told = False
-        if not self._is_telling:
-            self._is_telling = True
-            eventlet.spawn_n(self._tell_changes)
-
-    def _tell_changes(self) -> None:
-        pause = TELL_EVERY_MS * max(1, len(self._table.customers))
-        self._clock.sleep(pause)
-        self._is_telling = False
-        now = self._clock.now()
-        for customer in list(self._table.customers.values()):
-            if not customer.is_told and customer.lease_until_ms > now:
-                self._tell(customer)
-
-    def _tell_soon(self, customer: Customer) -> None:
-        if len(customer.untold) == 1:
-            self._clock.after(GATHER_MS, lambda: self._tell(customer) if customer.untold else None)
-
-    def _tell_all(self) -> None:
-        for customer in list(self._table.customers.values()):
-            self._tell(customer)
-
-    def _tell(self, customer: Customer) -> None:
-        ends = tuple(customer.untold)
-        customer.untold.clear()
-        customer.is_told = True
-        report = WorkerReport(
-            self._clock.now(), customer.upto, ends, self.state(), self._stragglers(customer)
-        )
-        self._send(customer.peer, report)
-
 
-def _lapse_of(run: Run, life: _Life, reason: str) -> RunEnd:
+def _lapse_of(run: Run, life: LifeView, reason: str) -> RunEnd:
     started = run.state is not RunState.QUEUED
     return RunEnd(run.order.number, RUN_LAPSED if started else RUN_REFUSED, reason=reason)
 
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -1,6 +1,7 @@
 """A minion in memory, with the faults that real ones show."""
 
 import enum
+import random
 from typing import NamedTuple
 
 from geraniumspool.contracts import (
@@ -65,15 +66,22 @@
     :ivar over: most room that was ever used beyond what there is
     :ivar started: every run that began, in order
     :ivar spent: room times time that tasks have had, in thousandths of a core times ms
+    :ivar loss: share of the calls that get no answer, at random in each way of ``CallFault``
     :ivar mute: whether calls are carried out and not answered
     :ivar deaf_to: kinds of calls that are neither carried out nor answered
     :ivar fails_all: whether every run fails, after a tenth of its time
     :ivar hangs_all: whether no run goes on
     """
 
-    def __init__(self, clock: Clock, instance: str = "i-1", room: Room = DEFAULT_ROOM):
-        """Begin a life."""
+    def __init__(
+        self, clock: Clock, instance: str = "i-1", room: Room = DEFAULT_ROOM, seed: int = 1
+    ):
+        """Begin a life.
+
+        :param seed: decides which calls are lost
+        """
         self._clock = clock
+        self._random = random.Random(seed)
         self.life = MinionLife(instance, "fitting", "127.0.0.1:1", room, ("a", "r1"), False, 1)
         self._running: dict[RunKey, _Running] = {}
         self._ended: list[ListedEnd] = []
@@ -87,6 +95,7 @@
         self.most_used = NO_ROOM
         self.started: list[RunKey] = []
         self.spent: dict[str, float] = {}
+        self.loss = 0.0
         self.mute = False
         self.deaf_to: set[str] = set()
         self.fails_all = False
@@ -168,15 +177,23 @@
             work()
             self._clock.sleep(UNANSWERED_MS)
             raise MinionSilent(f"{kind}: not answered")
+        if self.loss and self._random.random() < self.loss:
+            fault = self._random.choice(list(CallFault))
+            self._lose(Scripted(kind, fault), work)
+            self._clock.sleep(UNANSWERED_MS)
+            raise MinionSilent(f"{kind}: {fault.value}")
         scripted = next((fault for fault in self._scripted if fault.call == kind), None)
         if scripted is None:
             return work()
         self._scripted.remove(scripted)
+        self._lose(scripted, work)
+        raise MinionSilent(f"{kind}: scripted")
+
+    def _lose(self, scripted: Scripted, work) -> None:
         if scripted.fault is CallFault.LOST_AFTER:
             work()
         elif scripted.fault is CallFault.LATE:
             self._clock.after(scripted.late_ms, lambda: self._work_late(work))
-        raise MinionSilent(f"{kind}: scripted")
 
     def _work_late(self, work) -> None:
         self._advance()
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -60,6 +60,10 @@
         """Return the time at which nobody waits for it any more."""
         return self.arrived_ms + self.order.limit_ms
 
+    def age_ms(self, now: float) -> float:
+        """Return how long ago the minion said that it has started."""
+        return now - self.confirmed_ms
+
 
 class Customer:
     """A dispatcher as an executor knows it: its lease, its runs, and how they ended.
--- /dev/null
+++ b/tests/test_dispatch_storm.py
@@ -0,0 +1,193 @@
+"""Random faults on dispatchers, executors and minions in memory, by seed."""
+
+import random
+import unittest
+from unittest import mock
+
+import eventlet
+from eventlet import hubs
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.job_specs import JobOutcome
+from geraniumspool.memory_minion import MemoryMinion
+from tests.dispatch_world import DispatchWorld, Home, Worker, make_spec
+
+SEEDS = range(1, 25)
+STEPS = 500
+# Share of the steps in which something is done: cuts last for two seconds in the mean.
+ACT_SHARE = 0.12
+STEP_MS = 10
+# A caller that got no answer sends its job again after this, to any dispatcher.
+RESEND_MS = 1_300
+RUNS_MS = (60, 300, 1_200)
+LOSSES = (0.0, 0.0, 0.1, 0.3)
+REST_MS = 8_000
+# Minions report this often.
+BEAT_MS = 500
+
+
+class Storm:
+    """Acts drawn from one seed, and what must hold after each step."""
+
+    def __init__(self, seed):
+        self.draw = random.Random(seed)
+        self.world = DispatchWorld(workers=4, homes=2)
+        self.acts = []
+        self.violations = []
+        self.jobs = {}
+        self.returns = []
+        self.steps = 0
+
+    def run(self):
+        acts = (self.submit,) * 10 + (
+            self.lose_calls,
+            self.part,
+            self.heal,
+            self.crash_minion,
+            self.replace_executor,
+            self.kill_home,
+            self.silence_minion,
+            self.mute_minion,
+        )
+        for _ in range(STEPS):
+            if self.draw.random() < ACT_SHARE:
+                self.draw.choice(acts)()
+            self.step()
+        self.calm()
+        for _ in range(REST_MS // STEP_MS):
+            self.step()
+        self.check_answers()
+        self.world.close()
+
+    def step(self):
+        self.world.clock.advance(STEP_MS)
+        self.steps += 1
+        if self.steps % (BEAT_MS // STEP_MS) == 0:
+            for worker in self.world.workers:
+                eventlet.spawn_n(worker.executor.take_life, worker.minion.life)
+        now = self.world.clock.now()
+        for due, spec in [entry for entry in self.returns if entry[0] <= now]:
+            self.returns.remove((due, spec))
+            self.hand_in(spec)
+        twice = self.world.running_twice()
+        if twice:
+            self.violations.append(f"{now}: twice {sorted(twice)}")
+        for worker in self.world.workers:
+            if worker.minion.most_used.cpu > worker.minion.life.room.cpu:
+                self.violations.append(f"{now}: {worker.name} over its room")
+
+    def submit(self):
+        name = f"j{len(self.jobs)}"
+        count = self.draw.randint(1, 4)
+        spec = make_spec(name, count, 3_000, self.draw.choice(RUNS_MS), declared_ms=300)
+        self.hand_in(spec)
+
+    def hand_in(self, spec):
+        home = self.draw.choice(self.world.homes)
+        told = home.submit(spec, wait_ms=5_000.0)
+        self.jobs[spec.job_id] = (spec, home, told)
+
+    def pick(self):
+        return self.draw.choice(self.world.workers)
+
+    def fail(self, _timer, exc_info):
+        """Take the error that ended a green task."""
+        self.violations.append(f"{self.world.clock.now()}: {exc_info[1]!r}")
+
+    def note(self, text):
+        self.acts.append((self.world.clock.now(), text))
+
+    def lose_calls(self):
+        worker = self.pick()
+        worker.minion.loss = self.draw.choice(LOSSES)
+        self.note(f"{worker.name} loses {worker.minion.loss}")
+
+    def part(self):
+        one, other = self.draw.choice(self.world.homes), self.pick()
+        pair = self.draw.sample([one.address, other.address], 2)
+        self.world.network.cut.add(tuple(pair))
+        if self.draw.random() < 0.5:
+            self.world.network.cut.add(tuple(reversed(pair)))
+        self.note(f"cut {pair}")
+
+    def heal(self):
+        self.world.network.heal()
+        for worker in self.world.workers:
+            worker.minion.silent = worker.minion.mute = False
+
+    def silence_minion(self):
+        worker = self.pick()
+        worker.minion.silent = True
+        self.note(f"{worker.name} silent")
+
+    def mute_minion(self):
+        worker = self.pick()
+        worker.minion.mute = True
+        self.note(f"{worker.name} mute")
+
+    def crash_minion(self):
+        worker = self.pick()
+        worker.minion.reborn(f"{worker.minion.life.instance}+")
+        self.note(f"{worker.name} crashes")
+
+    def replace_executor(self):
+        worker = self.pick()
+        worker.kill()
+        place = self.world.workers.index(worker)
+        number = worker.messenger.me.incarnation + 1
+        self.world.workers[place] = Worker(
+            self.world, worker.name, number, worker.minion, fence=number * 100_000
+        )
+        self.note(f"{worker.name} replaced")
+
+    def kill_home(self):
+        place = self.draw.randrange(len(self.world.homes))
+        old = self.world.homes[place]
+        old.kill()
+        new = Home(self.world, old.messenger.me.address.removeprefix("tcp://"), len(self.acts) + 2)
+        self.world.homes[place] = new
+        due = self.world.clock.now() + RESEND_MS
+        for spec, home, told in self.jobs.values():
+            if home is old and told.result is None:
+                self.returns.append((due, spec))
+        self.note(f"{old.address} replaced")
+
+    def calm(self):
+        self.heal()
+        for worker in self.world.workers:
+            worker.minion.loss = 0.0
+
+    def check_answers(self):
+        for name, (spec, _home, told) in self.jobs.items():
+            if told.result is None:
+                self.violations.append(f"{name} was never answered")
+            elif told.outcome is JobOutcome.SUCCEEDED:
+                self.check_success(name, spec)
+
+    def check_success(self, name, spec):
+        for index in range(spec.steps[0].count):
+            if not self.world.started(f"{name}.0.0.{index}"):
+                self.violations.append(f"{name}: task {index} never started")
+
+
+class StormTest(unittest.TestCase):
+    """What must hold whatever goes wrong."""
+
+    def test_storms(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                storm = Storm(seed)
+                with mock.patch.object(hubs.get_hub(), "squelch_timer_exception", storm.fail):
+                    storm.run()
+                self.assertEqual([], storm.violations, storm.acts)
+
+
+class CallLossTest(unittest.TestCase):
+    """The minion in memory loses calls in each way."""
+
+    def test_lost_calls_repeat_by_seed(self):
+        minions = [MemoryMinion(ManualClock(), seed=7) for _ in range(2)]
+        for minion in minions:
+            minion.loss = 0.5
+        draws = [[minion._random.random() for _ in range(5)] for minion in minions]
+        self.assertEqual(*draws)
