Nothing is ordered ahead of room

Cause: where all workers were full, one task a worker was sent to wait there for up to 80 ms, so that room would be used at once. What waits at a worker cannot be overtaken and counts as begun: at 1.8 times the load that fills all workers 0.71 of their time went to jobs in time.

Change: an order goes only where there is room.

Ruled out: that the choice among workers was to blame, as two policies that choose at random or the emptiest did better than the one in use; they ordered nothing ahead, and with that alone the one in use does better than both.

--- a/benchmarks/pattern_policies.py
+++ b/benchmarks/pattern_policies.py
@@ -12,6 +12,8 @@
 
 # Jobs that one dispatcher lets wait where queue length decides.
 LONGEST_QUEUE = 10
+# Share of a worker's room that may wait for it, about one task.
+AHEAD_SHARE = 0.1
 
 
 class NewByLatestStart(ExpectedGain):
@@ -121,6 +123,34 @@
         return Place(chosen, packing.predict_run(chosen, step, expected_ms))
 
 
+class Ahead(ExpectedGain):
+    """As in use, but where all are full one task a worker is sent to wait there."""
+
+    def choose(
+        self,
+        workers: Iterable[Candidate],
+        step: StepSpec,
+        expected_ms: float,
+        within_ms: float,
+        domain: str,
+        taken: dict[int, int],
+    ) -> Place | None:
+        """Return a worker with room, or the one with the least room short."""
+        workers = list(workers)
+        place = super().choose(workers, step, expected_ms, within_ms, domain, taken)
+        if place is not None:
+            return place
+        near = [worker for worker in workers if worker.is_usable and _is_nearly_free(worker, step)]
+        if not near:
+            return None
+        best = max(near, key=lambda worker: worker.free.cpu / worker.room.cpu)
+        return Place(best, packing.predict_run(best, step, expected_ms))
+
+
+def _is_nearly_free(worker: Candidate, step: StepSpec) -> bool:
+    return worker.free.cpu - step.need.cpu > -AHEAD_SHARE * worker.room.cpu
+
+
 def _find_fit(workers: Iterable[Candidate], step: StepSpec) -> list[Candidate]:
     usable = (worker for worker in workers if worker.is_usable)
     return [worker for worker in usable if worker.free.fits(step.need)]
@@ -129,13 +159,14 @@
 IN_USE = "expected gain"
 POLICIES: dict[str, type[DispatchPolicy]] = {
     IN_USE: ExpectedGain,
-    "the same, new and begun alike": NewByLatestStart,
-    "the same, by arrival": ArrivalOrder,
+    "new and begun alike": NewByLatestStart,
+    "by arrival": ArrivalOrder,
     "own end": OwnEnd,
-    "own end, a quarter to spare": OwnEndStrict,
-    "own end, shortest first": ShortestFirst,
+    "own end with a quarter to spare": OwnEndStrict,
+    "own end and shortest first": ShortestFirst,
     "queue length": QueueLength,
     "no refusals": NoRefusals,
+    "orders ahead of room": Ahead,
     "least loaded": LeastLoaded,
     "any worker": AnyWorker,
 }
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -43,9 +43,6 @@
 DEFAULT_WAIT_MS = 15_000.0
 # An order that meets a full worker returns after this, and goes where there is room.
 PATIENCE_MS = 0.0
-# One that was sent ahead of room waits about as long as a full worker takes to end two
-# of ten runs.
-AHEAD_PATIENCE_MS = 80.0
 # Learning of run times: about the last thirty jobs of a queue.
 RATIO_WEIGHT = 0.03
 MIN_RATIO = 0.2
@@ -278,7 +275,7 @@
             step.spec.need,
             step.expected_ms,
             job.timing.latest_start(step.chain_ms) - now,
-            AHEAD_PATIENCE_MS if place.is_ahead else PATIENCE_MS,
+            PATIENCE_MS,
             job.timing.arrived_ms + job.timing.limit_ms - now,
         )
         self._next_number += 1
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -26,11 +26,6 @@
 CONFLICT_MS = 15.0
 
 
-# Where all are full, a worker may have this share of its room waiting for it, about one
-# task, so that what becomes free is used at once and not a message later.
-AHEAD_SHARE = 0.1
-
-
 class Candidate(Protocol):
     """What is known of a worker."""
 
@@ -44,14 +39,10 @@
 
 
 class Place(NamedTuple):
-    """A worker with the time that a task is predicted to take there.
-
-    :param is_ahead: whether it has to wait there for room
-    """
+    """A worker with the time that a task is predicted to take there."""
 
     worker: Candidate
     run_ms: float
-    is_ahead: bool = False
 
 
 def predict_run(worker: Candidate, step: StepSpec, expected_ms: float) -> float:
@@ -75,29 +66,28 @@
     domain: str,
     taken: dict[int, int],
 ) -> Place | None:
-    """Return the best worker for one task now, one without room if need be, or None.
+    """Return the best worker with room for one task, or None.
+
+    Tasks that are sent ahead of room cannot be overtaken where they wait: with one a worker,
+    at 1.8 times the load that fills all workers, 0.71 of their time went to jobs in time,
+    and without it 0.85.
 
     :param within_ms: longest run that is of use; slower workers are passed over
     :param domain: the dispatcher's failure domain
     :param taken: tasks of the step on each worker, by the worker's identity
     """
-    best = best_ahead = None
-    best_score = best_free = -math.inf
+    best = None
+    best_score = -math.inf
     for worker in workers:
-        if not _may_take(worker, step, taken):
+        if not worker.free.fits(step.need) or not _may_take(worker, step, taken):
             continue
         run_ms = predict_run(worker, step, expected_ms)
         if run_ms > within_ms:
             continue
-        if worker.free.fits(step.need):
-            score = -_measure_cost(worker, step, run_ms, domain)
-            if score > best_score:
-                best, best_score = Place(worker, run_ms), score
-            continue
-        free = (worker.free.cpu - step.need.cpu) / max(1, worker.room.cpu)
-        if free > max(best_free, -AHEAD_SHARE):
-            best_ahead, best_free = Place(worker, run_ms, True), free
-    return best or best_ahead
+        score = -_measure_cost(worker, step, run_ms, domain)
+        if score > best_score:
+            best, best_score = Place(worker, run_ms), score
+    return best
 
 
 def _may_take(worker: Candidate, step: StepSpec, taken: dict[int, int]) -> bool:
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -66,10 +66,10 @@
         near = Fake("near", rack="r2")
         self.assertEqual("near", choose([Fake("far"), near], step).worker.name)
 
-    def test_orders_go_ahead_of_room_only_where_all_are_full(self):
+    def test_nothing_is_ordered_ahead_of_room(self):
         busy = Fake("busy", free=Room(3_500, 1_000))
-        self.assertTrue(choose([busy]).is_ahead)
-        self.assertFalse(choose([busy, Fake("free")]).is_ahead)
+        self.assertIsNone(choose([busy]))
+        self.assertEqual("free", choose([busy, Fake("free")]).worker.name)
         queued = Fake("queued", free=Room(2_500, 1_000))
         self.assertIsNone(choose([queued]))
-        self.assertEqual("busy", choose([queued, busy]).worker.name)
+        self.assertIsNone(choose([queued, busy]))
