--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -58,6 +58,9 @@
     "target_duration_ms": 100,
 }
 FAULTS = ("stop", "kill", "term", "silence_minion", "cut_store", "reset_minion", "late_start")
+# Seeds from this one on draw these kinds as well; those below stay what they were.
+MORE_FAULTS_FROM = 1_000
+MORE_FAULTS = (*FAULTS, "mute_minion", "mute_minion", "lose_calls")
 
 
 class Witness:
@@ -211,8 +214,14 @@
 class Soak:
     """One seed: a system, its load, its faults."""
 
-    def __init__(self, seed: int, folder: str):
+    def __init__(self, seed: int, folder: str, load_s: float = LOAD_S):
+        """Draw everything from a seed.
+
+        :param load_s: how long jobs arrive, in seconds
+        """
         self._random = random.Random(seed)
+        self._faults = MORE_FAULTS if seed >= MORE_FAULTS_FROM else FAULTS
+        self._load_s = load_s
         self._folder = folder
         self._clock = SystemClock()
         self.witness = Witness()
@@ -228,7 +237,7 @@
             self._build()
             callers = eventlet.GreenPool(2_000)
             faults = eventlet.spawn(self._trouble)
-            end = time.monotonic() + LOAD_S
+            end = time.monotonic() + self._load_s
             number = 0
             while time.monotonic() < end:
                 callers.spawn_n(self._call, f"{self._random.getrandbits(64):016x}", number)
@@ -343,9 +352,9 @@
     def _trouble(self) -> None:
         """Let faults come in series that overlap."""
         pool = eventlet.GreenPool()
-        end = time.monotonic() + LOAD_S - 2.0
+        end = time.monotonic() + self._load_s - 2.0
         while time.monotonic() < end:
-            pool.spawn_n(getattr(self, "_do_" + self._random.choice(FAULTS)))
+            pool.spawn_n(getattr(self, "_do_" + self._random.choice(self._faults)))
             eventlet.sleep(self._random.uniform(0.2, 1.2))
         pool.waitall()
 
@@ -376,6 +385,18 @@
         eventlet.sleep(self._random.uniform(0.1, 1.5))
         proxy.silent = False
 
+    def _do_mute_minion(self) -> None:
+        minion = self._random.choice(self.witness.minions)
+        minion.mute = True
+        eventlet.sleep(self._random.uniform(0.1, 1.5))
+        minion.mute = False
+
+    def _do_lose_calls(self) -> None:
+        minion = self._random.choice(self.witness.minions)
+        minion.loss = self._random.uniform(0.05, 0.4)
+        eventlet.sleep(self._random.uniform(0.5, 3.0))
+        minion.loss = 0.0
+
     def _do_reset_minion(self) -> None:
         self._random.choice(self._minion_proxies).reset()
 
