Admission: workers far smaller than a task, jobs without tasks, predictions without end

Cause, found by reading: half a task is taken off each worker's room as never used, so that workers far smaller than a task made the sum negative and the predicted wait endless; that wait then failed to be logged (OverflowError), and the caller got 500. A job whose steps have no tasks met max() of nothing (ValueError).

Ruled out: refusing jobs without tasks, as they were taken before.

--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -20,6 +20,8 @@
 NO_WORKER_RETRY_MS = 1_000.0
 # Runs are taken to last this long where none of one's own tells.
 UNKNOWN_RUN_MS = 400.0
+# Callers wait for a quarter of a minute at most; longer predictions say no more.
+LONGEST_WAIT_MS = 60_000.0
 # Of a full worker's room half a task stays unused in the mean, as the next does not fit.
 UNUSED_SHARE = 0.5
 
@@ -51,7 +53,8 @@
     inputs = [("workers", len(backlog.workers)), ("left_ms", round(left_ms))]
     if backlog.workers:
         demand = measure_demand(job, backlog, policy, now)
-        job.predicted_wait_ms = urgency.predict_wait(demand, job.pending_cpu())
+        wait_ms = urgency.predict_wait(demand, job.pending_cpu())
+        job.predicted_wait_ms = min(wait_ms, LONGEST_WAIT_MS)
         is_refused = policy.is_refused(job, demand, _list_waiting(job, backlog), now)
         inputs += [(name, round(value, 1)) for name, value in demand._asdict().items()]
     else:
@@ -79,13 +82,13 @@
         if policy.rank(other, now) <= own:
             ahead += waiting
     workers = backlog.workers
-    need = max(step.spec.need.cpu for step in job.ready_steps())
+    need = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
     return Demand(
         ahead,
         here,
         max((view.state.waiting_cpu for view in workers), default=0.0),
         sum(_count_usable(view.free.cpu, need) for view in workers),
-        sum(view.room.cpu - need * UNUSED_SHARE for view in workers)
+        sum(max(0.0, view.room.cpu - need * UNUSED_SHARE) for view in workers)
         / _measure_run((job, *backlog.jobs)),
     )
 
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -27,6 +27,8 @@
 CHANCE_SHIFT = 0.15
 LARGEST_EXPONENT = 50.0
 MIN_RETRY_MS = 200.0
+# Nothing is known of a load so far ahead: a caller who waits longer misses what gets free.
+MAX_RETRY_MS = 10_000.0
 # Callers that are refused together come back spread over as long again as they wait.
 RETRY_SPREAD = 1.0
 
@@ -149,5 +151,5 @@
 
 def choose_retry(wait_ms: float) -> float:
     """Return when a refused caller should come back, in ms, spread at random."""
-    base = max(MIN_RETRY_MS, wait_ms)
+    base = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
     return base * (1 + RETRY_SPREAD * random.random())
