Jobs are taken while they are of use, late ones included; queues told by priority

Change: dispatchers tell workers their waiting work by priority, in time and late, and the work that arrives; workers tell the sum. A job is refused where it is likely to be of no use within three objectives. Priorities are part of the order. Hypothesis: callers would rather have a late answer than none, and most of a burst fits into the seconds after it. Ruled out: reports on free room each 1 or 3 ms instead of 10 (in memory no change).

--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -8,14 +8,12 @@
 
 from geraniumspool.fleet import WorkerView
 from geraniumspool.job_specs import JobResult, JobSpec, StepSpec
+from geraniumspool.queued_work import level_of
 from geraniumspool.queues import Queue
 from geraniumspool.urgency import Timing
 
 # A step wider than this share of all room is done in waves.
 WAVE_SHARE = 0.25
-# Work of the next more urgent priority counts this much more where jobs compete: enough
-# to decide between equals, too little to let a few urgent jobs ruin many others.
-PRIORITY_WEIGHT = 1.25
 # Expected run time where callers declare none, as most tasks last 50 ms to a second.
 UNDECLARED_MS = 300.0
 
@@ -103,10 +101,14 @@
         """Return the processor room that its waiting tasks take at once."""
         return sum(len(step.pending) * step.spec.need.cpu for step in self.ready_steps())
 
-    def value(self) -> float:
-        """Return what its end is worth: room times time of what is left, by priority."""
-        work = sum(step.left * step.spec.need.cpu * step.expected_ms for step in self.steps)
-        return work * PRIORITY_WEIGHT**-self.queue.priority
+    @property
+    def level(self) -> int:
+        """Return the urgency of its queue's priority, 0 the most urgent."""
+        return level_of(self.queue.priority)
+
+    def pending_work(self) -> float:
+        """Return room times time of the tasks that wait, later steps included."""
+        return sum(len(step.pending) * step.spec.need.cpu * step.expected_ms for step in self.steps)
 
     def next_attempt(self, task: TaskId) -> int:
         """Return the number of the next run of a task."""
--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -11,10 +11,15 @@
 from geraniumspool.dispatch_job import DispatchJob
 from geraniumspool.job_specs import StepSpec
 from geraniumspool.packing import Candidate, Place
-from geraniumspool.urgency import IN_TIME, Demand, Rank
+from geraniumspool.urgency import IN_TIME, Chances, Outlook, Rank
 
-# A job that is late more likely than this is refused, whether or not others would suffer.
-MIN_CHANCE = 0.3
+# A job is refused on its arrival if it is less likely than this to be of use.
+MIN_USE = 0.4
+# One that was taken is refused after all below this: estimates change, and callers are
+# served better by a wait that ends well than by two decisions.
+MIN_KEPT_USE = 0.15
+# A late answer, against one in time: callers who are still there have some use of it.
+LATE_WEIGHT = 0.4
 
 
 class DispatchPolicy(Protocol):
@@ -24,13 +29,16 @@
         """Return a job's place in the order of service."""
 
     def is_refused(
-        self, job: DispatchJob, demand: Demand, others: Sequence[DispatchJob], now: float
+        self, job: DispatchJob, outlook: Outlook, others: Sequence[DispatchJob], now: float
     ) -> bool:
         """Return whether a job that has just arrived is refused.
 
         :param others: the jobs of its service that wait here
         """
 
+    def is_given_up(self, job: DispatchJob, outlook: Outlook, now: float) -> bool:
+        """Return whether a job that was taken and has not begun is refused after all."""
+
     def choose(
         self,
         workers: Iterable[Candidate],
@@ -44,25 +52,30 @@
 
 
 class ExpectedGain:
-    """A job is taken if more work is then expected to be in time than without it.
+    """A job is taken if it is likely to be of use, and brings more than others lose by it.
 
-    At 1.8 times the load that fills all workers, 0.80 of their time goes to jobs in time,
-    and 0.57 where a job is refused only if it would be late itself.
+    Less urgent work waits, as far as its callers' time allows, and is not refused for the
+    sake of what is about to come.
     """
 
     def rank(self, job: DispatchJob, now: float) -> Rank:
-        """Return a job's place: begun ones first, then by the latest start."""
-        return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered)
+        """Return a job's place: begun ones first, then by priority and latest start."""
+        return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered, job.level)
 
     def is_refused(
-        self, job: DispatchJob, demand: Demand, others: Sequence[DispatchJob], now: float
+        self, job: DispatchJob, outlook: Outlook, others: Sequence[DispatchJob], now: float
     ) -> bool:
-        """Return whether a job would be late, or would make more work late than it brings."""
-        wait_ms = urgency.predict_wait(demand, job.pending_cpu())
-        chance = urgency.predict_chance(job.timing, job.left_ms(), wait_ms, now)
-        if chance < MIN_CHANCE:
+        """Return whether a job would be of no use, or cost its equals more than it brings."""
+        chances = urgency.predict_chances(job.timing, job.left_ms(), outlook, now)
+        if chances.of_use < MIN_USE:
             return True
-        return self._predict_loss(job, demand, others, now) > chance * job.value()
+        gain = job.pending_work() * _weigh(chances)
+        return self._predict_loss(job, outlook, others, now) > gain
+
+    def is_given_up(self, job: DispatchJob, outlook: Outlook, now: float) -> bool:
+        """Return whether a job that was taken and has not begun is refused after all."""
+        chances = urgency.predict_chances(job.timing, job.left_ms(), outlook, now)
+        return chances.of_use < MIN_KEPT_USE
 
     def choose(
         self,
@@ -77,37 +90,40 @@
         return packing.choose(workers, step, expected_ms, within_ms, domain, taken)
 
     def _predict_loss(
-        self, job: DispatchJob, demand: Demand, others: Sequence[DispatchJob], now: float
+        self, job: DispatchJob, outlook: Outlook, others: Sequence[DispatchJob], now: float
     ) -> float:
-        """Return the value of what a job is expected to make late.
-
-        Other dispatchers' queues are taken to be like this one's.
-        """
+        """Return the work of equal urgency that a job is expected to make late, by its weight."""
+        if outlook.is_free:
+            return 0.0
         own = self.rank(job, now)
-        need = job.pending_cpu()
-        with_job = demand._replace(
-            waiting_here=demand.waiting_here + need, waiting_all=demand.waiting_all + need
-        )
         ranked = sorted(
-            ((self.rank(other, now), other) for other in others), key=lambda pair: pair[0]
+            (self.rank(other, now), number)
+            for number, other in enumerate(others)
+            if other.level == job.level
         )
-        ahead = 0
+        work = job.pending_work()
+        ahead = outlook.ahead
         loss = 0.0
-        for rank, other in ranked:
-            cpu = other.pending_cpu()
-            if rank > own and rank.lateness == IN_TIME:
-                before_ms = urgency.predict_wait(demand._replace(ahead=ahead), cpu)
-                after_ms = urgency.predict_wait(with_job._replace(ahead=ahead + need), cpu)
-                loss += other.value() * _predict_fall(other, before_ms, after_ms, now)
-            ahead += cpu
-        if demand.waiting_here:
-            loss *= max(1.0, demand.waiting_all / demand.waiting_here)
+        for rank, number in ranked:
+            if rank <= own or rank.lateness != IN_TIME:
+                continue
+            other = others[number]
+            before_ms = ahead / outlook.spare
+            after_ms = (ahead + work) / outlook.spare
+            fall = _predict_fall(other, before_ms, after_ms, now)
+            loss += other.pending_work() * fall * (1 - LATE_WEIGHT)
+            ahead += other.pending_work()
         return loss
 
 
+def _weigh(chances: Chances) -> float:
+    """Return what an answer is worth that is in time, late or none by chance."""
+    return chances.in_time + LATE_WEIGHT * (chances.of_use - chances.in_time)
+
+
 def _predict_fall(job: DispatchJob, before_ms: float, after_ms: float, now: float) -> float:
     """Return by how much a longer wait lowers a job's chance to be in time."""
-    left_ms = job.left_ms()
-    before = urgency.predict_chance(job.timing, left_ms, before_ms, now)
-    after = urgency.predict_chance(job.timing, left_ms, after_ms, now)
+    slack_ms = job.timing.latest_start(job.left_ms()) - now
+    before = urgency.predict_chance(job.timing, slack_ms, before_ms)
+    after = urgency.predict_chance(job.timing, slack_ms, after_ms)
     return max(0.0, before - after)
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -19,6 +19,7 @@
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
+from geraniumspool.queued_work import ArrivalMeter
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import (
     RUN_DONE,
@@ -80,6 +81,7 @@
         self.fleet = Fleet(clock, send, self._lose_runs)
         self._jobs: dict[str, DispatchJob] = {}
         self._ratios: dict[str, float] = {}
+        self._arrivals = ArrivalMeter(clock.now())
         self._next_number = 1
         self._is_placing = False
         self.leaving = False
@@ -122,6 +124,7 @@
             )
             return refusal
         self._jobs[spec.job_id] = job
+        self._arrivals.note(job.level, job.pending_work(), self._clock.now())
         job.waiters = 1
         self._log_job(
             "job accepted",
@@ -198,9 +201,14 @@
         now = self._clock.now()
         objective_ms = measure(job.steps, job.queue, sum(view.room.cpu for view in workers))
         job.timing = Timing(now, objective_ms, wait_ms - ANSWER_MARGIN_MS)
-        backlog = Backlog(self._jobs.values(), workers, self.fleet.is_gathering)
+        backlog = self._describe(workers, now)
         return job_admission.judge(job, backlog, self._policy, now)
 
+    def _describe(self, workers: list[WorkerView], now: float) -> Backlog:
+        """Return what is known of the load."""
+        arriving = self._arrivals.rates(now)
+        return Backlog(self._jobs.values(), workers, self.fleet.is_gathering, arriving)
+
     def _place(self) -> None:
         """Order runs for waiting tasks, the most urgent job first."""
         now = self._clock.now()
@@ -214,11 +222,23 @@
                 continue
             misses += 1
             if not job.was_ordered and self._policy.rank(job, now).lateness != urgency.IN_TIME:
-                # Others wait that can still be in time.
-                self._give_up(job, "overload")
-        self.fleet.waiting_cpu = sum(job.pending_cpu() for job in self._jobs.values())
+                self._reconsider(job, now)
+        self.fleet.queued = job_admission.sum_work(
+            self._jobs.values(), self._policy, self._arrivals.rates(now), now
+        )
         self.fleet.flush()
 
+    def _reconsider(self, job: DispatchJob, now: float) -> None:
+        """Refuse a late job that is not going to be served, rather than hold it."""
+        workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
+        if not workers:
+            return
+        backlog = self._describe(workers, now)
+        waiting = job_admission.list_waiting(job, backlog)
+        outlook = job_admission.find_outlook(job, waiting, backlog, self._policy, now)
+        if self._policy.is_given_up(job, outlook, now):
+            self._give_up(job, "overload")
+
     def _place_job(self, job: DispatchJob, now: float) -> bool:
         """Order what fits of a job; return whether all its waiting tasks found room."""
         workers = self.fleet.of_service(job.queue.service)
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -26,6 +26,7 @@
 from geraniumspool.messages import Message, Peer
 from geraniumspool.minion_life import LifeView
 from geraniumspool.minion_trust import FailureJudge, RunPace
+from geraniumspool.queued_work import NO_WORK
 from geraniumspool.run_leases import CLOCK_DRIFT, DISPATCHER_LEASE_MS, MINION_LEASE_MS
 from geraniumspool.run_messages import (
     RUN_DONE,
@@ -142,7 +143,9 @@
         if life is None:
             return WorkerState(domain=self._domain)
         told = life.told
-        waiting = sum(customer.waiting_cpu for customer in self._table.customers.values())
+        queued = NO_WORK
+        for customer in self._table.customers.values():
+            queued = queued.plus(customer.queued)
         return WorkerState(
             told.instance,
             told.service,
@@ -154,7 +157,7 @@
             self._table.used,
             self._table.queued,
             round(self._pace.value, 3),
-            waiting,
+            queued,
         )
 
     def take_life(self, told: MinionLife) -> None:
@@ -191,7 +194,7 @@
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
         customer = self._renew(home, message.echo_ms)
-        customer.waiting_cpu = message.waiting_cpu
+        customer.queued = message.queued
         now = self._clock.now()
         for order in message.orders:
             self._take_order(customer, order, now)
@@ -215,7 +218,7 @@
     def take_renewal(self, home: Peer, message: RenewRuns) -> None:
         """Renew a dispatcher's lease, and settle what both sides know of its runs."""
         customer = self._renew(home, message.echo_ms)
-        customer.waiting_cpu = message.waiting_cpu
+        customer.queued = message.queued
         wanted = set(message.numbers)
         for number, run in list(customer.runs.items()):
             if number not in wanted and number <= message.upto:
@@ -711,7 +714,7 @@
                     )
                 },
             )
-        customer.waiting_cpu = 0.0
+        customer.queued = NO_WORK
         for run in fresh:
             self._stop(run, "dispatcher_silent")
 
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -6,6 +6,7 @@
 
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
+from geraniumspool.queued_work import NO_WORK
 from geraniumspool.rooms import NO_ROOM, Room
 from geraniumspool.run_leases import CLOCK_DRIFT, DISPATCHER_LEASE_MS, MINION_LEASE_MS
 from geraniumspool.run_messages import (
@@ -144,7 +145,7 @@
     """All workers of one dispatcher.
 
     :ivar reset_link: has the next message to a peer take a new connection
-    :ivar waiting_cpu: work that waits here, told to workers
+    :ivar queued: work that waits here, told to workers
     """
 
     def __init__(
@@ -163,7 +164,7 @@
         self._views: dict[str, WorkerView] = {}
         self.reset_link: Callable[[Peer], None] = _keep_link
         self._outbox: dict[Peer, list[RunOrder]] = {}
-        self.waiting_cpu = 0.0
+        self.queued = NO_WORK
 
     @property
     def views(self) -> Iterable[WorkerView]:
@@ -215,7 +216,7 @@
         for peer, orders in outbox.items():
             view = self._views[peer.address]
             view.note_sent(now)
-            self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.waiting_cpu))
+            self._send(peer, StartRuns(view.echo_ms, tuple(orders), self.queued))
 
     def stop(self, runs: Iterable[tuple[WorkerView, int]]) -> None:
         """Ask workers to stop runs, with one message to each."""
@@ -283,7 +284,7 @@
         old = now - LISTED_AFTER_MS
         numbers = [run.number for run in view.runs.values() if run.sent_ms < old]
         upto = max(numbers, default=0)
-        message = RenewRuns(view.echo_ms, tuple(numbers), upto, self.waiting_cpu, view.is_listed)
+        message = RenewRuns(view.echo_ms, tuple(numbers), upto, self.queued, view.is_listed)
         self._send(view.peer, message)
 
     def _reset(self, view: WorkerView, now: float) -> None:
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -1,9 +1,11 @@
-"""Decides on a job's arrival whether it is taken, and when its caller may come back.
+"""Decides whether a job is taken on its arrival, and when its caller may come back.
 
-Plain functions on the jobs and workers that a dispatcher knows. Answered load
-patterns: a burst over capacity, work that no worker can run, a loss of all workers.
+Plain functions. Answered load patterns: loads over capacity, in which what is
+taken and not served costs its caller time; the first moments after a start,
+before all workers are known.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
@@ -12,7 +14,8 @@
 from geraniumspool.dispatch_policy import DispatchPolicy
 from geraniumspool.fleet import WorkerView
 from geraniumspool.job_specs import JobOutcome, JobResult
-from geraniumspool.urgency import Demand
+from geraniumspool.queued_work import LEVELS, NO_WORK, QueuedWork
+from geraniumspool.urgency import Outlook
 
 # All workers are back within about this time after a loss of power.
 GATHERING_MS = 250.0
@@ -32,11 +35,13 @@
     :param jobs: all jobs at work or waiting here
     :param workers: usable workers of the job's service
     :param is_gathering: whether more workers are about to be heard of
+    :param arriving: work that arrives here, by level
     """
 
     jobs: Collection[DispatchJob]
     workers: list[WorkerView]
     is_gathering: bool
+    arriving: tuple[float, ...] = NO_WORK.arriving
 
 
 def judge(
@@ -51,15 +56,14 @@
         return refusal
     left_ms = job.left_ms()
     inputs = [("workers", len(backlog.workers)), ("left_ms", round(left_ms))]
+    waiting = list_waiting(job, backlog)
     if backlog.workers:
-        demand = measure_demand(job, backlog, policy, now)
-        wait_ms = urgency.predict_wait(demand, job.pending_cpu())
-        job.predicted_wait_ms = min(wait_ms, LONGEST_WAIT_MS)
-        is_refused = policy.is_refused(job, demand, _list_waiting(job, backlog), now)
-        inputs += [(name, round(value, 1)) for name, value in demand._asdict().items()]
+        outlook = find_outlook(job, waiting, backlog, policy, now)
     else:
-        job.predicted_wait_ms = GATHERING_MS
-        is_refused = urgency.is_hopeless(job.timing, left_ms, GATHERING_MS, now)
+        outlook = Outlook(False, 0.0, 0.0, 1.0, 1.0, GATHERING_MS)
+    job.predicted_wait_ms = min(outlook.wait_ms, LONGEST_WAIT_MS)
+    is_refused = policy.is_refused(job, outlook, waiting, now)
+    inputs += [(name, round(value, 1)) for name, value in outlook._asdict().items()]
     inputs.append(("delay_ms", round(job.predicted_wait_ms)))
     inputs.append(("objective_ms", round(job.timing.objective_ms)))
     retry_ms = urgency.choose_retry(job.predicted_wait_ms)
@@ -70,35 +74,74 @@
     return None
 
 
-def measure_demand(
-    job: DispatchJob, backlog: Backlog, policy: DispatchPolicy, now: float
-) -> Demand:
-    """Return the room that is wanted and free when a job arrives."""
+def sum_work(
+    jobs: Iterable[DispatchJob],
+    policy: DispatchPolicy,
+    arriving: tuple[float, ...],
+    now: float,
+) -> QueuedWork:
+    """Return the work of some jobs that waits, by level."""
+    in_time = [0.0] * LEVELS
+    late = [0.0] * LEVELS
+    for job in jobs:
+        if not job.has_pending:
+            continue
+        on_time = policy.rank(job, now).lateness == urgency.IN_TIME
+        (in_time if on_time else late)[job.level] += job.pending_work()
+    return QueuedWork(tuple(in_time), tuple(late), arriving)
+
+
+def find_outlook(
+    job: DispatchJob,
+    waiting: list[DispatchJob],
+    backlog: Backlog,
+    policy: DispatchPolicy,
+    now: float,
+) -> Outlook:
+    """Return what a waiting job has before it.
+
+    :param waiting: the jobs that wait for the same workers here
+    """
     own = policy.rank(job, now)
-    ahead = here = 0
-    for other in _list_waiting(job, backlog):
-        waiting = other.pending_cpu()
-        here += waiting
-        if policy.rank(other, now) <= own:
-            ahead += waiting
+    ahead = 0.0
+    for other in waiting:
+        if other is not job and policy.rank(other, now) <= own:
+            ahead += other.pending_work()
+    here = sum_work(waiting, policy, backlog.arriving, now)
     workers = backlog.workers
-    need = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
-    return Demand(
-        ahead,
-        here,
-        max((view.state.waiting_cpu for view in workers), default=0.0),
-        sum(_count_usable(view.free.cpu, need) for view in workers),
-        sum(max(0.0, view.room.cpu - need * UNUSED_SHARE) for view in workers)
-        / _measure_run((job, *backlog.jobs)),
+    everywhere = max((view.state.queued for view in workers), key=_sum_waiting)
+    elsewhere = everywhere.minus(here)
+    level = job.level
+    need = job.pending_cpu()
+    task = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
+    room = sum(max(0.0, view.room.cpu - task * UNUSED_SHARE) for view in workers)
+    free = sum(_count_usable(view.free.cpu, task) for view in workers)
+    freeing = room / _measure_run((job, *backlog.jobs))
+    more_urgent = sum(elsewhere.in_time[:level]) + sum(elsewhere.late[:level])
+    equal = elsewhere.in_time[level]
+    arriving = [max(a, b) for a, b in zip(everywhere.arriving, here.arriving, strict=True)]
+    late_ahead = ahead + more_urgent + equal + urgency.EQUAL_AHEAD * elsewhere.late[level]
+    least = urgency.MIN_SPARE * room
+    return Outlook(
+        ahead == 0 and need <= free,
+        ahead + more_urgent + urgency.EQUAL_AHEAD * equal,
+        late_ahead,
+        max(least, room - sum(arriving[:level])),
+        max(least, room - sum(arriving[: level + 1])),
+        max(0.0, need - free) / freeing if freeing else math.inf,
     )
 
 
+def _sum_waiting(queued: QueuedWork) -> float:
+    return sum(queued.in_time) + sum(queued.late)
+
+
 def _count_usable(free: int, need: int) -> int:
     """Return the part of a worker's free room that tasks of a need can take."""
     return max(0, free) // need * need if need > 0 else max(0, free)
 
 
-def _list_waiting(job: DispatchJob, backlog: Backlog) -> list[DispatchJob]:
+def list_waiting(job: DispatchJob, backlog: Backlog) -> list[DispatchJob]:
     """Return the jobs that wait for the same workers as a job."""
     service = job.queue.service
     return [other for other in backlog.jobs if other.has_pending and other.queue.service == service]
--- /dev/null
+++ b/geraniumspool/queued_work.py
@@ -0,0 +1,80 @@
+"""Work that waits and work that arrives, by urgency, as dispatchers tell each other.
+
+It travels with their messages to workers, which send back the sum over all
+dispatchers. Work is room times run time: thousandths of a core times ms.
+"""
+
+import math
+from typing import NamedTuple
+
+# Priorities from this one on count alike: operators use three or four.
+LEVELS = 4
+# Arrivals are averaged over about this long: long against the time between two jobs of one
+# dispatcher, 20 ms to 200 ms, and short against a burst, which lasts some seconds.
+ARRIVAL_MEMORY_MS = 2_000.0
+
+_NOTHING = (0.0,) * LEVELS
+
+
+class QueuedWork(NamedTuple):
+    """Work by level, the most urgent first.
+
+    :param in_time: work that waits, of jobs that can still be in time
+    :param late: work that waits, of jobs that are late and still of use
+    :param arriving: work of the jobs that were taken lately in one ms
+    """
+
+    in_time: tuple[float, ...] = _NOTHING
+    late: tuple[float, ...] = _NOTHING
+    arriving: tuple[float, ...] = _NOTHING
+
+    def plus(self, other: "QueuedWork") -> "QueuedWork":
+        """Return the sum, level by level."""
+        return QueuedWork(*(_add(a, b) for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other: "QueuedWork") -> "QueuedWork":
+        """Return what is left without ``other``, nothing below zero."""
+        return QueuedWork(*(_subtract(a, b) for a, b in zip(self, other, strict=True)))
+
+
+NO_WORK = QueuedWork()
+
+
+class ArrivalMeter:
+    """Averages the work that arrives, by level."""
+
+    def __init__(self, now: float):
+        """Start with none.
+
+        :param now: time in ms
+        """
+        self._rates = list(_NOTHING)
+        self._noted_ms = now
+
+    def note(self, level: int, work: float, now: float) -> None:
+        """Take that a job with some work has arrived."""
+        self._fade(now)
+        self._rates[level] += work / ARRIVAL_MEMORY_MS
+
+    def rates(self, now: float) -> tuple[float, ...]:
+        """Return the work that arrives in one ms, by level."""
+        self._fade(now)
+        return tuple(self._rates)
+
+    def _fade(self, now: float) -> None:
+        kept = math.exp(-(now - self._noted_ms) / ARRIVAL_MEMORY_MS)
+        self._rates = [rate * kept for rate in self._rates]
+        self._noted_ms = now
+
+
+def level_of(priority: int) -> int:
+    """Return the level of a queue's priority, of which 0 is the most urgent."""
+    return max(0, min(LEVELS - 1, priority))
+
+
+def _add(one: tuple[float, ...], other: tuple[float, ...]) -> tuple[float, ...]:
+    return tuple(a + b for a, b in zip(one, other, strict=True))
+
+
+def _subtract(one: tuple[float, ...], other: tuple[float, ...]) -> tuple[float, ...]:
+    return tuple(max(0.0, a - b) for a, b in zip(one, other, strict=True))
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -10,6 +10,7 @@
 
 from typing import NamedTuple
 
+from geraniumspool.queued_work import NO_WORK, QueuedWork
 from geraniumspool.rooms import NO_ROOM, Room
 
 RUN_DONE = "done"
@@ -48,12 +49,12 @@
     """Dispatcher to executor: start these runs.
 
     :param echo_ms: the executor's clock as it was last heard
-    :param waiting_cpu: processor room that waiting tasks of the dispatcher need
+    :param queued: work that waits at the dispatcher
     """
 
     echo_ms: float
     orders: tuple[RunOrder, ...]
-    waiting_cpu: float = 0.0
+    queued: QueuedWork = NO_WORK
 
 
 class StopRuns(NamedTuple):
@@ -78,7 +79,7 @@
     echo_ms: float
     numbers: tuple[int, ...] = ()
     upto: int = 0
-    waiting_cpu: float = 0.0
+    queued: QueuedWork = NO_WORK
     is_listed: bool = True
 
 
@@ -113,9 +114,9 @@
     :param accepts: whether it takes new runs
     :param room: all there is
     :param used: room of runs that are at work, starting or stopping
-    :param queued: room of runs that wait there
+    :param reserved: room of runs that wait there
     :param pace: actual by expected run times there, 1 where as usual
-    :param waiting_cpu: processor room that waiting tasks of all its dispatchers need
+    :param queued: work that waits at all its dispatchers
     """
 
     instance: str = ""
@@ -126,14 +127,14 @@
     accepts: bool = False
     room: Room = NO_ROOM
     used: Room = NO_ROOM
-    queued: Room = NO_ROOM
+    reserved: Room = NO_ROOM
     pace: float = 1.0
-    waiting_cpu: float = 0.0
+    queued: QueuedWork = NO_WORK
 
     @property
     def free(self) -> Room:
         """Return the room that nothing uses or waits for."""
-        return self.room.minus(self.used).minus(self.queued)
+        return self.room.minus(self.used).minus(self.reserved)
 
 
 class WorkerReport(NamedTuple):
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -16,11 +16,11 @@
 # objective 0.66 of all room goes to jobs in time at 1.8 times the load that fills it, with
 # this share 0.71.
 STARTED_TOLERANCE = 0.15
-# Predicted waits are rough: a job is refused only if it would be late by this share of
-# its objective.
-ADMIT_TOLERANCE = 0.1
-# Of tasks that wait elsewhere, half are taken to be more urgent where nothing tells.
-UNKNOWN_AHEAD = 0.5
+# Of the work in time that waits elsewhere at the same priority, half is taken to be served
+# before a job that arrives: the least urgent half waits for longer than the job does.
+EQUAL_AHEAD = 0.5
+# What is left by more urgent arrivals is not taken to be less than this share of all room.
+MIN_SPARE = 0.02
 # Predicted waits are off by about a fifth of the objective, and are too short by somewhat
 # less, since jobs that come later overtake: the logistic curve of the chance to be in time.
 CHANCE_SPREAD = 0.12
@@ -58,12 +58,16 @@
 class Rank(NamedTuple):
     """Place of a job in the order of service; the least is served first.
 
-    :param lateness: one of the constants below
+    :param is_past_use: whether its caller has no use of it any more
     :param is_new: whether none of its tasks has started
+    :param level: urgency of its queue's priority
+    :param lateness: one of the constants below
     """
 
-    lateness: int
+    is_past_use: bool
     is_new: bool
+    level: int
+    lateness: int
     latest_start_ms: float
 
 
@@ -73,22 +77,24 @@
 TOO_LATE = 2
 
 
-def rank(timing: Timing, left_ms: float, now: float, has_started: bool) -> Rank:
-    """Return a job's place: late ones last, then begun ones first, then by the latest start.
+def rank(timing: Timing, left_ms: float, now: float, has_started: bool, level: int = 0) -> Rank:
+    """Return a job's place: begun ones first, then by priority, in time, and latest start.
 
-    The rest of a begun job goes first: with all admissions the same, at 1.8 times the load
-    that fills all workers, 0.80 of their time goes to jobs in time, and 0.75 without it.
+    The rest of a begun job goes first, also when it is late, since what it has had is lost
+    if the rest does not follow.
 
     :param left_ms: expected time of what is left of its longest chain
-    :param has_started: whether some of its tasks have started, so that work is lost
-        where the rest does not follow
+    :param has_started: whether some of its tasks have started
+    :param level: urgency of its queue's priority, 0 the most urgent
     """
     latest = timing.latest_start(left_ms)
     tolerance = STARTED_TOLERANCE * timing.objective_ms if has_started else 0.0
+    lateness = TOO_LATE
     if now <= latest + tolerance:
-        return Rank(IN_TIME, not has_started, latest)
-    lateness = LATE if now <= timing.last_use(left_ms) else TOO_LATE
-    return Rank(lateness, not has_started, latest)
+        lateness = IN_TIME
+    elif now <= timing.last_use(left_ms):
+        lateness = LATE
+    return Rank(lateness == TOO_LATE, not has_started, level, lateness, latest)
 
 
 def allowed_end(timing: Timing, lateness: int, has_started: bool = False) -> float:
@@ -105,50 +111,68 @@
     return min(factor * timing.objective_ms, timing.limit_ms)
 
 
-class Demand(NamedTuple):
-    """Room in thousandths of a core, as a dispatcher sees it.
+class Outlook(NamedTuple):
+    """What a waiting job has before it. Work is in thousandths of a core times ms.
 
-    :param ahead: room that tasks served before the job wait for here
-    :param waiting_here: room that all tasks waiting here need
-    :param waiting_all: the same at all dispatchers, as workers tell
-    :param free: room that is free now at all usable workers
-    :param freeing: room that becomes free in a ms, by how long running tasks take
+    :param is_free: whether room for all of it is free now and nothing is served before it
+    :param ahead: work that is served before it while it can be in time
+    :param late_ahead: work that is served before it once it is late
+    :param spare: room that more urgent arrivals leave, in thousandths of a core
+    :param late_spare: room that all arrivals leave that are served before late jobs
+    :param opening_ms: time until room for its own tasks has become free
     """
 
+    is_free: bool
     ahead: float
-    waiting_here: float
-    waiting_all: float
-    free: float
-    freeing: float
+    late_ahead: float
+    spare: float
+    late_spare: float
+    opening_ms: float
 
+    @property
+    def wait_ms(self) -> float:
+        """Return the predicted time until all of it has started, as a job in time."""
+        if self.is_free:
+            return 0.0
+        return _divide(self.ahead, self.spare) + self.opening_ms
 
-def predict_wait(demand: Demand, need: float) -> float:
-    """Return the time in ms until a job of room ``need`` can have started.
+    @property
+    def late_wait_ms(self) -> float:
+        """Return the predicted time until all of it has started, as a late job."""
+        if self.is_free:
+            return 0.0
+        return _divide(self.late_ahead, self.late_spare) + self.opening_ms
 
-    The other dispatchers' queues are taken to be like this one's.
-    """
-    share = demand.ahead / demand.waiting_here if demand.waiting_here else UNKNOWN_AHEAD
-    others = max(0.0, demand.waiting_all - demand.waiting_here) * share
-    short = demand.ahead + others + need - demand.free
-    if short <= 0:
-        return 0.0
-    return short / demand.freeing if demand.freeing > 0 else math.inf
 
+class Chances(NamedTuple):
+    """How likely a job is to be in time, and to be of use at all."""
 
-def is_hopeless(timing: Timing, left_ms: float, wait_ms: float, now: float) -> bool:
-    """Return whether a job that waits ``wait_ms`` more would be late for certain."""
-    tolerance = ADMIT_TOLERANCE * timing.objective_ms
-    return now + wait_ms > timing.latest_start(left_ms) + tolerance
+    in_time: float
+    of_use: float
 
 
-def predict_chance(timing: Timing, left_ms: float, wait_ms: float, now: float) -> float:
-    """Return the chance that a job is in time if the rest of it starts after ``wait_ms``."""
-    spare_ms = timing.latest_start(left_ms) - now - wait_ms
-    spare = spare_ms / timing.objective_ms - CHANCE_SHIFT
+def predict_chances(timing: Timing, left_ms: float, outlook: Outlook, now: float) -> Chances:
+    """Return the chances of a job that waits."""
+    in_time = predict_chance(timing, timing.latest_start(left_ms) - now, outlook.wait_ms)
+    late = predict_chance(timing, timing.last_use(left_ms) - now, outlook.late_wait_ms)
+    return Chances(in_time, in_time + (1 - in_time) * late)
+
+
+def predict_chance(timing: Timing, slack_ms: float, wait_ms: float) -> float:
+    """Return the chance that a wait is over within some slack."""
+    if math.isinf(wait_ms):
+        return 0.0
+    spare = (slack_ms - wait_ms) / timing.objective_ms - CHANCE_SHIFT
     exponent = max(-LARGEST_EXPONENT, min(LARGEST_EXPONENT, -spare / CHANCE_SPREAD))
     return 1 / (1 + math.exp(exponent))
 
 
+def _divide(work: float, room: float) -> float:
+    if work <= 0:
+        return 0.0
+    return work / room if room > 0 else math.inf
+
+
 def choose_retry(wait_ms: float) -> float:
     """Return when a refused caller should come back, in ms, spread at random."""
     base = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
