--- a/benchmarks/pattern_policies.py
+++ b/benchmarks/pattern_policies.py
@@ -5,7 +5,7 @@
 
 from geraniumspool import packing, urgency
 from geraniumspool.dispatch_job import DispatchJob
-from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedGain
+from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
 from geraniumspool.job_specs import StepSpec
 from geraniumspool.packing import Candidate, Place
 from geraniumspool.urgency import Outlook, Rank
@@ -18,7 +18,7 @@
 STRICT_SHARE = 0.25
 
 
-class NewByLatestStart(ExpectedGain):
+class NewByLatestStart(ExpectedUse):
     """As in use, but begun jobs are not served before others."""
 
     def rank(self, job: DispatchJob, now: float) -> Rank:
@@ -46,7 +46,7 @@
         return _predict_spare(job, outlook, now) < STRICT_SHARE * job.timing.objective_ms
 
 
-class ArrivalOrder(ExpectedGain):
+class ArrivalOrder(ExpectedUse):
     """Jobs in the order in which they came."""
 
     def rank(self, job: DispatchJob, now: float) -> Rank:
@@ -82,7 +82,7 @@
         return len(others) > LONGEST_QUEUE
 
 
-class LatestStartFirst(ExpectedGain):
+class LatestStartFirst(ExpectedUse):
     """As in use, but without the operators' priorities."""
 
     def rank(self, job: DispatchJob, now: float) -> Rank:
@@ -90,7 +90,7 @@
         return super().rank(job, now)._replace(level=0)
 
 
-class OnlyInTime(ExpectedGain):
+class OnlyInTime(ExpectedUse):
     """As in use, but what is not going to be in time is refused."""
 
     def is_refused(
@@ -105,7 +105,7 @@
         return True
 
 
-class LeastLoaded(ExpectedGain):
+class LeastLoaded(ExpectedUse):
     """Tasks go where most room is free."""
 
     def choose(
@@ -125,7 +125,7 @@
         return Place(best, packing.predict_run(best, step, expected_ms))
 
 
-class AnyWorker(ExpectedGain):
+class AnyWorker(ExpectedUse):
     """Tasks go to any worker with room."""
 
     def choose(
@@ -145,7 +145,7 @@
         return Place(chosen, packing.predict_run(chosen, step, expected_ms))
 
 
-class Ahead(ExpectedGain):
+class Ahead(ExpectedUse):
     """As in use, but where all are full one task a worker is sent to wait there."""
 
     def choose(
@@ -188,9 +188,9 @@
     return [worker for worker in usable if worker.free.fits(step.need)]
 
 
-IN_USE = "expected gain"
+IN_USE = "expected use"
 POLICIES: dict[str, type[DispatchPolicy]] = {
-    IN_USE: ExpectedGain,
+    IN_USE: ExpectedUse,
     "new and begun alike": NewByLatestStart,
     "without priorities": LatestStartFirst,
     "only in time": OnlyInTime,
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -14,12 +14,12 @@
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, make_steps
 from geraniumspool.dispatch_job import measure_objective as measure
-from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedGain
+from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
 from geraniumspool.fleet import Fleet, OpenRun, WorkerView
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
-from geraniumspool.queued_work import ArrivalMeter
+from geraniumspool.queued_work import RECENT_MS, USUAL_MS, ArrivalMeter, QueuedWork
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import (
     RUN_DONE,
@@ -72,16 +72,17 @@
 
         :param send: queues a message to a worker's agent
         :param domain: failure domain of this process
-        :param policy: what decides, :class:`ExpectedGain` where none is given
+        :param policy: what decides, :class:`ExpectedUse` where none is given
         """
-        self._policy = policy or ExpectedGain()
+        self._policy = policy or ExpectedUse()
         self._clock = clock
         self._counters = counters
         self._domain = domain
         self.fleet = Fleet(clock, send, self._lose_runs)
         self._jobs: dict[str, DispatchJob] = {}
         self._ratios: dict[str, float] = {}
-        self._arrivals = ArrivalMeter(clock.now())
+        self._arrivals = ArrivalMeter(clock.now(), RECENT_MS)
+        self._usual = ArrivalMeter(clock.now(), USUAL_MS)
         self._next_number = 1
         self._is_placing = False
         self.leaving = False
@@ -124,7 +125,8 @@
             )
             return refusal
         self._jobs[spec.job_id] = job
-        self._arrivals.note(job.level, job.pending_work(), self._clock.now())
+        for meter in (self._arrivals, self._usual):
+            meter.note(job.level, job.pending_work(), self._clock.now())
         job.waiters = 1
         self._log_job(
             "job accepted",
@@ -206,8 +208,12 @@
 
     def _describe(self, workers: list[WorkerView], now: float) -> Backlog:
         """Return what is known of the load."""
-        arriving = self._arrivals.rates(now)
-        return Backlog(self._jobs.values(), workers, self.fleet.is_gathering, arriving)
+        return Backlog(self._jobs.values(), workers, self.fleet.is_gathering, self._sum_work(now))
+
+    def _sum_work(self, now: float) -> QueuedWork:
+        work = job_admission.sum_work(self._jobs.values(), self._policy, now)
+        arriving, usual = self._arrivals.rates(now), self._usual.rates(now)
+        return work._replace(arriving=arriving, usual=usual)
 
     def _place(self) -> None:
         """Order runs for waiting tasks, the most urgent job first."""
@@ -223,9 +229,7 @@
             misses += 1
             if not job.was_ordered and self._policy.rank(job, now).lateness != urgency.IN_TIME:
                 self._reconsider(job, now)
-        self.fleet.queued = job_admission.sum_work(
-            self._jobs.values(), self._policy, self._arrivals.rates(now), now
-        )
+        self.fleet.queued = self._sum_work(now)
         self.fleet.flush()
 
     def _reconsider(self, job: DispatchJob, now: float) -> None:
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -35,13 +35,13 @@
     :param jobs: all jobs at work or waiting here
     :param workers: usable workers of the job's service
     :param is_gathering: whether more workers are about to be heard of
-    :param arriving: work that arrives here, by level
+    :param queued: work that waits and arrives here, by level
     """
 
     jobs: Collection[DispatchJob]
     workers: list[WorkerView]
     is_gathering: bool
-    arriving: tuple[float, ...] = NO_WORK.arriving
+    queued: QueuedWork = NO_WORK
 
 
 def judge(
@@ -77,7 +77,6 @@
 def sum_work(
     jobs: Iterable[DispatchJob],
     policy: DispatchPolicy,
-    arriving: tuple[float, ...],
     now: float,
 ) -> QueuedWork:
     """Return the work of some jobs that waits, by level."""
@@ -88,7 +87,7 @@
             continue
         on_time = policy.rank(job, now).lateness == urgency.IN_TIME
         (in_time if on_time else late)[job.level] += job.pending_work()
-    return QueuedWork(tuple(in_time), tuple(late), arriving)
+    return QueuedWork(tuple(in_time), tuple(late))
 
 
 def find_outlook(
@@ -107,7 +106,7 @@
     for other in waiting:
         if other is not job and policy.rank(other, now) <= own:
             ahead += other.pending_work()
-    here = sum_work(waiting, policy, backlog.arriving, now)
+    here = backlog.queued
     workers = backlog.workers
     everywhere = max((view.state.queued for view in workers), key=_sum_waiting)
     elsewhere = everywhere.minus(here)
@@ -119,7 +118,8 @@
     freeing = room / _measure_run((job, *backlog.jobs))
     more_urgent = sum(elsewhere.in_time[:level]) + sum(elsewhere.late[:level])
     equal = elsewhere.in_time[level]
-    arriving = [max(a, b) for a, b in zip(everywhere.arriving, here.arriving, strict=True)]
+    arriving = _take_larger(everywhere.arriving, here.arriving)
+    usual = _take_larger(everywhere.usual, here.usual)
     late_ahead = ahead + more_urgent + equal + urgency.EQUAL_AHEAD * elsewhere.late[level]
     least = urgency.MIN_SPARE * room
     return Outlook(
@@ -127,11 +127,15 @@
         ahead + more_urgent + urgency.EQUAL_AHEAD * equal,
         late_ahead,
         max(least, room - sum(arriving[:level])),
-        max(least, room - sum(arriving[: level + 1])),
+        max(urgency.MIN_LATE_SPARE * room, room - sum(usual[: level + 1])),
         max(0.0, need - free) / freeing if freeing else math.inf,
     )
 
 
+def _take_larger(one: Iterable[float], other: Iterable[float]) -> list[float]:
+    return [max(a, b) for a, b in zip(one, other, strict=True)]
+
+
 def _sum_waiting(queued: QueuedWork) -> float:
     return sum(queued.in_time) + sum(queued.late)
 
--- a/geraniumspool/queued_work.py
+++ b/geraniumspool/queued_work.py
@@ -9,9 +9,11 @@
 
 # Priorities from this one on count alike: operators use three or four.
 LEVELS = 4
-# Arrivals are averaged over about this long: long against the time between two jobs of one
-# dispatcher, 20 ms to 200 ms, and short against a burst, which lasts some seconds.
-ARRIVAL_MEMORY_MS = 2_000.0
+# Arrivals of now are averaged over about this long: long against the time between two jobs
+# of one dispatcher, 20 ms to 200 ms, and short against a burst, which lasts some seconds.
+RECENT_MS = 2_000.0
+# Usual arrivals are averaged over several bursts and the calm between them.
+USUAL_MS = 20_000.0
 
 _NOTHING = (0.0,) * LEVELS
 
@@ -21,12 +23,14 @@
 
     :param in_time: work that waits, of jobs that can still be in time
     :param late: work that waits, of jobs that are late and still of use
-    :param arriving: work of the jobs that were taken lately in one ms
+    :param arriving: work of the jobs that were taken lately, in one ms
+    :param usual: the same over a longer time
     """
 
     in_time: tuple[float, ...] = _NOTHING
     late: tuple[float, ...] = _NOTHING
     arriving: tuple[float, ...] = _NOTHING
+    usual: tuple[float, ...] = _NOTHING
 
     def plus(self, other: "QueuedWork") -> "QueuedWork":
         """Return the sum, level by level."""
@@ -43,27 +47,32 @@
 class ArrivalMeter:
     """Averages the work that arrives, by level."""
 
-    def __init__(self, now: float):
+    def __init__(self, now: float, memory_ms: float):
         """Start with none.
 
         :param now: time in ms
+        :param memory_ms: about how long is averaged over
         """
-        self._rates = list(_NOTHING)
+        self._memory_ms = memory_ms
+        self._sums = list(_NOTHING)
+        self._begun_ms = now
         self._noted_ms = now
 
     def note(self, level: int, work: float, now: float) -> None:
         """Take that a job with some work has arrived."""
         self._fade(now)
-        self._rates[level] += work / ARRIVAL_MEMORY_MS
+        self._sums[level] += work
 
     def rates(self, now: float) -> tuple[float, ...]:
         """Return the work that arrives in one ms, by level."""
         self._fade(now)
-        return tuple(self._rates)
+        age_ms = max(RECENT_MS, now - self._begun_ms)
+        span_ms = self._memory_ms * (1 - math.exp(-age_ms / self._memory_ms))
+        return tuple(total / span_ms for total in self._sums)
 
     def _fade(self, now: float) -> None:
-        kept = math.exp(-(now - self._noted_ms) / ARRIVAL_MEMORY_MS)
-        self._rates = [rate * kept for rate in self._rates]
+        kept = math.exp(-(now - self._noted_ms) / self._memory_ms)
+        self._sums = [total * kept for total in self._sums]
         self._noted_ms = now
 
 
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -20,6 +20,8 @@
 EQUAL_AHEAD = 0.5
 # What is left by more urgent arrivals is not taken to be less than this share of all room.
 MIN_SPARE = 0.02
+# Services are sized for their usual load: at least this share is left for what is late.
+MIN_LATE_SPARE = 0.25
 # Predicted waits are off by about a fifth of the objective, and are too short by somewhat
 # less, since jobs that come later overtake: the logistic curve of the chance to be in time.
 CHANCE_SPREAD = 0.12
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -4,7 +4,7 @@
 
 from geraniumspool import job_admission
 from geraniumspool.dispatch_job import DispatchJob, make_steps, measure_objective
-from geraniumspool.dispatch_policy import ExpectedGain
+from geraniumspool.dispatch_policy import ExpectedUse
 from geraniumspool.fleet import WorkerView
 from geraniumspool.job_admission import Backlog
 from geraniumspool.rooms import Room
@@ -37,7 +37,7 @@
 
 def judge(job, workers, others=()):
     """Return why a job is refused."""
-    return job_admission.judge(job, Backlog(list(others), workers, False), ExpectedGain(), NOW)
+    return job_admission.judge(job, Backlog(list(others), workers, False), ExpectedUse(), NOW)
 
 
 class JudgeTest(unittest.TestCase):
