Jobs leave room to more urgent work of other dispatchers

Cause: each of n dispatchers serves its own most urgent job first, so of the room that gets free it takes an n-th whoever has the more urgent work. Change: a job that has not begun waits while more urgent work elsewhere would fill all workers for 10 ms; workers report free room each 9 ms instead of 30 to three dispatchers.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -19,7 +19,7 @@
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
-from geraniumspool.queued_work import RECENT_MS, USUAL_MS, ArrivalMeter, QueuedWork
+from geraniumspool.queued_work import LEVELS, RECENT_MS, USUAL_MS, ArrivalMeter, QueuedWork
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import (
     RUN_DONE,
@@ -44,6 +44,9 @@
 DEFAULT_WAIT_MS = 15_000.0
 # An order that meets a full worker returns after this, and goes where there is room.
 PATIENCE_MS = 0.0
+# Jobs let more urgent ones of other dispatchers go first if these would fill all workers for
+# longer than this: about as long as half of a small job.
+YIELD_MS = 10.0
 # Learning of run times: about the last thirty jobs of a queue.
 RATIO_WEIGHT = 0.03
 MIN_RATIO = 0.2
@@ -221,9 +224,12 @@
         waiting = [job for job in self._jobs.values() if job.has_pending]
         waiting.sort(key=lambda job: self._policy.rank(job, now))
         misses = 0
+        yielding = _Yielding(self.fleet)
         for job in waiting:
             if misses >= MAX_MISSES:
                 break
+            if not job.was_ordered and yielding.is_due(job):
+                continue
             if self._place_job(job, now):
                 continue
             misses += 1
@@ -393,3 +399,27 @@
 
     def _log_job(self, text: str, job: DispatchJob, **fields: object) -> None:
         _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
+
+
+class _Yielding:
+    """Whether jobs let more urgent ones of other dispatchers go first."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._levels: dict[str, int] = {}
+
+    def is_due(self, job: DispatchJob) -> bool:
+        """Return whether more urgent work waits at other dispatchers."""
+        service = job.queue.service
+        if service not in self._levels:
+            self._levels[service] = self._find_most_urgent(service)
+        return job.level > self._levels[service]
+
+    def _find_most_urgent(self, service: str) -> int:
+        workers = [view for view in self._fleet.of_service(service) if view.is_usable]
+        elsewhere = job_admission.average_elsewhere(workers)
+        least = YIELD_MS * sum(view.room.cpu for view in workers)
+        for level, work in enumerate(elsewhere.in_time):
+            if work > least:
+                return level
+        return LEVELS
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -137,15 +137,16 @@
         """Return the dispatchers heard of lately."""
         return list(self._table.customers)
 
-    def state(self) -> WorkerState:
-        """Return what this worker has to offer."""
+    def state(self, customer: Customer | None = None) -> WorkerState:
+        """Return what this worker has to offer to a dispatcher, and what waits at others."""
         life = self._life
         if life is None:
             return WorkerState(domain=self._domain)
         told = life.told
         queued = NO_WORK
-        for customer in self._table.customers.values():
-            queued = queued.plus(customer.queued)
+        for other in self._table.customers.values():
+            if other is not customer:
+                queued = queued.plus(other.queued)
         return WorkerState(
             told.instance,
             told.service,
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -108,8 +108,8 @@
             ahead += other.pending_work()
     here = backlog.queued
     workers = backlog.workers
-    everywhere = max((view.state.queued for view in workers), key=_sum_waiting)
-    elsewhere = everywhere.minus(here)
+    elsewhere = average_elsewhere(workers)
+    everywhere = here.plus(elsewhere)
     level = job.level
     need = job.pending_cpu()
     task = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
@@ -118,26 +118,27 @@
     freeing = room / _measure_run((job, *backlog.jobs))
     more_urgent = sum(elsewhere.in_time[:level]) + sum(elsewhere.late[:level])
     equal = elsewhere.in_time[level]
-    arriving = _take_larger(everywhere.arriving, here.arriving)
-    usual = _take_larger(everywhere.usual, here.usual)
     late_ahead = ahead + more_urgent + equal + urgency.EQUAL_AHEAD * elsewhere.late[level]
     least = urgency.MIN_SPARE * room
     return Outlook(
         ahead == 0 and need <= free,
         ahead + more_urgent + urgency.EQUAL_AHEAD * equal,
         late_ahead,
-        max(least, room - sum(arriving[:level])),
-        max(urgency.MIN_LATE_SPARE * room, room - sum(usual[: level + 1])),
+        max(least, room - sum(everywhere.arriving[:level])),
+        max(urgency.MIN_LATE_SPARE * room, room - sum(everywhere.usual[: level + 1])),
         max(0.0, need - free) / freeing if freeing else math.inf,
     )
 
 
-def _take_larger(one: Iterable[float], other: Iterable[float]) -> list[float]:
-    return [max(a, b) for a, b in zip(one, other, strict=True)]
+def average_elsewhere(workers: Collection[WorkerView]) -> QueuedWork:
+    """Return what waits at other dispatchers, as workers tell.
 
-
-def _sum_waiting(queued: QueuedWork) -> float:
-    return sum(queued.in_time) + sum(queued.late)
+    Each worker has heard of them at another time in the last 180 ms.
+    """
+    total = NO_WORK
+    for view in workers:
+        total = total.plus(view.state.queued)
+    return total.share(len(workers))
 
 
 def _count_usable(free: int, need: int) -> int:
--- a/geraniumspool/queued_work.py
+++ b/geraniumspool/queued_work.py
@@ -36,9 +36,9 @@
         """Return the sum, level by level."""
         return QueuedWork(*(_add(a, b) for a, b in zip(self, other, strict=True)))
 
-    def minus(self, other: "QueuedWork") -> "QueuedWork":
-        """Return what is left without ``other``, nothing below zero."""
-        return QueuedWork(*(_subtract(a, b) for a, b in zip(self, other, strict=True)))
+    def share(self, parts: int) -> "QueuedWork":
+        """Return one of so many equal parts."""
+        return QueuedWork(*(tuple(work / max(1, parts) for work in row) for row in self))
 
 
 NO_WORK = QueuedWork()
@@ -83,7 +83,3 @@
 
 def _add(one: tuple[float, ...], other: tuple[float, ...]) -> tuple[float, ...]:
     return tuple(a + b for a, b in zip(one, other, strict=True))
-
-
-def _subtract(one: tuple[float, ...], other: tuple[float, ...]) -> tuple[float, ...]:
-    return tuple(max(0.0, a - b) for a, b in zip(one, other, strict=True))
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -116,7 +116,7 @@
     :param used: room of runs that are at work, starting or stopping
     :param reserved: room of runs that wait there
     :param pace: actual by expected run times there, 1 where as usual
-    :param queued: work that waits at all its dispatchers
+    :param queued: work that waits and arrives at its other dispatchers
     """
 
     instance: str = ""
--- a/geraniumspool/worker_reporter.py
+++ b/geraniumspool/worker_reporter.py
@@ -14,7 +14,7 @@
 GATHER_MS = 2.0
 # Each of n dispatchers hears of changed room at most every 10 n ms, so that all
 # reports cost a worker the same whatever their number.
-TELL_EVERY_MS = 10.0
+TELL_EVERY_MS = 3.0
 
 
 class WorkerReporter:
@@ -25,13 +25,13 @@
         clock: Clock,
         send: Callable[[Peer, Message], bool],
         table: RunTable,
-        describe: Callable[[], WorkerState],
+        describe: Callable[[Customer], WorkerState],
     ):
         """Record the parts.
 
         :param send: queues a message to a dispatcher
         :param table: the worker's runs and its dispatchers
-        :param describe: returns what the worker has to offer
+        :param describe: returns what the worker has to offer to a dispatcher
         """
         self._clock = clock
         self._send = send
@@ -64,7 +64,7 @@
         customer.is_told = True
         now = self._clock.now()
         stragglers = run_progress.find_stragglers(customer.runs.values(), now)
-        report = WorkerReport(now, customer.upto, ends, self._describe(), stragglers)
+        report = WorkerReport(now, customer.upto, ends, self._describe(customer), stragglers)
         self._send(customer.peer, report)
 
     def _tell_changes(self) -> None:
