--- a/benchmarks/pattern_policies.py
+++ b/benchmarks/pattern_policies.py
@@ -171,7 +171,7 @@
 
 def _by(rank: Rank, figure: float) -> Rank:
     """Return a place by one figure, among all that are as late."""
-    return Rank(rank.lateness, True, 0, figure)
+    return Rank(rank.is_past_use, True, 0, rank.lateness, figure)
 
 
 def _predict_spare(job: DispatchJob, outlook: Outlook, now: float) -> float:
--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -59,6 +59,8 @@
 
     :ivar runs: its open runs by order number
     :ivar predicted_wait_ms: wait that was predicted when it arrived
+    :ivar wait_factor: what was learnt of waits when it arrived
+    :ivar has_waited: whether its wait is over and was learnt from
     :ivar was_ordered: whether a run may have started
     :ivar waiters: callers that wait for the answer
     """
@@ -74,6 +76,8 @@
         self.failures: dict[TaskId, int] = {}
         self.failed_at: dict[TaskId, int] = {}
         self.predicted_wait_ms = 0.0
+        self.wait_factor = 1.0
+        self.has_waited = False
         self.was_ordered = False
         self.finished = Event()
         self.result: JobResult | None = None
--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -14,7 +14,7 @@
 from geraniumspool.urgency import Outlook, Rank
 
 # A job is refused on its arrival if it is less likely than this to be of use.
-MIN_USE = 0.4
+MIN_USE = 0.3
 # One that was taken is refused after all below this: estimates change, and callers are
 # served better by a wait that ends well than by two decisions.
 MIN_KEPT_USE = 0.15
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -86,6 +86,7 @@
         self._ratios: dict[str, float] = {}
         self._arrivals = ArrivalMeter(clock.now(), RECENT_MS)
         self._usual = ArrivalMeter(clock.now(), USUAL_MS)
+        self._waits = urgency.WaitLearner()
         self._next_number = 1
         self._is_placing = False
         self.leaving = False
@@ -211,7 +212,13 @@
 
     def _describe(self, workers: list[WorkerView], now: float) -> Backlog:
         """Return what is known of the load."""
-        return Backlog(self._jobs.values(), workers, self.fleet.is_gathering, self._sum_work(now))
+        return Backlog(
+            self._jobs.values(),
+            workers,
+            self.fleet.is_gathering,
+            self._sum_work(now),
+            self._waits.factor,
+        )
 
     def _sum_work(self, now: float) -> QueuedWork:
         work = job_admission.sum_work(self._jobs.values(), self._policy, now)
@@ -231,6 +238,7 @@
             if not job.was_ordered and yielding.is_due(job):
                 continue
             if self._place_job(job, now):
+                self._learn_wait(job, now)
                 continue
             misses += 1
             if not job.was_ordered and self._policy.rank(job, now).lateness != urgency.IN_TIME:
@@ -238,6 +246,13 @@
         self.fleet.queued = self._sum_work(now)
         self.fleet.flush()
 
+    def _learn_wait(self, job: DispatchJob, now: float) -> None:
+        """Hold the wait that has ended against the one predicted on arrival."""
+        if not job.has_waited:
+            job.has_waited = True
+            predicted_ms = job.predicted_wait_ms / job.wait_factor
+            self._waits.note(predicted_ms, now - job.timing.arrived_ms)
+
     def _reconsider(self, job: DispatchJob, now: float) -> None:
         """Refuse a late job that is not going to be served, rather than hold it."""
         workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
@@ -370,6 +385,7 @@
 
     def _give_up(self, job: DispatchJob, code: str) -> None:
         """End a job that was not finished; one that never ran may come back."""
+        self._learn_wait(job, self._clock.now())
         if job.was_ordered:
             self._end(job, JobResult(JobOutcome.UNFINISHED, code))
             return
@@ -419,7 +435,7 @@
         workers = [view for view in self._fleet.of_service(service) if view.is_usable]
         elsewhere = job_admission.average_elsewhere(workers)
         least = YIELD_MS * sum(view.room.cpu for view in workers)
-        for level, work in enumerate(elsewhere.in_time):
-            if work > least:
+        for level in range(LEVELS):
+            if elsewhere.in_time[level] + elsewhere.late[level] > least:
                 return level
         return LEVELS
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -36,12 +36,14 @@
     :param workers: usable workers of the job's service
     :param is_gathering: whether more workers are about to be heard of
     :param queued: work that waits and arrives here, by level
+    :param wait_factor: actual by predicted waits, as learnt
     """
 
     jobs: Collection[DispatchJob]
     workers: list[WorkerView]
     is_gathering: bool
     queued: QueuedWork = NO_WORK
+    wait_factor: float = 1.0
 
 
 def judge(
@@ -62,6 +64,7 @@
     else:
         outlook = Outlook(False, 0.0, 0.0, 1.0, 1.0, GATHERING_MS)
     job.predicted_wait_ms = min(outlook.wait_ms, LONGEST_WAIT_MS)
+    job.wait_factor = outlook.factor
     is_refused = policy.is_refused(job, outlook, waiting, now)
     inputs += [(name, round(value, 1)) for name, value in outlook._asdict().items()]
     inputs.append(("delay_ms", round(job.predicted_wait_ms)))
@@ -127,6 +130,7 @@
         max(least, room - sum(everywhere.arriving[:level])),
         max(urgency.MIN_LATE_SPARE * room, room - sum(everywhere.usual[: level + 1])),
         max(0.0, need - free) / freeing if freeing else math.inf,
+        backlog.wait_factor,
     )
 
 
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -27,6 +27,12 @@
 CHANCE_SPREAD = 0.12
 CHANCE_SHIFT = 0.15
 LARGEST_EXPONENT = 50.0
+# Learning of waits: about the last thirty jobs that had to wait; one tells no more than that
+# it waited for four times as long. Shorter waits are those of messages.
+WAIT_WEIGHT = 0.03
+WAIT_PRIOR_MS = 100.0
+MAX_WAIT_FACTOR = 4.0
+SHORTEST_WAIT_MS = 10.0
 MIN_RETRY_MS = 200.0
 # Nothing is known of a load so far ahead: a caller who waits longer misses what gets free.
 MAX_RETRY_MS = 10_000.0
@@ -59,14 +65,16 @@
 class Rank(NamedTuple):
     """Place of a job in the order of service; the least is served first.
 
-    :param lateness: one of the constants below
+    :param is_past_use: whether its caller has no use of it any more
     :param is_new: whether none of its tasks has started
     :param level: urgency of its queue's priority, 0 the most urgent
+    :param lateness: one of the constants below
     """
 
-    lateness: int
+    is_past_use: bool
     is_new: bool
     level: int
+    lateness: int
     latest_start_ms: float
 
 
@@ -77,17 +85,19 @@
 
 
 def rank(timing: Timing, left_ms: float, now: float, has_started: bool, level: int = 0) -> Rank:
-    """Return a job's place: late ones last, then begun ones first, then by priority.
+    """Return a job's place: begun ones first, then by priority, late ones last in each.
 
     Among equals the one that has to start first goes first. The rest of a begun job counts
-    as in time while it is of use: what it has had is lost if the rest does not follow.
+    as in time while it is of use: what it has had is lost if the rest does not follow. The
+    least urgent queue bears what is too much, as far as its callers can wait.
 
     :param left_ms: expected time of what is left of its longest chain
     :param has_started: whether some of its tasks have started
     :param level: urgency of its queue's priority, 0 the most urgent
     """
     latest = timing.latest_start(left_ms)
-    return Rank(_find_lateness(timing, left_ms, now, has_started), not has_started, level, latest)
+    lateness = _find_lateness(timing, left_ms, now, has_started)
+    return Rank(lateness == TOO_LATE, not has_started, level, lateness, latest)
 
 
 def _find_lateness(timing: Timing, left_ms: float, now: float, has_started: bool) -> int:
@@ -119,6 +129,7 @@
     :param spare: room that more urgent arrivals leave, in thousandths of a core
     :param late_spare: room that all arrivals leave that are served before late jobs
     :param opening_ms: time until room for its own tasks has become free
+    :param factor: actual by predicted waits, as learnt
     """
 
     is_free: bool
@@ -127,20 +138,21 @@
     spare: float
     late_spare: float
     opening_ms: float
+    factor: float = 1.0
 
     @property
     def wait_ms(self) -> float:
         """Return the predicted time until all of it has started, as a job in time."""
         if self.is_free:
             return 0.0
-        return _divide(self.ahead, self.spare) + self.opening_ms
+        return self.factor * (_divide(self.ahead, self.spare) + self.opening_ms)
 
     @property
     def late_wait_ms(self) -> float:
         """Return the predicted time until all of it has started, as a late job."""
         if self.is_free:
             return 0.0
-        return _divide(self.late_ahead, self.late_spare) + self.opening_ms
+        return self.factor * (_divide(self.late_ahead, self.late_spare) + self.opening_ms)
 
 
 class Chances(NamedTuple):
@@ -150,6 +162,29 @@
     of_use: float
 
 
+class WaitLearner:
+    """Learns how much longer jobs wait than was predicted, from those that have begun."""
+
+    def __init__(self):
+        """Trust predictions."""
+        self._predicted_ms = WAIT_PRIOR_MS
+        self._actual_ms = WAIT_PRIOR_MS
+
+    @property
+    def factor(self) -> float:
+        """Return actual by predicted waits of the last jobs."""
+        return self._actual_ms / self._predicted_ms
+
+    def note(self, predicted_ms: float, actual_ms: float) -> None:
+        """Take how long a job has waited until all of it had started, or was given up."""
+        if max(predicted_ms, actual_ms) < SHORTEST_WAIT_MS:
+            return
+        predicted_ms = max(predicted_ms, actual_ms / MAX_WAIT_FACTOR)
+        actual_ms = max(actual_ms, predicted_ms / MAX_WAIT_FACTOR)
+        self._predicted_ms += WAIT_WEIGHT * (predicted_ms - self._predicted_ms)
+        self._actual_ms += WAIT_WEIGHT * (actual_ms - self._actual_ms)
+
+
 def predict_chances(timing: Timing, left_ms: float, outlook: Outlook, now: float) -> Chances:
     """Return the chances of a job that waits."""
     in_time = predict_chance(timing, timing.latest_start(left_ms) - now, outlook.wait_ms)
