--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -15,6 +15,8 @@
 # late once less than this share of its objective is to spare. Those behind it are then in
 # time: at 1.5 times the load that fills all workers 0.72 of the jobs, without it 0.70.
 START_MARGIN = 0.1
+# Of long jobs it would be so much that they never became the most urgent.
+MAX_START_MARGIN_MS = 40.0
 # Of the work in time that waits elsewhere at the same priority, half is taken to be served
 # before a job that arrives: the least urgent half waits for longer than the job does.
 EQUAL_AHEAD = 0.5
@@ -105,7 +107,7 @@
         return TOO_LATE
     if has_started:
         return IN_TIME
-    margin = START_MARGIN * timing.objective_ms
+    margin = min(MAX_START_MARGIN_MS, START_MARGIN * timing.objective_ms)
     return IN_TIME if now <= timing.latest_start(left_ms) - margin else LATE
 
 
