--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -107,6 +107,8 @@
         _LOG.info("leaving", extra={"fields": (("name", self._settings.name),)})
         self._clock.sleep(min(NOTICE_MS, last - started))
         done = self._wait_until(lambda: self.dispatcher.is_idle, last - self._clock.now())
+        # What arrives while the listener closes would be cut off before its end.
+        self.dispatcher.ends_ms = self._clock.now()
         self.dispatcher.abandon()
         callers.drain(CLOSE_MS)
         return done
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,8 +2,15 @@
 
 import unittest
 
+import eventlet
+
+from geraniumspool.counters import MemoryCounters
+from geraniumspool.daemon_settings import DispatcherSettings
+from geraniumspool.dispatch_entry import DispatchEntry
 from geraniumspool.job_specs import JobOutcome, JobSpec, StepSpec
+from geraniumspool.link import MemoryMessenger, MemoryNetwork
 from geraniumspool.memory_minion import CallFault, Scripted
+from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer
 from geraniumspool.rooms import Room
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS, MINION_LEASE_MS
@@ -177,6 +184,66 @@
             self.assertLessEqual(worker.minion.most_used.cpu, 10_000)
 
 
+class LeavingTest(DispatchCase):
+    """Jobs that arrive while the process is about to end."""
+
+    def test_only_what_is_over_by_the_end_is_taken(self):
+        self.home.dispatcher.ends_ms = self.clock.now() + 1_000
+        short = self.home.submit(make_spec("s", run_ms=200))
+        long = self.home.submit(make_spec("l", run_ms=600))
+        self.assertEqual((JobOutcome.REFUSED, "leaving"), (long.outcome, long.result.code))
+        self.advance(1_000)
+        self.assertEqual(JobOutcome.SUCCEEDED, short.outcome)
+        self.assertEqual(0, self.world.started("l.0.0.0"))
+
+    def test_nothing_is_taken_once_the_listener_closes(self):
+        dispatcher = self.home.dispatcher
+        taken = []
+        entry = make_leaving_entry(self.clock, dispatcher, lambda: taken.append(self.submit_late()))
+        leaving = eventlet.spawn(entry.drain)
+        self.advance(4_000)
+        self.assertTrue(leaving.wait())
+        self.assertEqual([(JobOutcome.REFUSED, "leaving")], taken)
+        self.assertEqual(0, self.world.started("late.0.0.0"))
+
+    def submit_late(self):
+        """Hand in a job that takes longer than the listener does to close."""
+        late = self.home.submit(make_spec("late", run_ms=100))
+        return late.outcome, late.result and late.result.code
+
+
+class Closing:
+    """A callers' listener whose last caller comes while it closes."""
+
+    def __init__(self, on_drain):
+        self._on_drain = on_drain
+
+    def retire(self):
+        pass
+
+    def drain(self, _limit_ms):
+        self._on_drain()
+
+
+def make_leaving_entry(clock, dispatcher, on_drain):
+    """Return an entry of a dispatcher in memory, ready to leave."""
+    settings = DispatcherSettings(
+        name="n",
+        domain="north",
+        inbox="tcp://n",
+        store="s",
+        callers_listen="c",
+        ready_listen="r",
+        grace_s=4.0,
+    )
+    messenger = MemoryMessenger(MemoryNetwork(clock), Peer("tcp://n", 1), MemoryCounters())
+    store = MemoryStore(clock)
+    entry = DispatchEntry(settings, clock, MemoryCounters(), messenger, store, "k", bytes)
+    entry.dispatcher = dispatcher
+    entry.serve(Closing(on_drain), [])
+    return entry
+
+
 class FaultsTest(DispatchCase):
     """Faults, during which no task runs twice at a time."""
 
