Reports of another writer name no minion

A report without a state or room, with a state that is not named, a negative amount or an empty name was taken as that of a ready minion. They are answered 400 now, with a log line, and what is known of the minion holds.

--- a/geraniumspool/platform/reports.py
+++ b/geraniumspool/platform/reports.py
@@ -1,6 +1,7 @@
 """Reports of the minion beside an agent."""
 
 import logging
+from typing import Annotated, Literal
 
 import eventlet
 import msgspec
@@ -17,22 +18,30 @@
 MAX_BODY_BYTES = 4 << 20
 
 
+Amount = Annotated[int, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class RoomBody(msgspec.Struct, frozen=True):
     """All the room of a minion; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class ReportBody(msgspec.Struct):
-    """What a minion says of itself; the last of ``labels`` names its rack."""
+    """What a minion says of itself; the last of ``labels`` names its rack.
+
+    A report that lacks one of these or has another state is no minion's: nothing may run on
+    what it names.
+    """
 
-    service: str
-    addr: str
-    state: str = "ready"
+    service: Name
+    addr: Name
+    state: Literal["ready", "draining"]
+    room: RoomBody
     seq: int = 0
-    room: RoomBody = RoomBody()
     labels: list[str] = []
 
 
@@ -52,6 +61,8 @@
         try:
             body = msgspec.json.decode(request.body, type=ReportBody)
         except msgspec.MsgspecError as error:
+            fields = (("instance", request.parameters[0]), ("reason", str(error)))
+            _LOG.warning("report not readable", extra={"fields": fields})
             return reply_problem(400, "invalid_input", str(error))
         life = MinionLife(
             request.parameters[0],
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -242,3 +242,38 @@
     def test_reports_that_are_none(self):
         self.assertEqual(400, self.post("/instances/i-1/heartbeat", {"service": 3}))
         self.assertEqual(404, self.post("/instances/i-1/other", {}))
+
+    def test_reports_of_another_writer_name_no_minion_and_the_known_one_holds(self):
+        body = {
+            "service": "huvo11a",
+            "addr": "10.128.0.9:8080",
+            "state": "ready",
+            "room": {"cpu": 16000, "mem_mb": 32768},
+            "seq": 4,
+        }
+        self.assertEqual(200, self.post("/instances/i-7f3a91c2/heartbeat", body))
+        wait_until(lambda: self.executor.state().instance)
+        rows = [
+            ("state that nobody knows", body | {"state": "odd"}),
+            ("state of another type", body | {"state": 1}),
+            ("no state", {key: body[key] for key in body if key != "state"}),
+            ("no address", {key: body[key] for key in body if key != "addr"}),
+            ("no room", {key: body[key] for key in body if key != "room"}),
+            ("room of another type", body | {"room": "much"}),
+            ("less room than none", body | {"room": {"cpu": -1}}),
+            ("empty service", body | {"service": ""}),
+            ("number of another type", body | {"seq": "4"}),
+            ("labels of another type", body | {"labels": {"a": 1}}),
+            ("a list", []),
+        ]
+        for name, odd in rows:
+            for instance in ("i-7f3a91c2", "i-other"):
+                with self.subTest(name, instance=instance):
+                    status = self.post(f"/instances/{instance}/heartbeat", odd)
+                    self.assertEqual(400, status)
+        url = f"http://{self.server.address}/instances/i-other/heartbeat"
+        unreadable = self.http.request("POST", url, body=b"\xff\x00{")
+        self.assertEqual(400, unreadable.status)
+        state = self.executor.state()
+        self.assertEqual(("i-7f3a91c2", "huvo11a"), (state.instance, state.service))
+        self.assertEqual(16_000, state.room.cpu)
