Soak: its minions say that they are ready, as real ones do

Since reports without a state name no minion, the soak's stand-in, which left it out, was never taken and the soak did not begin.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -303,6 +303,7 @@
             body = {
                 "service": "fitting",
                 "addr": address,
+                "state": "ready",
                 "room": {"cpu": WORKER_ROOM.cpu, "mem_mb": WORKER_ROOM.memory_mb},
                 "labels": ["a", "r1"],
                 "seq": sequence,
