--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -68,13 +68,13 @@
     """
 
     def rank(self, job: DispatchJob, now: float) -> Rank:
-        """Return a job's place: late ones last, begun ones first, then by priority."""
+        """Return a job's place: begun ones first, then by priority, late ones last in each."""
         return urgency.rank(job.timing, job.left_ms(), now, job.was_ordered, job.level)
 
     def is_refused(
         self, job: DispatchJob, outlook: Outlook, others: Sequence[DispatchJob], now: float
     ) -> bool:
-        """Return whether a job would be of no use more likely than of some."""
+        """Return whether a job is unlikely to be of use, late or in time."""
         chances = urgency.predict_chances(job.timing, job.left_ms(), outlook, now)
         return chances.of_use < MIN_USE
 
