One type for a task that waits for a worker; usable workers listed in one place

choose had the same six arguments in packing, the policy's protocol, the policy in use and three policies of the tool: they are a PlaceRequest, made once for a step and not for each task. The list of usable workers was written three times, the chance to be of use twice. Behaviour is as before: the order of random draws did not change; tests of packing, dispatcher, admission, storms, fleet and executor pass.

--- a/benchmarks/pattern_policies.py
+++ b/benchmarks/pattern_policies.py
@@ -7,7 +7,7 @@
 from geraniumspool.dispatch_job import DispatchJob
 from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
 from geraniumspool.job_specs import StepSpec
-from geraniumspool.packing import Candidate, Place
+from geraniumspool.packing import Candidate, Place, PlaceRequest
 from geraniumspool.queued_work import QueuedWork
 from geraniumspool.urgency import Outlook, Rank
 
@@ -119,65 +119,45 @@
 class LeastLoaded(ExpectedUse):
     """Tasks go where most room is free."""
 
-    def choose(
-        self,
-        workers: Iterable[Candidate],
-        step: StepSpec,
-        expected_ms: float,
-        within_ms: float,
-        domain: str,
-        taken: dict[int, int],
-    ) -> Place | None:
+    def choose(self, workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
         """Return the emptiest worker with room."""
-        fit = _find_fit(workers, step)
+        fit = _find_fit(workers, request.step)
         if not fit:
             return None
         best = max(fit, key=lambda worker: worker.free.cpu / worker.room.cpu)
-        return Place(best, packing.predict_run(best, step, expected_ms))
+        return Place(best, packing.predict_run(best, request.step, request.expected_ms))
 
 
 class AnyWorker(ExpectedUse):
     """Tasks go to any worker with room."""
 
-    def choose(
-        self,
-        workers: Iterable[Candidate],
-        step: StepSpec,
-        expected_ms: float,
-        within_ms: float,
-        domain: str,
-        taken: dict[int, int],
-    ) -> Place | None:
+    def choose(self, workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
         """Return a worker with room by chance."""
-        fit = _find_fit(workers, step)
+        fit = _find_fit(workers, request.step)
         if not fit:
             return None
         chosen = random.choice(fit)
-        return Place(chosen, packing.predict_run(chosen, step, expected_ms))
+        return Place(chosen, packing.predict_run(chosen, request.step, request.expected_ms))
 
 
 class Ahead(ExpectedUse):
     """As in use, but where all are full one task a worker is sent to wait there."""
 
-    def choose(
-        self,
-        workers: Iterable[Candidate],
-        step: StepSpec,
-        expected_ms: float,
-        within_ms: float,
-        domain: str,
-        taken: dict[int, int],
-    ) -> Place | None:
+    def choose(self, workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
         """Return a worker with room, or the one with the least room short."""
         workers = list(workers)
-        place = super().choose(workers, step, expected_ms, within_ms, domain, taken)
+        place = super().choose(workers, request)
         if place is not None:
             return place
-        near = [worker for worker in workers if worker.is_usable and _is_nearly_free(worker, step)]
+        near = [
+            worker
+            for worker in workers
+            if worker.is_usable and _is_nearly_free(worker, request.step)
+        ]
         if not near:
             return None
         best = max(near, key=lambda worker: worker.free.cpu / worker.room.cpu)
-        return Place(best, packing.predict_run(best, step, expected_ms))
+        return Place(best, packing.predict_run(best, request.step, request.expected_ms))
 
 
 def _by(rank: Rank, figure: float) -> Rank:
--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -9,8 +9,7 @@
 
 from geraniumspool import packing, urgency
 from geraniumspool.dispatch_job import DispatchJob
-from geraniumspool.job_specs import StepSpec
-from geraniumspool.packing import Candidate, Place
+from geraniumspool.packing import Candidate, Place, PlaceRequest
 from geraniumspool.queued_work import QueuedWork
 from geraniumspool.urgency import Outlook, Rank
 
@@ -48,15 +47,7 @@
         :param room_cpu: room of all workers of its service
         """
 
-    def choose(
-        self,
-        workers: Iterable[Candidate],
-        step: StepSpec,
-        expected_ms: float,
-        within_ms: float,
-        domain: str,
-        taken: dict[int, int],
-    ) -> Place | None:
+    def choose(self, workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
         """Return the worker for a task, see :func:`geraniumspool.packing.choose`."""
 
 
@@ -75,13 +66,11 @@
         self, job: DispatchJob, outlook: Outlook, others: Sequence[DispatchJob], now: float
     ) -> bool:
         """Return whether a job is unlikely to be of use, late or in time."""
-        chances = urgency.predict_chances(job.timing, job.left_ms(), outlook, now)
-        return chances.of_use < MIN_USE
+        return _predict_use(job, outlook, now) < MIN_USE
 
     def is_given_up(self, job: DispatchJob, outlook: Outlook, now: float) -> bool:
         """Return whether a job that was taken and has not begun is refused after all."""
-        chances = urgency.predict_chances(job.timing, job.left_ms(), outlook, now)
-        return chances.of_use < MIN_KEPT_USE
+        return _predict_use(job, outlook, now) < MIN_KEPT_USE
 
     def yields(self, job: DispatchJob, elsewhere: QueuedWork, room_cpu: float) -> bool:
         """Return whether more urgent work waits elsewhere that would keep all workers busy."""
@@ -89,14 +78,11 @@
         more_urgent = sum(elsewhere.in_time[:level]) + sum(elsewhere.late[:level])
         return more_urgent > YIELD_MS * room_cpu
 
-    def choose(
-        self,
-        workers: Iterable[Candidate],
-        step: StepSpec,
-        expected_ms: float,
-        within_ms: float,
-        domain: str,
-        taken: dict[int, int],
-    ) -> Place | None:
+    def choose(self, workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
         """Return the worker where the task is predicted to end first."""
-        return packing.choose(workers, step, expected_ms, within_ms, domain, taken)
+        return packing.choose(workers, request)
+
+
+def _predict_use(job: DispatchJob, outlook: Outlook, now: float) -> float:
+    """Return the chance that a job is of use, late or in time."""
+    return urgency.predict_chances(job.timing, job.left_ms(), outlook, now).of_use
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -20,6 +20,7 @@
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
+from geraniumspool.packing import PlaceRequest
 from geraniumspool.queued_work import Arrivals, QueuedWork
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import (
@@ -203,7 +204,7 @@
         """Return why a job is refused, or None after fixing its times."""
         if job.spec.unsupported:
             return JobResult(JobOutcome.REFUSED, job.spec.unsupported, NO_WORKER_RETRY_MS)
-        workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
+        workers = self.fleet.usable_of(job.queue.service)
         now = self._clock.now()
         objective_ms = measure(job.steps, job.queue, sum(view.room.cpu for view in workers))
         job.timing = Timing(now, objective_ms, wait_ms - ANSWER_MARGIN_MS)
@@ -272,7 +273,7 @@
 
     def _reconsider(self, job: DispatchJob, now: float) -> None:
         """Refuse a late job that is not going to be served, rather than hold it."""
-        workers = [view for view in self.fleet.of_service(job.queue.service) if view.is_usable]
+        workers = self.fleet.usable_of(job.queue.service)
         if not workers:
             return
         backlog = self._describe(job.queue.service, workers, now)
@@ -312,13 +313,12 @@
         within_ms: float,
         placed: dict[str, int],
     ) -> None:
+        request = PlaceRequest(step.spec, step.expected_ms, within_ms, self._domain, step.taken)
         for _ in range(len(step.pending)):
             task = TaskId(number, step.pending[0])
             shunned = job.failed_at.get(task)
             fit = [view for view in workers if id(view) != shunned] if shunned else workers
-            place = self._policy.choose(
-                fit or workers, step.spec, step.expected_ms, within_ms, self._domain, step.taken
-            )
+            place = self._policy.choose(fit or workers, request)
             if place is None:
                 return
             step.pending.popleft()
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -181,6 +181,10 @@
         """Return the workers of a service that have been heard of."""
         return [view for view in self._views.values() if view.state.service == service]
 
+    def usable_of(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service that take new runs."""
+        return [view for view in self.of_service(service) if view.is_usable]
+
     @property
     def is_gathering(self) -> bool:
         """Whether workers are about to be heard that are silent now."""
@@ -214,7 +218,7 @@
         now = self._clock.now()
         known = self._surveys.get(service)
         if known is None or now - known.made_ms >= SURVEY_MS:
-            known = self._surveys[service] = _make_survey(self.of_service(service), now)
+            known = self._surveys[service] = _make_survey(self.usable_of(service), now)
         return known
 
     def list_addresses(self, addresses: Iterable[str]) -> None:
@@ -369,8 +373,7 @@
     elsewhere: QueuedWork
 
 
-def _make_survey(views: list[WorkerView], now: float) -> _Survey:
-    usable = [view for view in views if view.is_usable]
+def _make_survey(usable: list[WorkerView], now: float) -> _Survey:
     total = NO_WORK
     for view in usable:
         total = total.plus(view.state.queued)
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -38,6 +38,21 @@
     is_usable: bool
 
 
+class PlaceRequest(NamedTuple):
+    """One task that waits for a worker.
+
+    :param within_ms: longest run that is of use; slower workers are passed over
+    :param domain: the dispatcher's failure domain
+    :param taken: tasks of the step on each worker, by the worker's identity
+    """
+
+    step: StepSpec
+    expected_ms: float
+    within_ms: float
+    domain: str
+    taken: dict[int, int]
+
+
 class Place(NamedTuple):
     """A worker with the time that a task is predicted to take there."""
 
@@ -58,33 +73,23 @@
     return not step.label or step.label in worker.labels
 
 
-def choose(
-    workers: Iterable[Candidate],
-    step: StepSpec,
-    expected_ms: float,
-    within_ms: float,
-    domain: str,
-    taken: dict[int, int],
-) -> Place | None:
+def choose(workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
     """Return the best worker with room for one task, or None.
 
     Tasks that are sent ahead of room cannot be overtaken where they wait: with one a worker,
     at 1.8 times the load that fills all workers, 0.71 of their time went to jobs in time,
     and without it 0.85.
-
-    :param within_ms: longest run that is of use; slower workers are passed over
-    :param domain: the dispatcher's failure domain
-    :param taken: tasks of the step on each worker, by the worker's identity
     """
+    step = request.step
     best = None
     best_score = -math.inf
     for worker in workers:
-        if not worker.free.fits(step.need) or not _may_take(worker, step, taken):
+        if not worker.free.fits(step.need) or not _may_take(worker, step, request.taken):
             continue
-        run_ms = predict_run(worker, step, expected_ms)
-        if run_ms > within_ms:
+        run_ms = predict_run(worker, step, request.expected_ms)
+        if run_ms > request.within_ms:
             continue
-        score = -_measure_cost(worker, step, run_ms, domain)
+        score = -_measure_cost(worker, step, run_ms, request.domain)
         if score > best_score:
             best, best_score = Place(worker, run_ms), score
     return best
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -6,6 +6,7 @@
 
 from geraniumspool import packing
 from geraniumspool.job_specs import StepSpec
+from geraniumspool.packing import PlaceRequest
 from geraniumspool.rooms import Room
 
 
@@ -25,7 +26,8 @@
 def choose(workers, step=None, expected_ms=100.0, within_ms=1_000.0, taken=None):
     """Return the place chosen for a task of 4,000."""
     step = step or StepSpec(1, Room(4_000, 10))
-    return packing.choose(workers, step, expected_ms, within_ms, "north", taken or {})
+    request = PlaceRequest(step, expected_ms, within_ms, "north", taken or {})
+    return packing.choose(workers, request)
 
 
 class ChoiceTest(unittest.TestCase):
