Reports that are passed over, and lists that stand behind, are logged and counted

The executor left no line where it took a minion's report for an overtaken one, nor where the minion's list stood behind what the same life had said. So the hypotheses on the leaving minion that still got work could not be told apart. No decision changes.

--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -80,6 +80,8 @@
         if life is not None and life.told.instance == told.instance:
             if told.sequence >= life.told.sequence:
                 self._update(life, told)
+            else:
+                self._pass_over(life, told)
             return None
         try:
             view = session.control.look(told, session.fence, 0, None, 0.0)
@@ -135,6 +137,7 @@
         lease = None
         if life.is_clear and is_answering and not self.stops.is_stuck(now):
             lease = life.grant(now)
+        known_clock_ms = life.clock_ms
         wait_ms = 0.0
         if life.is_clear and is_answering:
             wait_ms = LOOK_WAIT_MS if len(self._table) else IDLE_LOOK_WAIT_MS
@@ -151,6 +154,7 @@
             session.raise_fence()
             return False
         if session.life is life:
+            self._note_steps_back(life, view, known_clock_ms)
             self._take_view(life, view, now)
         return True
 
@@ -165,6 +169,25 @@
             self._clear(life, view)
         self.starts.fill()
 
+    def _note_steps_back(self, life: LifeView, view: MinionView, known_clock_ms: float) -> None:
+        """Note a list that stands behind what this life had said when it was asked."""
+        last_end = max((end.number for end in view.ended), default=life.acknowledged)
+        if view.clock_ms >= known_clock_ms and last_end >= life.acknowledged:
+            return
+        self._counters.add("minion_lists", outcome="behind")
+        _LOG.warning(
+            "minion list is behind",
+            extra={
+                "fields": (
+                    ("instance", life.told.instance),
+                    ("clock_ms", view.clock_ms),
+                    ("known_clock_ms", known_clock_ms),
+                    ("last_end", last_end),
+                    ("acknowledged", life.acknowledged),
+                )
+            },
+        )
+
     def _take_running(self, running: dict[RunKey, float], sent_ms: float) -> None:
         now = self._clock.now()
         for key, share in running.items():
@@ -183,6 +206,21 @@
             if known and run.key not in running and run.state is not RunState.QUEUED:
                 self._ends.finish(run, RunEnd(run.order.number, RUN_LAPSED, reason="vanished"))
 
+    def _pass_over(self, life: LifeView, told: MinionLife) -> None:
+        """Leave a report aside that a later one has overtaken."""
+        self._counters.add("minion_reports", outcome="overtaken")
+        _LOG.info(
+            "minion report passed over",
+            extra={
+                "fields": (
+                    ("instance", told.instance),
+                    ("draining", told.draining),
+                    ("sequence", told.sequence),
+                    ("known_sequence", life.told.sequence),
+                )
+            },
+        )
+
     def _update(self, life: LifeView, told: MinionLife) -> None:
         if told.draining != life.told.draining or told.room != life.told.room:
             _LOG.info(
@@ -207,6 +245,7 @@
             extra={
                 "fields": (
                     ("instance", told.instance),
+                    ("sequence", told.sequence),
                     ("running", len(view.running)),
                     ("fence", session.fence),
                 )
