A life of a minion is told apart by its name and the time of its start

Cause: the executor took the name alone for the identity of a life. Reports, ends and clock of the new life begin anew and were compared with those of the life before: the report of leaving counted as overtaken (3 after 15), ends were acknowledged unseen, leases were asked for by a clock that was far ahead.

Mend: reports and lists carry the time at which the life began; name and start are compared, for equality only, since the time of day may step back. All that is kept of a life hangs on the view of that life, which is made anew.

--- a/geraniumspool/contracts.py
+++ b/geraniumspool/contracts.py
@@ -181,10 +181,13 @@
 class MinionLife(NamedTuple):
     """One life of a minion, as it describes itself.
 
-    :param instance: name of this life
+    A minion that crashes may come back under its name, with all its counts anew.
+
+    :param instance: its name
     :param address: ``host:port`` that its agent calls
     :param draining: whether it is about to leave
     :param sequence: rising within a life, tells a report that was overtaken
+    :param born: Unix time in ms at which this life began; with the name it tells lives apart
     """
 
     instance: str
@@ -194,6 +197,11 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     sequence: int = 0
+    born: int = 0
+
+    def is_life_of(self, other: "MinionLife") -> bool:
+        """Return whether both describe the same life."""
+        return self.instance == other.instance and self.born == other.born
 
     @property
     def rack(self) -> str:
@@ -246,18 +254,21 @@
     """What a minion runs and what has ended there.
 
     :param running: share of its work that each run has done, 0..1
+    :param born: when the life that answers began, as in :class:`MinionLife`
     """
 
     clock_ms: float
     running: dict[RunKey, float]
     ended: tuple[ListedEnd, ...]
+    born: int = 0
 
 
 class MinionControl(Protocol):
     """How an agent controls the runs of its minion.
 
     Every call may raise ``MinionSilent`` (it may be carried out, also later) or
-    ``MinionReplaced`` (nothing was done; the life is over).
+    ``MinionReplaced`` (the life is over). A start or a stop may be carried out by a later
+    life of the same name, which only the answer to a look tells apart.
     """
 
     def start(
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -82,7 +82,8 @@
         """
         self._clock = clock
         self._random = random.Random(seed)
-        self.life = MinionLife(instance, "fitting", "127.0.0.1:1", room, ("a", "r1"), False, 1)
+        labels, born = ("a", "r1"), round(clock.now())
+        self.life = MinionLife(instance, "fitting", "127.0.0.1:1", room, labels, False, 1, born)
         self._running: dict[RunKey, _Running] = {}
         self._ended: list[ListedEnd] = []
         self._closed: dict[str, int] = {}
@@ -134,7 +135,9 @@
         self._fence = 0
         self._lease_until = 0.0
         self._booted_ms = self._clock.now()
-        self.life = self.life._replace(draining=False, sequence=1)
+        # Two lives never begin in the same ms.
+        born = max(self.life.born + 1, round(self._clock.now()))
+        self.life = self.life._replace(draining=False, sequence=1, born=born)
 
     def start(
         self, life: MinionLife, key: RunKey, payload: str, lease_until_ms: float, fence: int
@@ -161,12 +164,14 @@
             self._clock.sleep(LOOK_STEP_MS)
             self._advance()
         self._check(life)
+        if life.born != self.life.born:
+            raise MinionReplaced("started again")
         now = self._clock.now()
         running = {
             run.key: min(0.99, (now - run.started_ms) / run.run_ms) if run.run_ms else 0.0
             for run in self._running.values()
         }
-        return MinionView(self.clock_ms, running, tuple(self._ended))
+        return MinionView(self.clock_ms, running, tuple(self._ended), self.life.born)
 
     def _check(self, life: MinionLife) -> None:
         if self.silent:
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -77,7 +77,9 @@
         """
         session = self._session
         life = session.life
-        if life is not None and life.told.instance == told.instance:
+        if life is not None and told.is_life_of(life.told):
+            # The name alone is not enough: a minion that starts again under its name counts
+            # from 1, and by the counts of before its leaving went unheard for up to 3.5 s.
             if told.sequence >= life.told.sequence:
                 self._update(life, told)
             else:
@@ -88,7 +90,7 @@
         except (MinionReplaced, MinionSilent) as error:
             _LOG.info(
                 "minion not taken",
-                extra={"fields": (("instance", told.instance), ("reason", error.code))},
+                extra={"fields": (*_name_life(told), ("reason", error.code))},
             )
             return None
         except Fenced:
@@ -110,7 +112,7 @@
             return
         _LOG.warning(
             "minion lost",
-            extra={"fields": (("instance", life.told.instance), ("reason", reason))},
+            extra={"fields": (*_name_life(life.told), ("reason", reason))},
         )
         self._counters.add("minion_lives_ended", reason=reason)
         self._session.life = None
@@ -137,7 +139,6 @@
         lease = None
         if life.is_clear and is_answering and not self.stops.is_stuck(now):
             lease = life.grant(now)
-        known_clock_ms = life.clock_ms
         wait_ms = 0.0
         if life.is_clear and is_answering:
             wait_ms = LOOK_WAIT_MS if len(self._table) else IDLE_LOOK_WAIT_MS
@@ -154,7 +155,6 @@
             session.raise_fence()
             return False
         if session.life is life:
-            self._note_steps_back(life, view, known_clock_ms)
             self._take_view(life, view, now)
         return True
 
@@ -169,25 +169,6 @@
             self._clear(life, view)
         self.starts.fill()
 
-    def _note_steps_back(self, life: LifeView, view: MinionView, known_clock_ms: float) -> None:
-        """Note a list that stands behind what this life had said when it was asked."""
-        last_end = max((end.number for end in view.ended), default=life.acknowledged)
-        if view.clock_ms >= known_clock_ms and last_end >= life.acknowledged:
-            return
-        self._counters.add("minion_lists", outcome="behind")
-        _LOG.warning(
-            "minion list is behind",
-            extra={
-                "fields": (
-                    ("instance", life.told.instance),
-                    ("clock_ms", view.clock_ms),
-                    ("known_clock_ms", known_clock_ms),
-                    ("last_end", last_end),
-                    ("acknowledged", life.acknowledged),
-                )
-            },
-        )
-
     def _take_running(self, running: dict[RunKey, float], sent_ms: float) -> None:
         now = self._clock.now()
         for key, share in running.items():
@@ -213,7 +194,7 @@
             "minion report passed over",
             extra={
                 "fields": (
-                    ("instance", told.instance),
+                    *_name_life(told),
                     ("draining", told.draining),
                     ("sequence", told.sequence),
                     ("known_sequence", life.told.sequence),
@@ -225,7 +206,7 @@
         if told.draining != life.told.draining or told.room != life.told.room:
             _LOG.info(
                 "minion changed",
-                extra={"fields": (("instance", told.instance), ("draining", told.draining))},
+                extra={"fields": (*_name_life(told), ("draining", told.draining))},
             )
             life.told = told
             if told.draining:
@@ -244,7 +225,7 @@
             "minion taken",
             extra={
                 "fields": (
-                    ("instance", told.instance),
+                    *_name_life(told),
                     ("sequence", told.sequence),
                     ("running", len(view.running)),
                     ("fence", session.fence),
@@ -277,5 +258,10 @@
         self._ends.refuse_waiting("minion_silent")
 
 
+def _name_life(told: MinionLife) -> tuple[tuple[str, str | int], ...]:
+    """Return what tells a life of a minion apart, as fields of a log line."""
+    return (("instance", told.instance), ("born", told.born))
+
+
 def _forget_life(_life: MinionLife) -> None:
     pass
--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -72,11 +72,13 @@
 class Held(msgspec.Struct):
     """What runs and what has ended.
 
-    A running row is task, attempt, checkpoint, percent done and a rough figure of its
-    load; an ended one is number, task, attempt, how it ended, and checkpoint.
+    ``born`` is the Unix time in ms at which the life that answers began. A running row is
+    task, attempt, checkpoint, percent done and a rough figure of its load; an ended one is
+    number, task, attempt, how it ended, and checkpoint.
     """
 
     clock_ms: float
+    born: int = 0
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
 
@@ -133,9 +135,11 @@
         response = self._call(endpoint, life, "/hold", body, LOOK_ANSWER_MS + wait_ms)
         _check(response)
         held = _decode(response, Held)
+        if held.born != life.born:
+            raise MinionReplaced(f"{life.instance} of {life.born} has started again")
         running = {RunKey(row[0], row[1]): row[3] / 100 for row in held.running}
         ended = tuple(ListedEnd(row[0], RunKey(row[1], row[2]), row[3]) for row in held.ended)
-        return MinionView(held.clock_ms, running, ended)
+        return MinionView(held.clock_ms, running, ended, held.born)
 
     def _call(
         self, endpoint: Endpoint, life: MinionLife, path: str, body: Any, limit_ms: float
--- a/geraniumspool/platform/reports.py
+++ b/geraniumspool/platform/reports.py
@@ -33,6 +33,8 @@
 class ReportBody(msgspec.Struct):
     """What a minion says of itself; the last of ``labels`` names its rack.
 
+    ``born`` is the Unix time in ms at which it started; ``seq`` counts reports from then on.
+
     A report that lacks one of these or has another state is no minion's: nothing may run on
     what it names.
     """
@@ -42,6 +44,7 @@
     state: Literal["ready", "draining"]
     room: RoomBody
     seq: int = 0
+    born: int = 0
     labels: list[str] = []
 
 
@@ -72,6 +75,7 @@
             tuple(body.labels),
             body.state == "draining",
             body.seq,
+            body.born,
         )
         # The executor calls the minion back before it takes a new life.
         eventlet.spawn_n(self._executor.take_life, life)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -195,6 +195,7 @@
             if path == "/run-stop":
                 minion.stop(minion.life, RunKey(body["task"], body["run"]), body["fence"])
                 return 200, clock
+            # The other end finds out by itself which life answers.
             view = minion.look(
                 minion.life,
                 body["fence"],
@@ -208,4 +209,4 @@
             raise HangUp from error
         running = [[key.task, key.attempt, "", 40] for key in view.running]
         ended = [[end.number, *end.key, end.how, ""] for end in view.ended]
-        return 200, clock | {"running": running, "ended": ended}
+        return 200, clock | {"born": view.born, "running": running, "ended": ended}
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -224,6 +224,7 @@
             "room": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
             "labels": ["a", "r1-3"],
             "seq": 4,
+            "born": self.minion.life.born,
             "machine": "m-1",
         }
         self.assertEqual(200, self.post("/instances/i-7f3a91c2/heartbeat", body))
@@ -250,6 +251,7 @@
             "state": "ready",
             "room": {"cpu": 16000, "mem_mb": 32768},
             "seq": 4,
+            "born": self.minion.life.born,
         }
         self.assertEqual(200, self.post("/instances/i-7f3a91c2/heartbeat", body))
         wait_until(lambda: self.executor.state().instance)
@@ -263,6 +265,7 @@
             ("less room than none", body | {"room": {"cpu": -1}}),
             ("empty service", body | {"service": ""}),
             ("number of another type", body | {"seq": "4"}),
+            ("start of another type", body | {"born": "5"}),
             ("labels of another type", body | {"labels": {"a": 1}}),
             ("a list", []),
         ]
--- a/tests/test_platform_minion.py
+++ b/tests/test_platform_minion.py
@@ -63,6 +63,14 @@
             with self.assertRaises(MinionReplaced):
                 call()
 
+    def test_a_later_life_of_the_same_name_is_told_apart(self):
+        self.clock.advance(10)
+        self.minion.restart()
+        with self.assertRaises(MinionReplaced):
+            self.control.look(self.life, 3, 0, None, 0.0)
+        self.life = self.minion.life._replace(address=self.life.address)
+        self.assertEqual(self.life.born, self.control.look(self.life, 3, 0, None, 0.0).born)
+
     def test_calls_without_an_answer(self):
         for fault in ({"lose": 1}, {"hang": True}):
             for name, call in (
--- a/tests/test_restarted_minion.py
+++ b/tests/test_restarted_minion.py
@@ -12,7 +12,7 @@
 there none was told as done: 158 were told as vanished, and their tasks ran again elsewhere.
 """
 
-from geraniumspool.run_messages import RUN_REFUSED
+from geraniumspool.run_messages import RUN_DONE, RUN_REFUSED
 from tests.test_executor import ExecutorCase, make_order
 
 REPORTS_BEFORE = 14
@@ -48,3 +48,9 @@
         self.keep(500, 3)
         self.assertEqual(RUN_REFUSED, self.how(3))
         self.assertEqual({"j.0.0.0", "k.0.0.0"}, {key.task for key in self.minion.started})
+
+    def test_ends_of_the_new_life_are_told(self):
+        self.live_and_restart()
+        self.start(make_order(3, "l.0.0.0", run_ms=300))
+        self.keep(500, 3)
+        self.assertEqual(RUN_DONE, self.how(3))
