Runs that went to a restarted minion stay known, and orders for the life before are refused

Orders name a minion, not its life. One that is back at once, or an order that is carried out seconds late, reaches the next life, which knows neither token nor lease of before. The executor gave up all runs as soon as it saw the new life, those at work there too.

Mend, in the one place where a life follows another: the executor raises its token, so that all orders sent so far are refused, and looks again; what that look lists went to the new life and goes on, all else is over and is told so. Starts that have not been sent yet are dropped. The new life takes runs once it has told of itself (its kind may be another), at most one report later. A lease that was asked for by the old clock is cut by the minion to the longest that it grants; nothing is given up before that is over, whether a look or the answer to a start shows the clock behind. It holds since every call of before has either been carried out before that look, which shows it, or meets the higher token.

--- a/geraniumspool/errors.py
+++ b/geraniumspool/errors.py
@@ -191,10 +191,18 @@
 
 
 class MinionReplaced(DispatchError):
-    """Another life of the minion answers at its address."""
+    """Another life of the minion answers at its address.
+
+    :ivar born: when the life of the same name that answers began, 0 if the name is another
+    """
 
     code = "minion_replaced"
 
+    def __init__(self, detail: str = "", born: int = 0):
+        """Record which life answers, as far as known."""
+        super().__init__(detail)
+        self.born = born
+
 
 class MinionSilent(DispatchError):
     """The minion did not answer: the call may have been carried out, or may be later."""
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -238,7 +238,9 @@
 
     def _accepts(self) -> bool:
         life = self._session.life
-        if self.leaving or life is None or not life.is_clear or life.told.draining:
+        if self.leaving or life is None or life.told.draining:
+            return False
+        if not (life.is_clear and life.is_described):
             return False
         if not self.watch.is_heard:
             return False
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -15,13 +15,13 @@
 )
 from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
 from geraniumspool.rooms import NO_ROOM, Room
+from geraniumspool.run_leases import LONGEST_LEASE_MS
 from geraniumspool.run_messages import RUN_DONE, RUN_FAILED, RUN_LAPSED, RUN_STOPPED
 
 DEFAULT_ROOM = Room(10_000, 10_000)
 # Looks end this often while they wait.
 LOOK_STEP_MS = 5.0
 STOP_MS = 20.0
-LONGEST_LEASE_MS = 1_000.0
 # A call counts as unanswered after this.
 UNANSWERED_MS = 120.0
 # A minion that fails all does so this early in a run.
@@ -165,7 +165,7 @@
             self._advance()
         self._check(life)
         if life.born != self.life.born:
-            raise MinionReplaced("started again")
+            raise MinionReplaced("started again", self.life.born)
         now = self._clock.now()
         running = {
             run.key: min(0.99, (now - run.started_ms) / run.run_ms) if run.run_ms else 0.0
--- a/geraniumspool/minion_session.py
+++ b/geraniumspool/minion_session.py
@@ -24,11 +24,21 @@
         self.fence = first_fence
         self.life: LifeView | None = None
 
-    def raise_fence(self) -> None:
-        """Take that the minion has seen a higher fencing token."""
-        self.fence += FENCE_STEP
+    def raise_fence(self, refused: int) -> None:
+        """Take that the minion has seen a higher fencing token than ``refused``."""
+        if self.fence > refused:
+            return
+        self.fence = refused + FENCE_STEP
         _LOG.info("fencing token raised", extra={"fields": (("fence", self.fence),)})
 
+    def close_orders(self) -> None:
+        """Have the minion refuse all orders sent so far, from the next look on.
+
+        Orders name a minion, not its life: one that comes back under its name has seen no
+        token and carries out what was meant for the life before, seconds late at times.
+        """
+        self.fence += 1
+
     def look_now(self, life: LifeView) -> MinionView:
         """Return what runs and has ended, without renewing a lease.
 
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -30,7 +30,7 @@
 # Looks renew the lease while the minion has answered within this time: long enough for
 # one lost look. What is given up later has to outlast all leases that may have arrived.
 RENEW_WITHIN_MS = 250.0
-# Other life's runs are asked for this often while it is cleared.
+# Runs that were ordered before are asked for this often while they are being stopped.
 CLEAR_PAUSE_MS = 30.0
 
 
@@ -85,7 +85,10 @@
             else:
                 self._pass_over(life, told)
             return None
+        fence = session.fence
         try:
+            session.control.look(told, fence, 0, None, 0.0)
+            session.close_orders()
             view = session.control.look(told, session.fence, 0, None, 0.0)
         except (MinionReplaced, MinionSilent) as error:
             _LOG.info(
@@ -94,10 +97,12 @@
             )
             return None
         except Fenced:
-            session.raise_fence()
+            session.raise_fence(fence)
             return self.take_life(told)
-        if session.life is life:
-            self._adopt(told, view)
+        if session.life is not life:
+            # Another report of it, or a look, was quicker.
+            return self.take_life(told)
+        self._adopt(told, view)
         return None
 
     def lose_life(self, instance: str) -> None:
@@ -142,20 +147,23 @@
         wait_ms = 0.0
         if life.is_clear and is_answering:
             wait_ms = LOOK_WAIT_MS if len(self._table) else IDLE_LOOK_WAIT_MS
+        fence = session.fence
         try:
-            view = session.control.look(life.told, session.fence, life.acknowledged, lease, wait_ms)
+            view = session.control.look(life.told, fence, life.acknowledged, lease, wait_ms)
         except MinionSilent:
             if self._clock.now() - life.answered_ms > SILENT_MS:
                 self._lapse(life)
             return False
-        except MinionReplaced:
-            self.end_life(life, "minion_replaced")
+        except MinionReplaced as error:
+            self._take_replaced(life, error.born)
             return False
         except Fenced:
-            session.raise_fence()
+            session.raise_fence(fence)
             return False
         if session.life is life:
             self._take_view(life, view, now)
+            if not life.is_clear:
+                self._clock.sleep(CLEAR_PAUSE_MS)
         return True
 
     def _take_view(self, life: LifeView, view: MinionView, sent_ms: float) -> None:
@@ -203,6 +211,11 @@
         )
 
     def _update(self, life: LifeView, told: MinionLife) -> None:
+        if not life.is_described:
+            life.is_described = True
+            life.told = told
+            self._reporter.tell_all()
+            eventlet.spawn_n(self.on_life, told)
         if told.draining != life.told.draining or told.room != life.told.room:
             _LOG.info(
                 "minion changed",
@@ -214,13 +227,40 @@
             self._reporter.tell_all()
         life.told = told
 
-    def _adopt(self, told: MinionLife, view: MinionView) -> None:
+    def _take_replaced(self, life: LifeView, born: int) -> None:
+        """Take that another life answers instead of this one.
+
+        :param born: when it began, 0 if it has another name
+        """
+        if self._session.life is not life:
+            return
+        if not born:
+            self.end_life(life, "minion_replaced")
+            return
+        session = self._session
+        told = life.told._replace(born=born, draining=False, sequence=0)
+        session.close_orders()
+        try:
+            view = session.control.look(told, session.fence, 0, None, 0.0)
+        except (MinionSilent, MinionReplaced, Fenced) as error:
+            _LOG.info(
+                "minion not taken",
+                extra={"fields": (*_name_life(told), ("reason", error.code))},
+            )
+            return
+        if session.life is life:
+            self._adopt(told, view, is_described=False)
+
+    def _adopt(self, told: MinionLife, view: MinionView, is_described: bool = True) -> None:
+        """Watch another life from now on.
+
+        :param view: its answer to a look after which it carries out no order of before
+        :param is_described: whether ``told`` is of this life
+        """
         session = self._session
-        if session.life is not None:
-            self.end_life(session.life, "minion_replaced")
         now = self._clock.now()
-        life = session.life = LifeView(told, now)
-        life.hear(view.clock_ms, now, now)
+        before = session.life
+        life = session.life = LifeView(told, now, is_described)
         _LOG.info(
             "minion taken",
             extra={
@@ -233,17 +273,37 @@
             },
         )
         self._ends.trust_anew()
+        if before is not None:
+            self._succeed(before, life, view)
         if not self._arrived.ready():
             self._arrived.send()
-        if not view.running:
-            # The look at the life before may still wait for its answer, for up to 450 ms.
-            self._clear(life, view)
-        eventlet.spawn_n(self.on_life, told)
+        self._take_view(life, view, now)
+        self._reporter.tell_all()
+        if is_described:
+            eventlet.spawn_n(self.on_life, told)
+
+    def _succeed(self, before: LifeView, life: LifeView, view: MinionView) -> None:
+        """Give up the runs of a life that is over, but for those that went to the next one.
+
+        Told as lost while at work, they ran twice at a time: in 13 of 179 storms in memory in
+        which every other minion that crashed came back under its name.
+        """
+        _LOG.warning(
+            "minion lost",
+            extra={"fields": (*_name_life(before.told), ("reason", "minion_replaced"))},
+        )
+        self._counters.add("minion_lives_ended", reason="minion_replaced")
+        life.inherit_lease(self._clock.now())
+        listed = view.running.keys() | {end.key for end in view.ended}
+        for run in self._table:
+            if run.state is RunState.QUEUED or run.key not in listed:
+                self._ends.lapse(run, "minion_replaced")
+            elif run.is_stopping:
+                self.stops.repeat(run)
 
     def _clear(self, life: LifeView, view: MinionView) -> None:
-        """Begin to take runs once nothing of an earlier process runs here."""
-        if view.running:
-            self._clock.sleep(CLEAR_PAUSE_MS)
+        """Begin to take runs once nothing runs here that was ordered before."""
+        if any(self._table.find(key) is None for key in view.running):
             return
         life.is_clear = True
         self._reporter.tell_all()
--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -136,7 +136,8 @@
         _check(response)
         held = _decode(response, Held)
         if held.born != life.born:
-            raise MinionReplaced(f"{life.instance} of {life.born} has started again")
+            detail = f"{life.instance} of {life.born} has started again"
+            raise MinionReplaced(detail, held.born)
         running = {RunKey(row[0], row[1]): row[3] / 100 for row in held.running}
         ended = tuple(ListedEnd(row[0], RunKey(row[1], row[2]), row[3]) for row in held.ended)
         return MinionView(held.clock_ms, running, ended, held.born)
--- a/geraniumspool/run_leases.py
+++ b/geraniumspool/run_leases.py
@@ -9,5 +9,7 @@
 DISPATCHER_LEASE_MS = 600.0
 # A minion lets its runs go on for this long after it has heard its executor.
 MINION_LEASE_MS = 500.0
+# No minion lets its runs go on for longer than this without a call, whatever is asked for.
+LONGEST_LEASE_MS = 1_000.0
 # Two clocks may run apart by 2%.
 CLOCK_DRIFT = 0.02
--- a/geraniumspool/run_starts.py
+++ b/geraniumspool/run_starts.py
@@ -80,11 +80,14 @@
     def _start(self, life: LifeView, run: Run) -> None:
         session = self._session
         for _ in range(MAX_ATTEMPT_STEPS):
+            if session.life is not life or self._table.find(run.key) is not run:
+                return
             now = self._clock.now()
             run.sent_ms = now
+            fence = session.fence
             try:
                 answer = session.control.start(
-                    life.told, run.key, run.order.payload, life.grant(now), session.fence
+                    life.told, run.key, run.order.payload, life.grant(now), fence
                 )
             except MinionSilent:
                 self._doubt(life, run)
@@ -95,18 +98,19 @@
             life.hear(answer.clock_ms, now, self._clock.now())
             if answer.outcome is not StartOutcome.OLD:
                 break
-            if run.is_stopping or self._table.find(run.key) is not run:
+            if run.is_stopping:
                 return
             # An earlier dispatcher of the same job has used this number.
             self._table.rename(run, RunKey(run.key.task, run.key.attempt + 1))
-        self._take_answer(run, answer.outcome)
+        if answer.outcome is StartOutcome.FENCED:
+            session.raise_fence(fence)
+        if self._table.find(run.key) is run:
+            self._take_answer(run, answer.outcome)
 
     def _take_answer(self, run: Run, outcome: StartOutcome) -> None:
         if outcome is StartOutcome.STARTED:
             self.confirm(run)
             return
-        if outcome is StartOutcome.FENCED:
-            self._session.raise_fence()
         if outcome is StartOutcome.UNHEALTHY:
             self._ends.note_outcome(run, False)
         self._ends.refuse(run, _FREE_OUTCOMES[outcome])
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -59,6 +59,10 @@
         if run.state is RunState.RUNNING:
             run.state = RunState.STOPPING
             run.moved_ms = self._clock.now()
+        self.repeat(run)
+
+    def repeat(self, run: Run) -> None:
+        """Ask again for a stop that the minion has forgotten with its life before."""
         eventlet.spawn_n(self._stop_until_answered, self._session.life, run)
 
     def stop_all(self, reason: str) -> None:
@@ -91,8 +95,9 @@
     def _stop_until_answered(self, life: LifeView | None, run: Run) -> None:
         session = self._session
         while life is not None and session.life is life and self._table.find(run.key) is run:
+            fence = session.fence
             try:
-                session.control.stop(life.told, run.key, session.fence)
+                session.control.stop(life.told, run.key, fence)
             except MinionSilent:
                 self._clock.sleep(STOP_AGAIN_MS)
                 continue
@@ -100,7 +105,7 @@
                 self._end_life(life, "minion_replaced")
                 return
             except Fenced:
-                session.raise_fence()
+                session.raise_fence(fence)
                 continue
             if run.state in (RunState.STARTING, RunState.DOUBTFUL):
                 self._settle_doubt(life, run)
--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -15,6 +15,9 @@
 # The last four had tasks run twice: an owner that woke from a freeze started tasks of an entry
 # that had given it up, or an entry forwarded anew what its owner was still stopping.
 SEEDS = (*range(1, 25), 99, 121, 174, 190)
+# Minions came back under their names: runs given to them were told as lost while at work, and
+# ran twice at a time or took more room than there was.
+RESTART_SEEDS = (33, 38, 63, 79, 93, 101, 108, 133, 141, 150, 153, 158, 161, 167, 172)
 STEPS = 500
 # Share of the steps in which something is done: cuts last for two seconds in the mean.
 ACT_SHARE = 0.12
@@ -207,13 +210,20 @@
 class StormTest(unittest.TestCase):
     """What must hold whatever goes wrong."""
 
+    def check(self, storm):
+        with mock.patch.object(hubs.get_hub(), "squelch_timer_exception", storm.fail):
+            storm.run()
+        self.assertEqual([], storm.violations, storm.acts)
+
     def test_storms(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                storm = Storm(seed)
-                with mock.patch.object(hubs.get_hub(), "squelch_timer_exception", storm.fail):
-                    storm.run()
-                self.assertEqual([], storm.violations, storm.acts)
+                self.check(Storm(seed))
+
+    def test_storms_with_minions_that_keep_their_names(self):
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(Storm(seed, keeps_names=True))
 
 
 class CallLossTest(unittest.TestCase):
--- a/tests/test_restarted_minion.py
+++ b/tests/test_restarted_minion.py
@@ -12,7 +12,8 @@
 there none was told as done: 158 were told as vanished, and their tasks ran again elsewhere.
 """
 
-from geraniumspool.run_messages import RUN_DONE, RUN_REFUSED
+from geraniumspool.memory_minion import CallFault, Scripted
+from geraniumspool.run_messages import RUN_DONE, RUN_LAPSED, RUN_REFUSED
 from tests.test_executor import ExecutorCase, make_order
 
 REPORTS_BEFORE = 14
@@ -63,10 +64,47 @@
         self.minion.restart()
         self.start(make_order(2, "k.0.0.0", run_ms=900))
         self.assertEqual({"k.0.0.0"}, self.minion.running)
-        for _ in range(40):
+        for _ in range(120):
             self.renew(1, 2)
             self.clock.advance(10)
             if self.how(2) is not None:
                 self.assertEqual(set(), self.minion.running)
+        self.assertEqual((RUN_LAPSED, RUN_DONE), (self.how(1), self.how(2)))
+
+    def test_orders_for_the_life_before_are_not_carried_out_later(self):
+        self.minion.script(Scripted("start", CallFault.LATE, late_ms=1_000.0))
+        self.start(make_order(1, run_ms=900))
+        self.minion.restart()
+        self.keep(700, 1)
         self.assertIsNotNone(self.how(1))
-        self.assertIsNotNone(self.how(2))
+        self.keep(1_000)
+        self.assertEqual([], self.minion.started)
+
+    def test_a_lease_asked_for_by_the_clock_of_before_is_outlasted(self):
+        # It lies far ahead by the new clock: the minion cuts it to the longest that it
+        # grants, twice as long as the executor asks for. Here the first look renews it.
+        self.keep(300)
+        self.minion.silent = True
+        self.clock.advance(65)
+        self.minion.restart()
+        self.minion.silent = False
+        self.clock.advance(30)
+        self.report()
+        self.start(make_order(1, run_ms=9_000))
+        self.check_given_up_when_over(1)
+
+    def test_a_lease_given_by_a_start_before_the_restart_is_known_is_outlasted(self):
+        self.keep(300)
+        self.minion.restart()
+        self.start(make_order(1, run_ms=9_000))
+        self.check_given_up_when_over(1)
+
+    def check_given_up_when_over(self, number):
+        """Silence the minion; its run must be over once it is told."""
+        self.assertTrue(self.minion.running)
+        self.minion.silent = True
+        while self.how(number) is None:
+            self.renew(number)
+            self.clock.advance(10)
+        self.assertEqual(RUN_LAPSED, self.how(number))
+        self.assertEqual(set(), self.minion.running)
