--- a/tests/test_restarted_minion.py
+++ b/tests/test_restarted_minion.py
@@ -80,6 +80,17 @@
         self.keep(1_000)
         self.assertEqual([], self.minion.started)
 
+    def test_that_the_life_before_has_left_does_not_end_the_new_one(self):
+        # What a minion says at its end may arrive late, as its reports may.
+        self.live_and_restart()
+        self.start(make_order(3, "l.0.0.0", run_ms=300))
+        self.executor.lose_life(self.minion.life.instance)
+        self.keep(500, 3)
+        self.assertEqual(RUN_DONE, self.how(3))
+        self.report(draining=True)
+        self.executor.lose_life(self.minion.life.instance)
+        self.assertEqual("", self.executor.state().instance)
+
     def test_a_lease_asked_for_by_the_clock_of_before_is_outlasted(self):
         # It lies far ahead by the new clock: the minion cuts it to the longest that it
         # grants, twice as long as the executor asks for. Here the first look renews it.
