A late word of leaving ends a minion's life only if it is of that life

What callers would see: a worker that has just come back loses all its runs, which are told as lost while at work, and is missing until its next report.

Cause: as before, the name was taken for the life. Mend: where the message says when its sender began, that is compared; where it does not, it counts for a life that has said that it leaves. A life that ends without that is missed by the looks, as after a crash. It holds since a minion says that it leaves before a planned end.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -58,9 +58,10 @@
     "target_duration_ms": 100,
 }
 FAULTS = ("stop", "kill", "term", "silence_minion", "cut_store", "reset_minion", "late_start")
-# Seeds from this one on draw these kinds as well; those below stay what they were.
-MORE_FAULTS_FROM = 1_000
 MORE_FAULTS = (*FAULTS, "mute_minion", "mute_minion", "lose_calls")
+CRASHES = (*MORE_FAULTS, "restart_minion", "restart_minion")
+# Seeds from these on draw more kinds of faults; those below stay what they were.
+FAULTS_FROM = ((2_000, CRASHES), (1_000, MORE_FAULTS), (0, FAULTS))
 
 
 class Witness:
@@ -220,7 +221,7 @@
         :param load_s: how long jobs arrive, in seconds
         """
         self._random = random.Random(seed)
-        self._faults = MORE_FAULTS if seed >= MORE_FAULTS_FROM else FAULTS
+        self._faults = next(faults for first, faults in FAULTS_FROM if seed >= first)
         self._load_s = load_s
         self._folder = folder
         self._clock = SystemClock()
@@ -297,16 +298,16 @@
 
     def _beat(self, minion: WatchedMinion, address: str, listen: str) -> None:
         http = urllib3.PoolManager(retries=False)
-        sequence = 0
         while True:
-            sequence += 1
+            life = minion.life = minion.life._replace(sequence=minion.life.sequence + 1)
             body = {
                 "service": "fitting",
                 "addr": address,
                 "state": "ready",
                 "room": {"cpu": WORKER_ROOM.cpu, "mem_mb": WORKER_ROOM.memory_mb},
                 "labels": ["a", "r1"],
-                "seq": sequence,
+                "seq": life.sequence,
+                "born": life.born,
             }
             url = f"http://{listen}/instances/{minion.life.instance}/heartbeat"
             # Where the executor is away, the next report finds it.
@@ -401,6 +402,15 @@
     def _do_reset_minion(self) -> None:
         self._random.choice(self._minion_proxies).reset()
 
+    def _do_restart_minion(self) -> None:
+        """Have a minion crash and come back under its name."""
+        place = self._random.randrange(EXECUTORS)
+        self._minion_proxies[place].reset()
+        self._minion_proxies[place].silent = True
+        self.witness.minions[place].restart()
+        eventlet.sleep(self._random.choice((0.0, 0.3, 1.5)))
+        self._minion_proxies[place].silent = False
+
     def _do_cut_store(self) -> None:
         self._store.silent = True
         eventlet.sleep(self._random.uniform(0.3, 2.0))
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -112,9 +112,9 @@
         """Take what a minion says of itself."""
         self.watch.take_life(told)
 
-    def lose_life(self, instance: str) -> None:
-        """Take that a minion has left."""
-        self.watch.lose_life(instance)
+    def lose_life(self, instance: str, born: int = 0) -> None:
+        """Take that a minion has left; ``born`` tells which life of it, if known."""
+        self.watch.lose_life(instance, born)
 
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -105,11 +105,21 @@
         self._adopt(told, view)
         return None
 
-    def lose_life(self, instance: str) -> None:
-        """Take that a minion has left."""
+    def lose_life(self, instance: str, born: int = 0) -> None:
+        """Take that a minion has left.
+
+        Word of a life before may arrive late. Where it does not say which life has left,
+        it is taken for one that has said that it leaves; any other is missed by the looks.
+
+        :param born: when that life began, 0 where this is not told
+        """
         life = self._session.life
-        if life is not None and life.told.instance == instance:
+        if life is None or life.told.instance != instance:
+            return
+        if born == life.told.born or (not born and life.told.draining):
             self.end_life(life, "minion_left")
+        else:
+            _LOG.info("end of a minion passed over", extra={"fields": _name_life(life.told)})
 
     def end_life(self, life: LifeView, reason: str) -> None:
         """Give up a life of the minion, once: several calls to it may find it gone."""
--- a/geraniumspool/platform/reports.py
+++ b/geraniumspool/platform/reports.py
@@ -48,6 +48,12 @@
     labels: list[str] = []
 
 
+class LeaveBody(msgspec.Struct):
+    """What a minion may say at its end; see :class:`ReportBody`."""
+
+    born: int = 0
+
+
 class Reports(Application):
     """Takes a minion's reports for the executor."""
 
@@ -64,9 +70,7 @@
         try:
             body = msgspec.json.decode(request.body, type=ReportBody)
         except msgspec.MsgspecError as error:
-            fields = (("instance", request.parameters[0]), ("reason", str(error)))
-            _LOG.warning("report not readable", extra={"fields": fields})
-            return reply_problem(400, "invalid_input", str(error))
+            return _refuse(request, error)
         life = MinionLife(
             request.parameters[0],
             body.service,
@@ -82,5 +86,15 @@
         return reply_json(200, {})
 
     def _take_leave(self, request: Request) -> Reply:
-        self._executor.lose_life(request.parameters[0])
+        try:
+            body = msgspec.json.decode(request.body or b"{}", type=LeaveBody)
+        except msgspec.MsgspecError as error:
+            return _refuse(request, error)
+        self._executor.lose_life(request.parameters[0], body.born)
         return reply_json(200, {})
+
+
+def _refuse(request: Request, error: msgspec.MsgspecError) -> Reply:
+    fields = (("instance", request.parameters[0]), ("reason", str(error)))
+    _LOG.warning("report not readable", extra={"fields": fields})
+    return reply_problem(400, "invalid_input", str(error))
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -237,6 +237,10 @@
         self.post("/instances/i-7f3a91c2/heartbeat", body | {"seq": 4})
         eventlet.sleep(0.05)
         self.assertFalse(self.executor.state().accepts)
+        other = {"born": self.minion.life.born - 1}
+        self.assertEqual(200, self.post("/instances/i-7f3a91c2/deregister", other))
+        self.assertEqual("i-7f3a91c2", self.executor.state().instance)
+        self.assertEqual(400, self.post("/instances/i-7f3a91c2/deregister", {"born": "x"}))
         self.assertEqual(200, self.post("/instances/i-7f3a91c2/deregister", {}))
         self.assertEqual("", self.executor.state().instance)
 
