Failing test: a replaced executor forgets that its minion leaves

Found by looking for twins: what is believed of one life outlives the process in the store, but for its leaving. Two more tests of that record hold as it is: it is used without a report, and not for a minion that has started again since.

--- /dev/null
+++ b/tests/test_dispatch_agent.py
@@ -0,0 +1,68 @@
+"""Tests of the executor's program: what a process leaves in the store for the next one."""
+
+import unittest
+
+import eventlet
+
+from geraniumspool.clock import ManualClock
+from geraniumspool.counters import MemoryCounters
+from geraniumspool.daemon_settings import ExecutorSettings
+from geraniumspool.dispatch_agent import DispatchAgent
+from geraniumspool.link import MemoryMessenger, MemoryNetwork
+from geraniumspool.memory_minion import MemoryMinion
+from geraniumspool.memory_store import MemoryStore
+from geraniumspool.messages import Peer
+
+ADDRESS = "tcp://10.0.0.9:1"
+
+
+class ReplacedProcessTest(unittest.TestCase):
+    """A process that takes up the minion of the one before it."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.network = MemoryNetwork(self.clock)
+        self.minion = MemoryMinion(self.clock)
+        self.agent = self.start(1)
+        self.report()
+
+    def start(self, incarnation):
+        settings = ExecutorSettings(
+            name="w", domain="north", inbox=ADDRESS, store="", minion_listen=""
+        )
+        counters = MemoryCounters()
+        messenger = MemoryMessenger(self.network, Peer(ADDRESS, incarnation), counters)
+        agent = DispatchAgent(settings, self.clock, counters, messenger, self.store, self.minion)
+        agent.start()
+        self.addCleanup(agent.stop)
+        self.clock.advance(100)
+        return agent
+
+    def report(self, **changes):
+        life = self.minion.life
+        self.minion.life = life._replace(sequence=life.sequence + 1, **changes)
+        eventlet.spawn_n(self.agent.executor.take_life, self.minion.life)
+        self.clock.advance(100)
+
+    def replace(self):
+        self.agent.stop()
+        self.agent = self.start(2)
+
+    def test_it_goes_on_without_a_report(self):
+        self.replace()
+        self.assertTrue(self.agent.executor.state().accepts)
+
+    def test_a_minion_that_leaves_gets_nothing_new(self):
+        # The one before was told; the next report is up to 1.5 s away.
+        self.report(draining=True)
+        self.replace()
+        self.assertFalse(self.agent.executor.state().accepts)
+
+    def test_a_minion_that_has_started_again_is_not_taken_for_what_it_was(self):
+        self.agent.stop()
+        self.minion.restart()
+        self.agent = self.start(2)
+        self.assertFalse(self.agent.executor.state().accepts)
+        self.report()
+        self.assertTrue(self.agent.executor.state().accepts)
