A replaced executor knows that its minion leaves

What callers would see: runs started on a minion that had said that it leaves, for up to one period of its reports after its executor was replaced, and cut off when it goes.

Cause: a process leaves what its minion said of itself in the store for the next one, with leaving and the count of reports struck out: once, when the life was taken. So the next process believed less than the one before it had acknowledged.

Mend: the record is what was said, whole, and is written again when the minion leaves (one write a life). It holds since a life that has begun to leave does not return from it, and another life under the same name is told apart by its start. An earlier report that comes after the replacement is passed over (added to the test).

--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -110,8 +110,7 @@
         self._key.run()
 
     def _keep_life(self, life: MinionLife) -> None:
-        kept = life._replace(draining=False, sequence=0)
-        self._key.update(encode_record(WorkerRecord(self._settings.domain, kept)))
+        self._key.update(encode_record(WorkerRecord(self._settings.domain, life)))
 
     def _take_renewal(self, home: Peer, message: RenewRuns) -> None:
         self.executor.take_renewal(home, message)
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -37,7 +37,8 @@
 class MinionWatch:
     """Keeps the executor's view of its minion.
 
-    :ivar on_life: called with each life of the minion that is taken, in a task of its own
+    :ivar on_life: called in a task of its own with each life of the minion that is taken, and
+        once it leaves
     """
 
     def __init__(
@@ -234,6 +235,8 @@
             life.told = told
             if told.draining:
                 self._ends.refuse_waiting("minion_draining")
+                # A process that took this one's place started runs there for up to 1.5 s.
+                eventlet.spawn_n(self.on_life, told)
             self._reporter.tell_all()
         life.told = told
 
--- a/tests/test_dispatch_agent.py
+++ b/tests/test_dispatch_agent.py
@@ -55,9 +55,12 @@
 
     def test_a_minion_that_leaves_gets_nothing_new(self):
         # The one before was told; the next report is up to 1.5 s away.
+        before = self.minion.life
         self.report(draining=True)
         self.replace()
         self.assertFalse(self.agent.executor.state().accepts)
+        self.agent.executor.take_life(before)
+        self.assertFalse(self.agent.executor.state().accepts)
 
     def test_a_minion_that_has_started_again_is_not_taken_for_what_it_was(self):
         self.agent.stop()
