--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -446,3 +446,50 @@
         self.start(make_order(2, "k.0.0.0"))
         self.keep(500, 1, 2)
         self.assertEqual((RUN_DONE, RUN_REFUSED), (self.how(1), self.how(2)))
+
+
+class RoomTest(ExecutorCase):
+    """A minion whose room shrinks and grows while runs go on."""
+
+    def resize(self, cpu):
+        life = self.minion.life
+        self.minion.life = life._replace(room=Room(cpu, 10_000), sequence=life.sequence + 1)
+        self.executor.take_life(self.minion.life)
+        self.clock.settle()
+
+    def test_nothing_starts_that_does_not_fit_what_is_left(self):
+        self.start(make_order(1, cpu=6_000, run_ms=400))
+        self.resize(7_000)
+        self.start(make_order(2, "k.0.0.0", cpu=4_000, patience_ms=0.0))
+        self.clock.advance(20)
+        self.assertEqual(RUN_REFUSED, self.how(2))
+        self.start(make_order(3, "l.0.0.0", cpu=1_000))
+        self.assertEqual({"j.0.0.0", "l.0.0.0"}, self.minion.running)
+
+    def test_runs_go_on_in_less_room_than_they_take(self):
+        self.start(make_order(1, cpu=6_000, run_ms=400), make_order(2, "k.0.0.0", run_ms=900))
+        self.resize(5_000)
+        self.assertEqual(-5_000, self.executor.state().free.cpu)
+        self.start(make_order(3, "l.0.0.0", cpu=1_000, patience_ms=0.0))
+        self.keep(500, 1, 2, 3)
+        self.assertEqual((RUN_DONE, RUN_REFUSED), (self.how(1), self.how(3)))
+        self.start(make_order(4, "m.0.0.0", cpu=1_000))
+        self.keep(600, 2, 4)
+        self.assertEqual((RUN_DONE, RUN_DONE), (self.how(2), self.how(4)))
+
+    def test_what_waits_and_does_not_fit_any_more_goes_back_at_once(self):
+        self.start(make_order(1, cpu=8_000, run_ms=900))
+        self.start(make_order(2, "k.0.0.0", cpu=8_000, patience_ms=2_000.0, slack_ms=2_000.0))
+        self.resize(7_000)
+        self.clock.advance(10)
+        self.assertEqual(RUN_REFUSED, self.how(2))
+
+    def test_a_start_under_way_counts_in_room_that_shrinks(self):
+        self.minion.deaf_to.add("start")
+        self.start(make_order(1, cpu=6_000, run_ms=900))
+        self.minion.deaf_to.clear()
+        self.resize(7_000)
+        self.start(make_order(2, "k.0.0.0", cpu=4_000, patience_ms=0.0))
+        self.clock.advance(50)
+        self.assertEqual(set(), self.minion.running)
+        self.assertEqual(RUN_REFUSED, self.how(2))
