Runs that wait at an executor fit its room as it changes

What callers would see: a task held at a worker that has no room for it any more, until its patience is over, or room that has grown and stays unused until the next look, up to 0.2 s.

Cause: a report with another room was noted, and nothing was decided by it. Mend: what waits and is larger than all room goes back at once (too_large), what fits is started at once. Starts were held to the room that was last told before, so no rule was at stake; tests of that are in. The change is logged with room and what is taken.

--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -222,23 +222,37 @@
         )
 
     def _update(self, life: LifeView, told: MinionLife) -> None:
+        before, life.told = life.told, told
         if not life.is_described:
             life.is_described = True
-            life.told = told
             self._reporter.tell_all()
             eventlet.spawn_n(self.on_life, told)
-        if told.draining != life.told.draining or told.room != life.told.room:
+        if told.draining != before.draining or told.room != before.room:
             _LOG.info(
                 "minion changed",
-                extra={"fields": (*_name_life(told), ("draining", told.draining))},
+                extra={
+                    "fields": (
+                        *_name_life(told),
+                        ("draining", told.draining),
+                        ("cpu", told.room.cpu),
+                        ("memory_mb", told.room.memory_mb),
+                        ("used_cpu", self._table.used.cpu),
+                    )
+                },
             )
-            life.told = told
-            if told.draining:
-                self._ends.refuse_waiting("minion_draining")
-                # A process that took this one's place started runs there for up to 1.5 s.
-                eventlet.spawn_n(self.on_life, told)
+            self._fit_waiting(told)
             self._reporter.tell_all()
-        life.told = told
+
+    def _fit_waiting(self, told: MinionLife) -> None:
+        """Start what waits and fits by now, and send back what cannot start here any more."""
+        if told.draining:
+            self._ends.refuse_waiting("minion_draining")
+            # A process that took this one's place started runs there for up to 1.5 s.
+            eventlet.spawn_n(self.on_life, told)
+        for run in self._table.waiting():
+            if not told.room.fits(run.order.need):
+                self._ends.refuse(run, "too_large")
+        self.starts.fill()
 
     def _take_replaced(self, life: LifeView, born: int) -> None:
         """Take that another life answers instead of this one.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -484,6 +484,14 @@
         self.clock.advance(10)
         self.assertEqual(RUN_REFUSED, self.how(2))
 
+    def test_room_that_grows_is_used_within_one_report(self):
+        self.resize(5_000)
+        self.start(make_order(1, cpu=4_000, run_ms=900))
+        self.start(make_order(2, "k.0.0.0", cpu=4_000, patience_ms=900.0))
+        self.assertEqual({"j.0.0.0"}, self.minion.running)
+        self.resize(10_000)
+        self.assertEqual({"j.0.0.0", "k.0.0.0"}, self.minion.running)
+
     def test_a_start_under_way_counts_in_room_that_shrinks(self):
         self.minion.deaf_to.add("start")
         self.start(make_order(1, cpu=6_000, run_ms=900))
