--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -409,3 +409,38 @@
         late.executor.take_renewal(Peer(self.home.address, 1), RenewRuns(self.clock.now()))
         self.advance(100)
         self.assertEqual(4, len(self.home.dispatcher.fleet.of_service("fitting")))
+
+
+class ShrunkRoomTest(DispatchCase):
+    """Workers whose room shrinks while jobs wait."""
+
+    workers = 2
+
+    def shrink(self, cpu):
+        for worker in self.world.workers:
+            life = worker.minion.life
+            worker.minion.life = life._replace(room=Room(cpu, 10_000), sequence=life.sequence + 1)
+            worker.executor.take_life(worker.minion.life)
+
+    def test_a_job_that_fits_nowhere_any_more_is_refused_at_once(self):
+        for name in ("a", "b"):
+            self.home.submit(make_spec(name, cpu=8_000, run_ms=900))
+        waits = self.home.submit(make_spec("c", cpu=8_000, run_ms=900), wait_ms=9_000.0)
+        self.advance(20)
+        self.shrink(7_000)
+        self.advance(100)
+        self.assertEqual(JobOutcome.REFUSED, waits.outcome)
+        self.assertEqual("no_capacity", waits.result.code)
+        self.assertGreater(waits.result.retry_after_ms, 0)
+        self.assertEqual(0, self.world.started("c.0.0.0"))
+
+    def test_a_job_that_fits_one_worker_waits_for_it(self):
+        for name in ("a", "b"):
+            self.home.submit(make_spec(name, cpu=8_000, run_ms=300))
+        waits = self.home.submit(make_spec("c", cpu=8_000, run_ms=300), wait_ms=9_000.0)
+        self.advance(20)
+        life = self.world.workers[0].minion.life
+        small = life._replace(room=Room(7_000, 10_000), sequence=life.sequence + 1)
+        self.world.workers[0].executor.take_life(small)
+        self.advance(900)
+        self.assertEqual(JobOutcome.SUCCEEDED, waits.outcome)
