A job that fits no worker any more is told so at once

What callers saw (in memory): after the rooms of all workers had shrunk below its largest task, a waiting job was held for as long as its caller waits, 9 s in the test, to be refused then.

Cause: whether a job fits any worker was asked on its arrival only. Mend: it is asked of all jobs that wait, each tick, of all workers known here, usable now or not; a job that has not begun is refused with a time to return (an entry tries another owner first), one that has begun is told as unfinished and its runs are stopped. It holds since the question is the same as on arrival.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -323,16 +323,29 @@
             self._waits.note(predicted_ms, now - job.timing.arrived_ms)
 
     def _reconsider(self) -> None:
-        """Refuse late jobs that are not going to be served, rather than hold them."""
+        """Refuse jobs that are not going to be served, rather than hold them."""
         now = self._clock.now()
         waiting: dict[str, list[DispatchJob]] = {}
         for job in self._pending.values():
             waiting.setdefault(job.queue.service, []).append(job)
         for service, jobs in waiting.items():
+            self._give_up_too_large(service, jobs)
             workers = self.fleet.usable_of(service)
             if workers:
                 self._reconsider_service(jobs, self._describe(service, workers, now), now)
 
+    def _give_up_too_large(self, service: str, jobs: list[DispatchJob]) -> None:
+        """End jobs that fit no worker any more, since rooms have shrunk.
+
+        Workers that take nothing now count as well, as they may be back soon.
+        """
+        workers = self.fleet.of_service(service)
+        if not workers:
+            return
+        for job in [job for job in jobs if not job_admission.has_room(job, workers)]:
+            self._give_up(job, "no_capacity")
+            jobs.remove(job)
+
     def _reconsider_service(self, jobs: list[DispatchJob], backlog: Backlog, now: float) -> None:
         ranked = sorted((self._policy.rank(job, now), number) for number, job in enumerate(jobs))
         ahead = 0.0
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -159,13 +159,13 @@
         if backlog.is_gathering:
             return None
         return JobResult(JobOutcome.REFUSED, "no_worker", retry_ms)
-    if not _fits(job, backlog.workers):
+    if not has_room(job, backlog.workers):
         return JobResult(JobOutcome.REFUSED, "no_capacity", retry_ms)
     return None
 
 
-def _fits(job: DispatchJob, workers: list[WorkerView]) -> bool:
-    """Return whether each step of a job can run at some worker."""
+def has_room(job: DispatchJob, workers: list[WorkerView]) -> bool:
+    """Return whether each step of a job can run at some worker, once that is empty."""
     return all(any(packing.may_run(view, step.spec) for view in workers) for step in job.steps)
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -434,6 +434,14 @@
         self.assertGreater(waits.result.retry_after_ms, 0)
         self.assertEqual(0, self.world.started("c.0.0.0"))
 
+    def test_a_job_that_has_begun_is_told_as_unfinished_and_its_runs_are_stopped(self):
+        job = self.home.submit(make_spec("a", count=3, cpu=8_000, run_ms=900), wait_ms=9_000.0)
+        self.advance(50)
+        self.shrink(7_000)
+        self.advance(200)
+        self.assertEqual(JobOutcome.UNFINISHED, job.outcome)
+        self.assertEqual([set(), set()], [worker.minion.running for worker in self.world.workers])
+
     def test_a_job_that_fits_one_worker_waits_for_it(self):
         for name in ("a", "b"):
             self.home.submit(make_spec(name, cpu=8_000, run_ms=300))
