Minions in memory crash by a task, refuse connections while they are down, and change their room

Two patterns: tasks that crash minions (0.8% of the jobs have one), rooms that shrink in a burst; one figure more in the rows: minions crashed by each such job. Storms hold a minion to the room it has told 0.6 s ago.

--- a/benchmarks/pattern_loads.py
+++ b/benchmarks/pattern_loads.py
@@ -41,6 +41,7 @@
     HANG = "its runs stand still"
     FAIL = "its runs fail"
     CRASH = "it crashes and is up again"
+    SHRINK = "half of its room is gone for a while"
     LEAVE = "it takes nothing new"
     FREEZE = "a dispatcher is stopped for a while"
 
@@ -66,6 +67,7 @@
     :param returns: whether refused callers come back when they are told to
     :param patience: how long callers wait, in objectives
     :param leaving_share: share of the callers who leave before the objective
+    :param crashing_share: share of the jobs that have a task which crashes minions
     :param mixes: what kinds of job arrive
     :param length_ms: how long jobs arrive
     """
@@ -80,6 +82,7 @@
     leaving_share: float = 0.0
     mixes: tuple[QueueMix, ...] = MIXES
     length_ms: float = LENGTH_MS
+    crashing_share: float = 0.0
 
 
 PATTERNS = (
@@ -113,6 +116,9 @@
     ),
     Pattern("register: 1.5 times full", 1.35, mixes=REGISTER, length_ms=12_000.0),
     Pattern("a dispatcher frozen in a burst", 0.7, (BURST,), (Fault(FaultKind.FREEZE, 0.33),)),
+    Pattern("rooms shrink in a burst", 0.6, (BURST,), (Fault(FaultKind.SHRINK, 0.5),)),
+    # A task in five hundred, as jobs have four on the mean.
+    Pattern("tasks that crash minions", 0.6, crashing_share=0.008),
 )
 
 
@@ -120,11 +126,13 @@
     """One job that arrives.
 
     :param leaves: whether its caller goes away before the objective
+    :param crashes: whether its first task crashes the minions that start it
     """
 
     at_ms: float
     job: SizedJob
     leaves: bool
+    crashes: bool = False
 
 
 def draw_load(pattern: Pattern, room_cpu: float, seed: int) -> list[Arrival]:
@@ -142,6 +150,11 @@
         more = rate * mixes[0].share
         extra = _draw_jobs(source, more, pattern.bursts, mixes, pattern)
         arrivals += [arrival for arrival in extra if _is_within(arrival, pattern.bursts)]
+    if pattern.crashing_share:
+        arrivals = [
+            arrival._replace(crashes=source.random() < pattern.crashing_share)
+            for arrival in arrivals
+        ]
     return sorted(arrivals)
 
 
--- a/benchmarks/pattern_play.py
+++ b/benchmarks/pattern_play.py
@@ -1,5 +1,6 @@
 """Plays a load pattern against dispatchers, executors and minions in memory."""
 
+import math
 import random
 import statistics
 from collections import Counter
@@ -51,6 +52,8 @@
 LEAVE_AT = 0.6
 LATE_REFUSAL = 0.25
 MOST_RETURNS = 3
+# Minions that are back are heard of within this.
+BEAT_MS = 300.0
 
 
 class Row(NamedTuple):
@@ -70,6 +73,8 @@
     :param turned_back: orders refused for want of room, for each started task
     :param messages: messages to workers and between dispatchers, for each started task
     :param reports: messages of workers, for each started task
+    :param crashes: minions crashed by each job with a task that crashes them; such jobs
+        count in no other figure
     """
 
     in_time: float
@@ -86,6 +91,7 @@
     turned_back: float
     messages: float
     reports: float
+    crashes: float
 
 
 class _Sent:
@@ -150,6 +156,7 @@
         """Play it and return what became of the jobs."""
         clock = self.world.clock
         begin = clock.now()
+        beats = eventlet.spawn(self._beat if self._pattern.crashing_share else _rest)
         for fault in self._pattern.faults:
             clock.after(fault.start_ms, lambda fault=fault: self._strike(fault))
         for number, arrival in enumerate(self._load):
@@ -158,6 +165,7 @@
             self._sent.append(sent)
             self._send(sent)
         clock.advance(begin + self._pattern.length_ms + REST_MS - clock.now())
+        beats.kill()
         self.world.close()
         return self._count()
 
@@ -171,7 +179,10 @@
     def _hand_in(self, sent: _Sent, home) -> None:
         job = sent.arrival.job
         left_ms = self._pattern.patience * sent.objective_ms
-        spec = make_spec(sent.name, job.count, job.cpu, job.run_ms, declared_ms=job.declared_ms)
+        how = "crash" if sent.arrival.crashes else ""
+        spec = make_spec(
+            sent.name, job.count, job.cpu, job.run_ms, how, declared_ms=job.declared_ms
+        )
         sent.tries += 1
         sent.caller = home.submit(spec, QUEUES[job.queue], left_ms)
         clock = self.world.clock
@@ -224,13 +235,18 @@
             eventlet.spawn_n(part.executor.take_life, minion.life)
         elif kind is FaultKind.CRASH:
             self._crash(part, begins)
+        elif kind is FaultKind.SHRINK:
+            room = minion.life.room
+            minion.resize(room._replace(cpu=room.cpu // 2 if begins else room.cpu * 2))
+            eventlet.spawn_n(part.executor.take_life, minion.life)
 
     def _crash(self, part, begins: bool) -> None:
         minion = part.minion
-        minion.silent = begins
-        if not begins:
-            minion.reborn(f"{minion.life.instance}+")
-            eventlet.spawn_n(part.executor.take_life, minion.life)
+        if begins:
+            minion.crash(math.inf)
+            return
+        minion.reborn(f"{minion.life.instance}+")
+        eventlet.spawn_n(part.executor.take_life, minion.life)
 
     def _freeze(self, home, begins: bool) -> None:
         address = home.address
@@ -247,7 +263,7 @@
             self._hand_in(sent, home)
 
     def _count(self) -> Row:
-        jobs = self._sent
+        jobs = [sent for sent in self._sent if not sent.arrival.crashes]
         total = max(1, len(jobs))
         in_time = [sent for sent in jobs if sent.is_in_time]
         done = sum(sent.outcome is JobOutcome.SUCCEEDED for sent in jobs)
@@ -268,8 +284,23 @@
             self._measure_waste() / room,
             late_refusals / total,
             *self._count_messages(),
+            self._count_crashes() / max(1, len(self._sent) - len(jobs)),
         )
 
+    def _count_crashes(self) -> int:
+        return sum(len(worker.minion.crashed_by) for worker in self.world.workers)
+
+    def _beat(self) -> None:
+        """Have minions that are back after a crash tell of themselves."""
+        lives = {}
+        while True:
+            self.world.clock.sleep(BEAT_MS)
+            for worker in self.world.workers:
+                minion = worker.minion
+                if not minion.is_down and lives.get(worker.name) != minion.life.born:
+                    lives[worker.name] = minion.life.born
+                    eventlet.spawn_n(worker.executor.take_life, minion.life)
+
     def _count_messages(self) -> tuple[float, float, float]:
         """Return the last three figures of a row."""
         parts = [*self.world.workers, *self.world.homes]
@@ -296,6 +327,10 @@
         return spent / MS_PER_SECOND**2
 
 
+def _rest() -> None:
+    pass
+
+
 def _share_in_time(jobs: list[_Sent]) -> float:
     return statistics.fmean(sent.is_in_time for sent in jobs) if jobs else 1.0
 
--- a/geraniumspool/errors.py
+++ b/geraniumspool/errors.py
@@ -210,6 +210,12 @@
     code = "minion_silent"
 
 
+class MinionDown(MinionSilent):
+    """Nothing listens at the minion's address: its process has ended, and nothing was done."""
+
+    code = "minion_down"
+
+
 class Fenced(DispatchError):
     """The minion has seen a higher fencing token."""
 
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -13,7 +13,7 @@
     StartAnswer,
     StartOutcome,
 )
-from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
 from geraniumspool.rooms import NO_ROOM, Room
 from geraniumspool.run_leases import LONGEST_LEASE_MS
 from geraniumspool.run_messages import RUN_DONE, RUN_FAILED, RUN_LAPSED, RUN_STOPPED
@@ -22,8 +22,15 @@
 # Looks end this often while they wait.
 LOOK_STEP_MS = 5.0
 STOP_MS = 20.0
+# Who starts runs knows a changed room this long after it: one report and a margin.
+TOLD_MS = 600.0
 # A call counts as unanswered after this.
 UNANSWERED_MS = 120.0
+# A task that crashes its minion does so this long after its start; the minion is back later.
+CRASH_AFTER_MS = 30.0
+DOWN_MS = 2_000.0
+# A connection on one machine is refused within this.
+REFUSED_MS = 1.0
 # A minion that fails all does so this early in a run.
 EARLY_FAILURE = 0.1
 
@@ -61,9 +68,9 @@
     """A :class:`~geraniumspool.contracts.MinionControl` that runs tasks by its clock.
 
     A payload is the need in thousandths of a core and the run time, ``CPU:MS``,
-    and may end in ``:fail`` or ``:hang``.
+    and may end in ``:fail``, ``:hang`` or ``:crash``: the first task of a step then
+    crashes each minion that starts it.
 
-    :ivar over: most room that was ever used beyond what there is
     :ivar started: every run that began, in order
     :ivar spent: room times time that tasks have had, in thousandths of a core times ms
     :ivar loss: share of the calls that get no answer, at random in each way of ``CallFault``
@@ -71,6 +78,8 @@
     :ivar deaf_to: kinds of calls that are neither carried out nor answered
     :ivar fails_all: whether every run fails, after a tenth of its time
     :ivar hangs_all: whether no run goes on
+    :ivar crashed_by: every task that crashed it, in order
+    :ivar crowded: runs that were started beyond its room though that had been told
     """
 
     def __init__(
@@ -103,6 +112,10 @@
         self.fails_all = False
         self.hangs_all = False
         self.refuse_with: StartOutcome | None = None
+        self.crashed_by: list[str] = []
+        self.crowded: list[RunKey] = []
+        self._up_ms = 0.0
+        self._resized_ms = 0.0
 
     @property
     def running(self) -> set[str]:
@@ -110,6 +123,16 @@
         self._advance()
         return {key.task for key in self._running}
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it has crashed and is not back yet."""
+        return self._clock.now() < self._up_ms
+
+    def resize(self, room: Room) -> None:
+        """Have another room from now on, whatever runs."""
+        self._resized_ms = self._clock.now()
+        self.life = self.life._replace(room=room, sequence=self.life.sequence + 1)
+
     @property
     def clock_ms(self) -> float:
         """Return the minion's clock, which starts anew with each life."""
@@ -122,8 +145,14 @@
     def reborn(self, instance: str) -> None:
         """Crash and begin another life at the same address, under another name."""
         self.restart()
+        self._up_ms = self._clock.now()
         self.life = self.life._replace(instance=instance)
 
+    def crash(self, down_ms: float) -> None:
+        """Crash, and be back under the same name after a while."""
+        self.restart()
+        self._up_ms = self._clock.now() + down_ms
+
     def restart(self) -> None:
         """Crash and begin another life under the same name; nothing of before is known to it."""
         for run in self._running.values():
@@ -174,6 +203,9 @@
         return MinionView(self.clock_ms, running, tuple(self._ended), self.life.born)
 
     def _check(self, life: MinionLife) -> None:
+        if self.is_down:
+            self._clock.sleep(REFUSED_MS)
+            raise MinionDown("connection refused")
         if self.silent:
             self._clock.sleep(STOP_MS)
             raise MinionSilent("no answer")
@@ -242,12 +274,23 @@
             run.ends_ms = now + run.run_ms * EARLY_FAILURE
         elif how == ["hang"] or self.hangs_all:
             run.run_ms, run.ends_ms = 0.0, float("inf")
+        elif how == ["crash"] and key.task.endswith(".0"):
+            run.ends_ms = float("inf")
+            self._clock.after(CRASH_AFTER_MS, lambda: self._crash(key))
         self._running[key] = run
         self.started.append(key)
         used = Room(sum(other.need.cpu for other in self._running.values()))
         self.most_used = max(self.most_used, used)
+        if not self.life.room.fits(used) and now - self._resized_ms > TOLD_MS:
+            self.crowded.append(key)
         return StartAnswer(StartOutcome.STARTED, self.clock_ms)
 
+    def _crash(self, key: RunKey) -> None:
+        self._advance()
+        if key in self._running:
+            self.crashed_by.append(key.task)
+            self.crash(DOWN_MS)
+
     def _stop(self, key: RunKey, fence: int) -> None:
         self._raise_fence(fence)
         self._closed[key.task] = max(key.attempt, self._closed.get(key.task, 0))
