--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,7 +31,7 @@
 from eventlet import wsgi
 
 from geraniumspool.clock import SystemClock
-from geraniumspool.memory_minion import CallFault, MemoryMinion, Scripted
+from geraniumspool.memory_minion import LOSSES, MemoryMinion, Scripted
 from geraniumspool.rooms import Room
 from geraniumspool.run_messages import RUN_DONE
 from tests.platform_standin import MinionStandin, StoreStandin
@@ -419,7 +419,7 @@
     def _do_late_start(self) -> None:
         minion = self._random.choice(self.witness.minions)
         late_ms = self._random.uniform(50, 3_000)
-        minion.script(Scripted("start", self._random.choice(list(CallFault)), late_ms))
+        minion.script(Scripted("start", self._random.choice(LOSSES), late_ms))
 
     def _leave(self) -> None:
         for process in self._processes:
--- a/geraniumspool/memory_minion.py
+++ b/geraniumspool/memory_minion.py
@@ -41,6 +41,11 @@
     LOST_BEFORE = "lost before it was carried out"
     LOST_AFTER = "carried out, answer lost"
     LATE = "no answer, carried out later"
+    REFUSED = "connection refused"
+
+
+# What may become of any call at random.
+LOSSES = (CallFault.LOST_BEFORE, CallFault.LOST_AFTER, CallFault.LATE)
 
 
 class Scripted(NamedTuple):
@@ -75,6 +80,7 @@
     :ivar spent: room times time that tasks have had, in thousandths of a core times ms
     :ivar loss: share of the calls that get no answer, at random in each way of ``CallFault``
     :ivar mute: whether calls are carried out and not answered
+    :ivar refuses: whether it runs on and refuses connections
     :ivar deaf_to: kinds of calls that are neither carried out nor answered
     :ivar fails_all: whether every run fails, after a tenth of its time
     :ivar hangs_all: whether no run goes on
@@ -108,6 +114,7 @@
         self.spent: dict[str, float] = {}
         self.loss = 0.0
         self.mute = False
+        self.refuses = False
         self.deaf_to: set[str] = set()
         self.fails_all = False
         self.hangs_all = False
@@ -203,7 +210,7 @@
         return MinionView(self.clock_ms, running, tuple(self._ended), self.life.born)
 
     def _check(self, life: MinionLife) -> None:
-        if self.is_down:
+        if self.is_down or self.refuses:
             self._clock.sleep(REFUSED_MS)
             raise MinionDown("connection refused")
         if self.silent:
@@ -223,7 +230,7 @@
             self._clock.sleep(UNANSWERED_MS)
             raise MinionSilent(f"{kind}: not answered")
         if self.loss and self._random.random() < self.loss:
-            fault = self._random.choice(list(CallFault))
+            fault = self._random.choice(LOSSES)
             self._lose(Scripted(kind, fault), work)
             self._clock.sleep(UNANSWERED_MS)
             raise MinionSilent(f"{kind}: {fault.value}")
@@ -231,6 +238,8 @@
         if scripted is None:
             return work()
         self._scripted.remove(scripted)
+        if scripted.fault is CallFault.REFUSED:
+            raise MinionDown("connection refused")
         self._lose(scripted, work)
         raise MinionSilent(f"{kind}: scripted")
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -501,3 +501,40 @@
         self.clock.advance(50)
         self.assertEqual(set(), self.minion.running)
         self.assertEqual(RUN_REFUSED, self.how(2))
+
+
+class DownTest(ExecutorCase):
+    """A minion whose process has ended, so that its connections are refused."""
+
+    def test_its_runs_are_told_as_lost_at_once(self):
+        self.start(make_order(1, run_ms=900))
+        self.keep(200, 1)
+        self.minion.crash(2_000)
+        self.clock.advance(150)
+        self.assertEqual(RUN_LAPSED, self.how(1))
+        self.assertFalse(self.executor.state().accepts)
+
+    def test_it_is_taken_again_once_it_reports(self):
+        self.minion.crash(300)
+        self.clock.advance(400)
+        self.executor.take_life(self.minion.life)
+        self.start(make_order(1, run_ms=100))
+        self.clock.advance(200)
+        self.assertEqual(RUN_DONE, self.how(1))
+
+    def test_one_that_leaves_may_close_its_listener_before_its_runs_end(self):
+        self.start(make_order(1, run_ms=900))
+        life = self.minion.life = self.minion.life._replace(draining=True, sequence=2)
+        self.executor.take_life(life)
+        self.minion.refuses = True
+        while self.how(1) is None:
+            self.renew(1)
+            self.clock.advance(10)
+        self.assertEqual(set(), self.minion.running)
+
+    def test_a_connection_refused_once_ends_nothing(self):
+        self.start(make_order(1, run_ms=400))
+        self.keep(100, 1)
+        self.minion.script(Scripted("look", CallFault.REFUSED))
+        self.keep(400, 1)
+        self.assertEqual(RUN_DONE, self.how(1))
