A minion whose process has ended is missed at once, by its refused connections

What callers saw: tasks on a minion that crashed were placed anew only after its lease, 0.6 s later, by which time short jobs are late; while it was down it was dialled 170 times a second.

Cause: every unanswered call was taken alike, for a minion that may run on. Where nothing listens at its address its process has ended, and its runs with it.

Mend: a refused connection is an error of its own; a start that meets it has not run, three looks in a row end the life. Not for a minion that leaves, which may close its listener before its runs end: there the lease decides, as before. It holds since a process closes its listener when it ends, and only then unless it leaves.

--- a/geraniumspool/contracts.py
+++ b/geraniumspool/contracts.py
@@ -266,7 +266,8 @@
 class MinionControl(Protocol):
     """How an agent controls the runs of its minion.
 
-    Every call may raise ``MinionSilent`` (it may be carried out, also later) or
+    Every call may raise ``MinionSilent`` (it may be carried out, also later), its kind
+    ``MinionDown`` (nothing listens there, and nothing was done) or
     ``MinionReplaced`` (the life is over). A start or a stop may be carried out by a later
     life of the same name, which only the answer to a look tells apart.
     """
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -7,7 +7,7 @@
 from eventlet.event import Event
 
 from geraniumspool.contracts import Clock, Counters, MinionLife, MinionView, RunKey
-from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
 from geraniumspool.minion_life import LifeView
 from geraniumspool.minion_session import MinionSession
 from geraniumspool.run_ends import RunEnds
@@ -25,6 +25,9 @@
 IDLE_LOOK_WAIT_MS = 200.0
 # A look that fails is tried again this soon.
 LOOK_AGAIN_MS = 5.0
+# The process of a minion has ended once this many looks in a row were refused: it closes its
+# listener with all its runs. One that leaves may close the listener before.
+DOWN_LOOKS = 3
 # The minion counts as silent after two looks without an answer.
 SILENT_MS = 450.0
 # Looks renew the lease while the minion has answered within this time: long enough for
@@ -161,9 +164,8 @@
         fence = session.fence
         try:
             view = session.control.look(life.told, fence, life.acknowledged, lease, wait_ms)
-        except MinionSilent:
-            if self._clock.now() - life.answered_ms > SILENT_MS:
-                self._lapse(life)
+        except MinionSilent as error:
+            self._take_silence(life, error)
             return False
         except MinionReplaced as error:
             self._take_replaced(life, error.born)
@@ -171,12 +173,22 @@
         except Fenced:
             session.raise_fence(fence)
             return False
+        life.refused_looks = 0
         if session.life is life:
             self._take_view(life, view, now)
             if not life.is_clear:
                 self._clock.sleep(CLEAR_PAUSE_MS)
         return True
 
+    def _take_silence(self, life: LifeView, error: MinionSilent) -> None:
+        """Take that a look was not answered."""
+        is_refused = isinstance(error, MinionDown)
+        life.refused_looks = life.refused_looks + 1 if is_refused else 0
+        if life.refused_looks >= DOWN_LOOKS and not life.told.draining:
+            self.end_life(life, "minion_down")
+        elif self._clock.now() - life.answered_ms > SILENT_MS:
+            self._lapse(life)
+
     def _take_view(self, life: LifeView, view: MinionView, sent_ms: float) -> None:
         life.hear(view.clock_ms, sent_ms, self._clock.now())
         for end in sorted(view.ended):
--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -1,5 +1,6 @@
 """Calls to the minion beside an agent."""
 
+import errno
 from typing import Any, TypeVar
 
 import msgspec
@@ -17,7 +18,7 @@
     StartOutcome,
 )
 from geraniumspool.endpoint import Endpoint
-from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
 
 # A call on the same machine takes 1 to 2 ms, and ten times as long on a slow one. A task
 # whose start is lost goes elsewhere after this, of the quarter of a second that the
@@ -150,8 +151,10 @@
         try:
             response = endpoint.request("POST", path, limit_ms, body=data, headers=headers)
         except (HTTPError, OSError) as error:
-            self._counters.add("minion_calls", path=path, outcome="unanswered")
-            raise MinionSilent(f"{path}: {type(error).__name__}") from error
+            kind = MinionDown if _is_refused(error) else MinionSilent
+            outcome = "refused" if kind is MinionDown else "unanswered"
+            self._counters.add("minion_calls", path=path, outcome=outcome)
+            raise kind(f"{path}: {type(error).__name__}") from error
         self._counters.add("minion_calls", path=path, outcome=str(response.status))
         if response.status == 421:
             raise MinionReplaced(f"{life.instance} no longer answers")
@@ -165,6 +168,11 @@
         return endpoint
 
 
+def _is_refused(error: Exception) -> bool:
+    """Return whether the minion's host answered that nothing listens there."""
+    return getattr(error.__cause__, "errno", None) == errno.ECONNREFUSED
+
+
 def _check(response: urllib3.BaseHTTPResponse) -> None:
     if response.status == 200:
         return
--- a/geraniumspool/run_starts.py
+++ b/geraniumspool/run_starts.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from geraniumspool.contracts import Clock, Counters, RunKey, StartOutcome
-from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
 from geraniumspool.minion_life import LifeView
 from geraniumspool.minion_session import MinionSession
 from geraniumspool.run_ends import RunEnds
@@ -89,6 +89,9 @@
                 answer = session.control.start(
                     life.told, run.key, run.order.payload, life.grant(now), fence
                 )
+            except MinionDown:
+                self._ends.refuse(run, "minion_down")
+                return
             except MinionSilent:
                 self._doubt(life, run)
                 return
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -532,6 +532,13 @@
             self.clock.advance(10)
         self.assertEqual(set(), self.minion.running)
 
+    def test_a_start_that_was_refused_has_not_run(self):
+        self.minion.refuses = True
+        self.start(make_order(1))
+        self.clock.advance(5)
+        self.assertEqual(RUN_REFUSED, self.how(1))
+        self.assertEqual([], self.minion.started)
+
     def test_a_connection_refused_once_ends_nothing(self):
         self.start(make_order(1, run_ms=400))
         self.keep(100, 1)
--- a/tests/test_platform_minion.py
+++ b/tests/test_platform_minion.py
@@ -1,13 +1,14 @@
 """Contract tests of the calls to a minion: its answers, its faults, a whole session."""
 
 import json
+import socket
 import unittest
 from pathlib import Path
 
 from geraniumspool.clock import ManualClock, SystemClock
 from geraniumspool.contracts import ListedEnd, RunKey, StartOutcome
 from geraniumspool.counters import MemoryCounters
-from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
 from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.platform.minion import HttpMinionControl
 from geraniumspool.run_messages import RUN_DONE, RUN_STOPPED
@@ -85,6 +86,16 @@
                     with self.assertRaises(MinionSilent):
                         call()
 
+    def test_a_minion_whose_process_has_ended(self):
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))
+            closed = "127.0.0.1:{}".format(bound.getsockname()[1])
+        self.life = self.life._replace(address=closed)
+        with self.assertRaises(MinionDown):
+            self.start()
+        with self.assertRaises(MinionDown):
+            self.control.look(self.life, 3, 0, None, 0.0)
+
     def test_a_lower_token_is_refused(self):
         self.control.look(self.life, 9, 0, None, 0.0)
         with self.assertRaises(Fenced):
