--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -452,3 +452,20 @@
         self.world.workers[0].executor.take_life(small)
         self.advance(900)
         self.assertEqual(JobOutcome.SUCCEEDED, waits.outcome)
+
+
+class CrashingTaskTest(DispatchCase):
+    """A task that crashes each minion which starts it, and its neighbours."""
+
+    workers = 6
+
+    def crashes(self):
+        return [task for worker in self.world.workers for task in worker.minion.crashed_by]
+
+    def test_it_is_given_up_after_two_minions(self):
+        bad = self.home.submit(make_spec("bad", run_ms=400, how="crash"), wait_ms=9_000.0)
+        self.advance(1_500)
+        self.assertEqual(JobOutcome.FAILED, bad.outcome)
+        self.assertEqual("crashes_minions", bad.result.code)
+        self.assertLess(bad.at_ms - self.world.clock.now(), 0)
+        self.assertEqual(["bad.0.0.0"] * 2, self.crashes())
--- a/tests/test_platform_minion.py
+++ b/tests/test_platform_minion.py
@@ -89,7 +89,7 @@
     def test_a_minion_whose_process_has_ended(self):
         with socket.socket() as bound:
             bound.bind(("127.0.0.1", 0))
-            closed = "127.0.0.1:{}".format(bound.getsockname()[1])
+            closed = f"127.0.0.1:{bound.getsockname()[1]}"
         self.life = self.life._replace(address=closed)
         with self.assertRaises(MinionDown):
             self.start()
