A task under which two minions have crashed is found among its neighbours and given up

Cause: a crash was put down to the minion alone, and its runs placed anew alike. Mend: crash_blame counts crashes by task; suspects run apart from each other, so that the second crash names one; its job is told as failed at once, and its other runs are stopped. Minions that go together blame nobody. It holds since a task that crashes what starts it is the one suspect of its second minion, whatever else runs there; where two suspects meet, at the third.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -13,6 +13,7 @@
 
 from geraniumspool import job_admission, packing, urgency
 from geraniumspool.contracts import Clock, Counters
+from geraniumspool.crash_blame import CrashBlame
 from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, make_steps
 from geraniumspool.dispatch_job import measure_objective as measure
 from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
@@ -59,6 +60,9 @@
 # A pass gives up after as many tasks in a row that find no room.
 MAX_MISSES = 6
 
+# Ends of runs that tell of a crash of their minion, or look like one.
+CRASHES = frozenset({"minion_down", "minion_replaced", "minion_silent"})
+
 _RETRIED = frozenset({RUN_STOPPED, RUN_LAPSED})
 
 
@@ -99,6 +103,7 @@
         self._ratios: dict[str, float] = {}
         self._arrivals: dict[str, Arrivals] = {}
         self._waits = urgency.WaitLearner()
+        self._blame = CrashBlame()
         self._next_number = 1
         self._is_placing = False
         self.find_capacity: Callable[[str], float] = _know_no_other
@@ -229,12 +234,32 @@
     def take_report(self, sender: Peer, report: WorkerReport) -> None:
         """Take what a worker says of its runs and its room."""
         view = self.fleet.take_report(sender, report)
-        for end in report.ends:
-            run = view.runs.pop(end.number, None)
-            if run is not None:
-                self._take_end(run.owner, end)
+        ended = [
+            (run.owner, end) for end in report.ends if (run := view.runs.pop(end.number, None))
+        ]
+        self._take_crash([placed for placed, end in ended if _tells_crash(end)])
+        for placed, end in ended:
+            self._take_end(placed, end)
         self.schedule()
 
+    def _take_crash(self, crashed: list[Placed]) -> None:
+        """Give up the jobs of tasks that crash their minions."""
+        if not crashed:
+            return
+        names = {placed.job.task_name(placed.task): placed for placed in crashed}
+        blamed = self._blame.note_crash(names, self._clock.now())
+        fields = (
+            ("worker", crashed[0].worker.peer.address),
+            ("tasks", ",".join(f"{name}={self._blame.count(name)}" for name in names)),
+            ("blamed", ",".join(blamed)),
+        )
+        _LOG.warning("minion crashed under tasks", extra={"fields": fields})
+        self._counters.add("minion_crashes", blamed=str(bool(blamed)).lower())
+        for name in blamed:
+            job = names[name].job
+            if not job.is_over:
+                self._end(job, JobResult(JobOutcome.FAILED, "crashes_minions"))
+
     def run_ticks(self) -> None:
         """Keep leases and time limits for ever."""
         while True:
@@ -397,7 +422,10 @@
             task = TaskId(number, step.pending[0])
             shunned = job.failed_at.get(task)
             fit = [view for view in workers if id(view) != shunned] if shunned else workers
-            place = self._policy.choose(fit or workers, request)
+            if self._blame.is_suspect(job.task_name(task)):
+                place = self._policy.choose(self._without_suspects(fit), request)
+            else:
+                place = self._policy.choose(fit or workers, request)
             if place is None:
                 return
             step.pending.popleft()
@@ -405,6 +433,17 @@
             address = place.worker.peer.address
             placed[address] = placed.get(address, 0) + 1
 
+    def _without_suspects(self, workers: list[WorkerView]) -> list[WorkerView]:
+        """Return the workers on which a second crash would name one task."""
+        return [
+            view
+            for view in workers
+            if not any(
+                self._blame.is_suspect(run.owner.job.task_name(run.owner.task))
+                for run in view.runs.values()
+            )
+        ]
+
     def _order(self, job: DispatchJob, task: TaskId, step: Step, place: packing.Place) -> None:
         now = self._clock.now()
         view = place.worker
@@ -432,6 +471,8 @@
         step.taken[id(placed.worker)] = step.taken.get(id(placed.worker), 1) - 1
         if job.is_over:
             return
+        if end.how in (RUN_DONE, RUN_FAILED):
+            self._blame.acquit(job.task_name(task))
         if end.how == RUN_DONE:
             self._learn(job, step, end.ran_ms)
             step.left -= 1
@@ -458,7 +499,11 @@
             reason=end.reason,
             worker=placed.worker.peer.address,
         )
-        step.pending.appendleft(task.index)
+        if self._blame.is_suspect(job.task_name(task)):
+            # The others of its step need not wait until it may start.
+            step.pending.append(task.index)
+        else:
+            step.pending.appendleft(task.index)
         self._pending[job.spec.job_id] = job
 
     def _lose_runs(self, runs: list[OpenRun], reason: str) -> None:
@@ -517,5 +562,9 @@
         _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
 
 
+def _tells_crash(end: RunEnd) -> bool:
+    return end.how == RUN_LAPSED and end.reason in CRASHES
+
+
 def _know_no_other(_service: str) -> float:
     return 0.0
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -469,3 +469,30 @@
         self.assertEqual("crashes_minions", bad.result.code)
         self.assertLess(bad.at_ms - self.world.clock.now(), 0)
         self.assertEqual(["bad.0.0.0"] * 2, self.crashes())
+
+    def test_its_neighbours_are_served(self):
+        bad = self.home.submit(make_spec("bad", cpu=1_000, run_ms=400, how="crash"))
+        others = [self.home.submit(make_spec(f"j{n}", 4, cpu=1_000, run_ms=200)) for n in range(8)]
+        self.advance(2_500)
+        self.assertEqual("crashes_minions", bad.result.code)
+        self.assertEqual(["bad.0.0.0"] * 2, self.crashes())
+        self.assertEqual([JobOutcome.SUCCEEDED] * 8, [other.outcome for other in others])
+
+    def test_a_caller_who_sends_it_again_costs_one_minion_more(self):
+        self.home.submit(make_spec("bad", run_ms=400, how="crash"), wait_ms=9_000.0)
+        self.advance(1_500)
+        again = self.home.submit(make_spec("bad", run_ms=400, how="crash"), wait_ms=9_000.0)
+        self.advance(1_500)
+        self.assertEqual(JobOutcome.FAILED, again.outcome)
+        self.assertEqual(["bad.0.0.0"] * 3, self.crashes())
+
+    def test_minions_that_lose_power_together_blame_nobody(self):
+        job = self.home.submit(make_spec("j", 6, run_ms=400), wait_ms=9_000.0)
+        self.advance(50)
+        for worker in self.world.workers[:3]:
+            worker.minion.crash(1_000)
+        self.advance(200)
+        for worker in self.world.workers[3:5]:
+            worker.minion.crash(1_000)
+        self.advance(3_000)
+        self.assertNotEqual(JobOutcome.FAILED, job.outcome)
