--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -10,6 +10,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.job_specs import JobOutcome
 from geraniumspool.memory_minion import MemoryMinion
+from geraniumspool.rooms import Room
 from tests.dispatch_world import DispatchWorld, Home, Worker, make_spec
 
 # The last four had tasks run twice: an owner that woke from a freeze started tasks of an entry
@@ -18,6 +19,7 @@
 # Minions came back under their names: runs given to them were told as lost while at work, and
 # ran twice at a time or took more room than there was.
 RESTART_SEEDS = (33, 38, 63, 79, 93, 101, 108, 133, 141, 150, 153, 158, 161, 167, 172)
+ROUGH_SEEDS = range(1, 11)
 STEPS = 500
 # Share of the steps in which something is done: cuts last for two seconds in the mean.
 ACT_SHARE = 0.12
@@ -29,6 +31,9 @@
 REST_MS = 8_000
 # A caller that waits at a frozen dispatcher has its answer after it thaws.
 FROZEN_MS = (300, 900, 2_500)
+# A task crashes three minions, and may be started three times more.
+MOST_CRASHES = 6
+ROOMS_CPU = (3_000, 5_000, 10_000)
 # Minions report this often.
 BEAT_MS = 500
 
@@ -37,16 +42,20 @@
     """Acts drawn from one seed, and what must hold after each step.
 
     :ivar keeps_names: whether every other minion that crashes comes back under its name
+    :ivar is_rough: whether tasks crash their minions, and rooms shrink and grow
     """
 
-    def __init__(self, seed, keeps_names=False):
+    def __init__(self, seed, keeps_names=False, is_rough=False):
         self.keeps_names = keeps_names
+        self.is_rough = is_rough
         self.draw = random.Random(seed)
         # Every other storm has one dispatcher place on all workers.
         self.world = DispatchWorld(workers=4, homes=3, group_workers=4 if seed % 2 else 2)
         self.acts = []
         self.violations = []
         self.jobs = {}
+        self.crashing = set()
+        self.sent_again = set()
         self.returns = []
         self.thaws = []
         self.steps = 0
@@ -63,6 +72,8 @@
             self.silence_minion,
             self.mute_minion,
         )
+        if self.is_rough:
+            acts += (self.submit_crashing, self.resize_minion)
         for _ in range(STEPS):
             if self.draw.random() < ACT_SHARE:
                 self.draw.choice(acts)()
@@ -71,6 +82,7 @@
         for _ in range(REST_MS // STEP_MS):
             self.step()
         self.check_answers()
+        self.check_crashes()
         self.world.close()
 
     def step(self):
@@ -83,6 +95,7 @@
         now = self.world.clock.now()
         for due, spec in [entry for entry in self.returns if entry[0] <= now]:
             self.returns.remove((due, spec))
+            self.sent_again.add(spec.job_id)
             self.hand_in(spec)
         for due, home in [entry for entry in self.thaws if entry[0] <= now]:
             self.thaws.remove((due, home))
@@ -101,6 +114,17 @@
         spec = make_spec(name, count, 3_000, self.draw.choice(RUNS_MS), declared_ms=300)
         self.hand_in(spec)
 
+    def submit_crashing(self):
+        spec = make_spec(f"j{len(self.jobs)}", 2, 3_000, 300, "crash")
+        self.crashing.add(spec.job_id)
+        self.hand_in(spec)
+
+    def resize_minion(self):
+        worker = self.pick()
+        worker.minion.resize(Room(self.draw.choice(ROOMS_CPU), 10_000))
+        eventlet.spawn_n(worker.executor.take_life, worker.minion.life)
+        self.note(f"{worker.name} has room {worker.minion.life.room.cpu}")
+
     def hand_in(self, spec):
         home = self.draw.choice([home for home in self.world.homes if not self.is_frozen(home)])
         told = home.submit(spec, wait_ms=5_000.0)
@@ -201,6 +225,24 @@
                 self.violations.append(f"{name} was never answered")
             elif told.outcome is JobOutcome.SUCCEEDED:
                 self.check_success(name, spec)
+            elif told.outcome is JobOutcome.REFUSED and name not in self.sent_again:
+                self.check_refusal(name, spec)
+
+    def check_refusal(self, name, spec):
+        for index in range(spec.steps[0].count):
+            if self.world.started(f"{name}.0.0.{index}"):
+                self.violations.append(f"{name}: refused, and task {index} has started")
+
+    def check_crashes(self):
+        """No task may be started more than three times after three minions it has crashed.
+
+        Each life of a dispatcher that places it counts anew.
+        """
+        for name in self.crashing:
+            task = f"{name}.0.0.0"
+            crashes = sum(worker.minion.crashed_by.count(task) for worker in self.world.workers)
+            if crashes > MOST_CRASHES:
+                self.violations.append(f"{task} crashed {crashes} minions")
 
     def check_success(self, name, spec):
         for index in range(spec.steps[0].count):
@@ -221,6 +263,11 @@
             with self.subTest(seed=seed):
                 self.check(Storm(seed))
 
+    def test_storms_with_tasks_that_crash_minions_and_rooms_that_shrink(self):
+        for seed in ROUGH_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(Storm(seed, keeps_names=True, is_rough=True))
+
     def test_storms_with_minions_that_keep_their_names(self):
         for seed in RESTART_SEEDS:
             with self.subTest(seed=seed):
--- a/tests/test_restarted_minion.py
+++ b/tests/test_restarted_minion.py
@@ -119,3 +119,15 @@
             self.clock.advance(10)
         self.assertEqual(RUN_LAPSED, self.how(number))
         self.assertEqual(set(), self.minion.running)
+
+    def test_a_late_order_finds_the_orders_closed_though_no_call_is_answered(self):
+        # The minion comes back mute: it carries out what it is asked, and the executor does not
+        # learn of its new life. What was given up must not begin there, seconds late.
+        self.minion.script(Scripted("start", CallFault.LATE, late_ms=2_500.0))
+        self.start(make_order(1, run_ms=900))
+        self.minion.mute = True
+        self.minion.restart()
+        self.keep(1_500, 1)
+        self.assertIsNotNone(self.how(1))
+        self.keep(1_500)
+        self.assertEqual([], self.minion.started)
