--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -52,7 +52,7 @@
         address = messenger.me.address
         record = encode_record(WorkerRecord(settings.domain))
         self._key = LeasedKey(store, clock, WORKER_PREFIX + address, record, KEY_TTL_MS)
-        self.executor.watch.on_life = self._keep_life
+        self.executor.lives.on_life = self._keep_life
         self._servers: list[WebServer] = []
         self._handlers = {
             StartRuns: self.executor.take_start,
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -11,6 +11,7 @@
 from geraniumspool import run_progress
 from geraniumspool.contracts import Clock, Counters, MinionControl, MinionLife
 from geraniumspool.messages import Message, Peer
+from geraniumspool.minion_lives import MinionLives
 from geraniumspool.minion_session import MinionSession
 from geraniumspool.minion_watch import MinionWatch
 from geraniumspool.run_ends import RunEnds
@@ -44,7 +45,7 @@
     """Runs what dispatchers order on one minion.
 
     :ivar reset_link: has the next message to a peer take a new connection
-    :ivar watch: keeps the view of the minion; its ``on_life`` hears of each life taken
+    :ivar lives: knows which life of the minion is served; its ``on_life`` hears of each
     :ivar leaving: whether nothing new is taken, since the process is about to end
     """
 
@@ -70,11 +71,11 @@
         self._table = RunTable()
         self._reporter = WorkerReporter(clock, send, self._table, self.state)
         self._ends = RunEnds(clock, counters, self._table, self._reporter)
-        self.watch = MinionWatch(
-            clock, counters, self._session, self._table, self._reporter, self._ends
-        )
-        self._stops = self.watch.stops
-        self._starts = self.watch.starts
+        parts = (self._session, self._table, self._reporter, self._ends)
+        self.lives = MinionLives(clock, counters, *parts)
+        self._watch = MinionWatch(clock, *parts, self.lives)
+        self._stops = self.lives.stops
+        self._starts = self.lives.starts
         self._started_ms = clock.now()
         self.reset_link: Callable[[Peer], None] = _keep_link
         self.leaving = False
@@ -110,11 +111,11 @@
 
     def take_life(self, told: MinionLife) -> None:
         """Take what a minion says of itself."""
-        self.watch.take_life(told)
+        self.lives.take_life(told)
 
     def lose_life(self, instance: str, born: int = 0) -> None:
         """Take that a minion has left; ``born`` tells which life of it, if known."""
-        self.watch.lose_life(instance, born)
+        self.lives.lose_life(instance, born)
 
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
@@ -153,7 +154,7 @@
 
     def run_looks(self) -> None:
         """Watch the minion for ever: renew its lease and take ends."""
-        self.watch.run_looks()
+        self._watch.run_looks()
 
     def run_ticks(self) -> None:
         """Enforce time limits for ever."""
@@ -242,7 +243,7 @@
             return False
         if not (life.is_clear and life.is_described):
             return False
-        if not self.watch.is_heard:
+        if not self._watch.is_heard:
             return False
         judge = self._ends.judge
         if judge.is_ejected:
@@ -268,7 +269,7 @@
             if now - customer.heard_ms > FORGET_DISPATCHER_MS and not customer.runs:
                 del self._table.customers[customer.peer]
         self._refuse_impatient(now)
-        is_heard = self.watch.is_heard
+        is_heard = self._watch.is_heard
         for run in self._table:
             if run.limit_ms <= now:
                 self._stops.stop(run, "limit_passed")
