A minion that is only silent blames no task

What a caller saw (in memory): a job told as failed with crashes_minions after two minions with its task had been cut off for a while. Cause: silence was counted as a crash. Mend: only refused connections and a new life tell of a crash. It holds since a process that has ended refuses; the price is that a task which silences its minions is not named (docs/decisions/crashing-tasks.md). Test: fails before (failed instead of succeeded).

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -60,8 +60,8 @@
 # A pass gives up after as many tasks in a row that find no room.
 MAX_MISSES = 6
 
-# Ends of runs that tell of a crash of their minion, or look like one.
-CRASHES = frozenset({"minion_down", "minion_replaced", "minion_silent"})
+# Reasons of ends that tell of a crash of their minion; one that is silent may be cut off.
+CRASHES = frozenset({"minion_down", "minion_replaced"})
 
 _RETRIED = frozenset({RUN_STOPPED, RUN_LAPSED})
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -496,3 +496,13 @@
             worker.minion.crash(1_000)
         self.advance(3_000)
         self.assertNotEqual(JobOutcome.FAILED, job.outcome)
+
+    def test_minions_that_are_only_silent_blame_nobody(self):
+        job = self.home.submit(make_spec("j", run_ms=3_000), wait_ms=9_000.0)
+        for _ in range(2):
+            self.advance(100)
+            worker = self.find_worker("j.0.0.0")
+            worker.minion.silent = True
+            self.advance(900)
+        self.advance(4_000)
+        self.assertEqual(JobOutcome.SUCCEEDED, job.outcome)
