Nothing starts in a failure domain that operators evacuate

Cause: no module knew that an operator may ask that a failure domain get no more tasks.

Change: Evacuations is what a process believes of it, by the store's revision and with its age; an older word never comes back. Dispatchers follow it with the configuration in one watch (not a call more than before), tell each other in their reports and executors in orders and renewals. Two guards: a dispatcher counts no worker there as usable (so loads, predicted waits and admission reckon without them at once), and an executor refuses to start. The executor asks the store only where all that it hears may be out of date, since a watch each would cost as many calls as there are workers. A message counts for its freshness only from the clock that its sender echoes, so what was held up or frozen proves nothing. Jobs that wait at an owner without usable workers go elsewhere; those that have begun borrow workers of others, or end at once where none is left.

Ruled out: a watch in each executor (58 calls a second). Age by arrival: a dispatcher that wakes would pass for fresh.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -52,6 +52,8 @@
     """Settings of an executor.
 
     :param minion_listen: address that its minion reports to
+    :param evacuation_ms: time within which no task starts any more in an evacuated domain,
+        None for the usual one
     """
 
     name: str
@@ -59,6 +61,7 @@
     inbox: str
     store: str
     minion_listen: str
+    evacuation_ms: Annotated[float, msgspec.Meta(gt=0)] | None = None
     metrics_listen: str = ""
     grace_s: float = 6.0
     log_level: str = "info"
--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -8,6 +8,8 @@
 from geraniumspool.contracts import Clock, Messenger, MinionControl, MinionLife, Store
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import ExecutorSettings
+from geraniumspool.evacuation_guard import DEFAULT_BOUND_MS, EvacuationGuard
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.executor import Executor
 from geraniumspool.leased_key import LeasedKey
 from geraniumspool.messages import Message, Peer, WrongIncarnation
@@ -40,13 +42,25 @@
         messenger: Messenger,
         store: Store,
         control: MinionControl,
+        evacuations_prefix: str,
     ):
-        """Connect the parts."""
+        """Connect the parts.
+
+        :param evacuations_prefix: that of the store's keys of evacuated domains
+        """
         super().__init__(clock, metrics)
         self._settings = settings
         self._messenger = messenger
+        self.guard = EvacuationGuard(
+            clock,
+            settings.domain,
+            Evacuations(clock, metrics),
+            lambda: store.list(evacuations_prefix),
+            evacuations_prefix,
+            settings.evacuation_ms or DEFAULT_BOUND_MS,
+        )
         self.executor = Executor(
-            clock, control, messenger.send, metrics, settings.domain, clock.wall()
+            clock, control, messenger.send, metrics, settings.domain, clock.wall(), self.guard
         )
         self.executor.reset_link = messenger.reset
         address = messenger.me.address
@@ -68,6 +82,8 @@
     def start(self) -> None:
         """Bind listeners and start the green tasks."""
         self._messenger.start(self._receive)
+        # Nothing starts here before it is known what is evacuated.
+        self.guard.check()
         self._run(self.executor.run_looks)
         self._run(self.executor.run_ticks)
         self._run(self._keep_key)
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -9,10 +9,12 @@
 from geraniumspool.daemon_settings import DispatcherSettings
 from geraniumspool.dispatcher import Dispatcher
 from geraniumspool.dispatcher_peers import DispatcherPeers
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
 from geraniumspool.job_router import JobRouter
 from geraniumspool.leased_key import LeasedKey
 from geraniumspool.messages import Message, Peer, WrongIncarnation
+from geraniumspool.operator_keys import OperatorKeys, list_evacuated
 from geraniumspool.queues import QueueConfiguration, QueueTable
 from geraniumspool.registrations import (
     DISPATCHER_PREFIX,
@@ -49,28 +51,37 @@
         metrics: MemoryCounters,
         messenger: Messenger,
         store: Store,
-        configuration_key: str,
+        keys: OperatorKeys,
         decode: Callable[[bytes], QueueTable | None],
     ):
         """Connect the parts.
 
-        :param configuration_key: where the store holds the operators' configuration
-        :param decode: reads its value
+        :param keys: where the store holds what operators ask for
+        :param decode: reads the value of the configuration's key
         """
         super().__init__(clock, metrics)
         self._settings = settings
         self._messenger = messenger
-        self._key = configuration_key
+        self._keys = keys
         self._decode = decode
         self.configuration = QueueConfiguration()
-        self.dispatcher = Dispatcher(clock, messenger.send, metrics, settings.domain)
+        self.evacuations = Evacuations(clock, metrics)
+        self.dispatcher = Dispatcher(
+            clock, messenger.send, metrics, settings.domain, self.evacuations
+        )
         self.dispatcher.fleet.reset_link = messenger.reset
         self.dispatcher.fleet.is_broken = messenger.is_broken
         record = DispatcherRecord(settings.domain, settings.capacity)
         self._peers = DispatcherPeers(clock, messenger.me, record)
         self._peers.is_broken = messenger.is_broken
         self.router = JobRouter(
-            clock, messenger.send, metrics, settings.domain, self.dispatcher, self._peers
+            clock,
+            messenger.send,
+            metrics,
+            settings.domain,
+            self.dispatcher,
+            self._peers,
+            self.evacuations,
         )
         self.router.reset_link = messenger.reset
         self._member_key = LeasedKey(
@@ -80,8 +91,13 @@
             encode_record(record),
             KEY_TTL_MS,
         )
-        self._queues_watch = StoreWatch(
-            store, configuration_key, clock, self._take_keys, self._take_queues
+        self._operators_watch = StoreWatch(
+            store,
+            keys.prefix,
+            clock,
+            self._take_keys,
+            self._take_key,
+            self.evacuations.confirm,
         )
         self._members_watch = StoreWatch(
             store, MEMBER_PREFIX, clock, self._take_members, self._take_member
@@ -114,7 +130,7 @@
     def start(self) -> None:
         """Bind listeners and start the green tasks."""
         self._messenger.start(self._receive)
-        self._run(self._queues_watch.run)
+        self._run(self._operators_watch.run)
         self._run(self._members_watch.run)
         self._run(self._member_key.run)
         self._run(self.dispatcher.run_ticks)
@@ -154,13 +170,23 @@
         _LOG.info("stopped", extra={"fields": (("name", self._settings.name),)})
 
     def _take_keys(self, snapshot: Snapshot) -> None:
+        prefix = self._keys.evacuations
+        domains = list_evacuated(snapshot, prefix)
+        self.evacuations.replace(domains, snapshot.revision, self.evacuations.heard_ms)
         for pair in snapshot.pairs:
-            self._take_queues(Change(pair.key, pair.value, pair.revision))
+            self._take_queues(pair.key, pair.value)
+
+    def _take_key(self, change: Change) -> None:
+        prefix = self._keys.evacuations
+        if change.key.startswith(prefix):
+            domain = change.key.removeprefix(prefix)
+            self.evacuations.change(domain, change.value is not None, change.revision)
+        self._take_queues(change.key, change.value)
 
-    def _take_queues(self, change: Change) -> None:
-        if change.key != self._key or change.value is None:
+    def _take_queues(self, key: str, value: bytes | None) -> None:
+        if key != self._keys.configuration or value is None:
             return
-        table = self._decode(change.value)
+        table = self._decode(value)
         if table is not None:
             self.configuration.take(table)
 
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -17,6 +17,7 @@
 from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, make_steps
 from geraniumspool.dispatch_job import measure_objective as measure
 from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.fleet import Fleet, OpenRun, WorkerView
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog, measure_run
 from geraniumspool.job_messages import ServiceLoad
@@ -84,19 +85,21 @@
         send: Callable[[Peer, Message], bool],
         counters: Counters,
         domain: str,
+        evacuations: Evacuations,
         policy: DispatchPolicy | None = None,
     ):
         """Start with no job and no worker.
 
         :param send: queues a message to a worker's agent
         :param domain: failure domain of this process
+        :param evacuations: failure domains in which nothing is placed
         :param policy: what decides, :class:`ExpectedUse` where none is given
         """
         self._policy = policy or ExpectedUse()
         self._clock = clock
         self._counters = counters
         self._domain = domain
-        self.fleet = Fleet(clock, send, self._lose_runs)
+        self.fleet = Fleet(clock, send, self._lose_runs, evacuations)
         self._jobs: dict[str, DispatchJob] = {}
         # Those with tasks that may be ordered, so that a pass does not look at all jobs.
         self._pending: dict[str, DispatchJob] = {}
@@ -202,8 +205,34 @@
         for job in list(self._jobs.values()):
             self._give_up(job, "process_stops")
 
+    def apply_evacuations(self, find_others: Callable[[], list[str]]) -> None:
+        """Place on the workers that may be used now.
+
+        :param find_others: returns the addresses of usable workers of other dispatchers
+        """
+        self.fleet.apply_evacuations()
+        self.return_unowned()
+        if not self.fleet.has_owned and self._pending:
+            self._finish_elsewhere(find_others())
+        self.schedule()
+
+    def _finish_elsewhere(self, others: list[str]) -> None:
+        """Have the rest of the jobs that have begun run at workers of other dispatchers.
+
+        Without them their callers would wait to the end of their time.
+        """
+        self.fleet.borrow(others)
+        fields = (("jobs", len(self._pending)), ("workers", len(others)))
+        _LOG.info("workers borrowed", extra={"fields": fields})
+        if not others:
+            for job in list(self._pending.values()):
+                self._give_up(job, "no_worker")
+
     def return_unowned(self) -> None:
-        """Give back the jobs that have not begun if all workers went to other dispatchers."""
+        """Give back the jobs that have not begun if no worker is left to place them on.
+
+        All may have gone to other dispatchers, or be evacuated.
+        """
         if self.fleet.has_owned:
             return
         for job in list(self._jobs.values()):
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -10,6 +10,7 @@
 
 from geraniumspool import run_progress
 from geraniumspool.contracts import Clock, Counters, MinionControl, MinionLife
+from geraniumspool.evacuation_guard import EvacuationGuard
 from geraniumspool.messages import Message, Peer
 from geraniumspool.minion_lives import MinionLives
 from geraniumspool.minion_session import MinionSession
@@ -57,16 +58,20 @@
         counters: Counters,
         domain: str,
         first_fence: int,
+        guard: EvacuationGuard,
     ):
         """Wait for the minion to describe itself.
 
         :param send: queues a message to a dispatcher
         :param first_fence: fencing token to begin with; it rises where the minion
             has seen a higher one
+        :param guard: tells whether operators want no task started here
         """
         self._clock = clock
         self._counters = counters
         self._domain = domain
+        self._guard = guard
+        guard.on_change = self._take_guard
         self._session = MinionSession(control, first_fence)
         self._table = RunTable()
         self._reporter = WorkerReporter(clock, send, self._table, self.state)
@@ -119,6 +124,7 @@
 
     def take_start(self, home: Peer, message: StartRuns) -> None:
         """Take runs that a dispatcher orders."""
+        self._guard.evacuations.hear(message.evacuations, message.echo_ms)
         customer = self._renew(home, message.echo_ms)
         now = self._clock.now()
         for order in message.orders:
@@ -142,6 +148,7 @@
 
     def take_renewal(self, home: Peer, message: RenewRuns) -> None:
         """Renew a dispatcher's lease, and settle what both sides know of its runs."""
+        self._guard.evacuations.hear(message.evacuations, message.echo_ms)
         customer = self._renew(home, message.echo_ms)
         wanted = set(message.numbers)
         for number, run in list(customer.runs.items()):
@@ -160,6 +167,7 @@
         """Enforce time limits for ever."""
         while True:
             self._clock.sleep(IDLE_TICK_MS if self.is_idle else TICK_MS)
+            self._guard.check()
             self._enforce(self._clock.now())
 
     def leave(self) -> None:
@@ -196,6 +204,15 @@
             if now - run.arrived_ms >= run.order.patience_ms:
                 self._ends.refuse(run, "no_room")
 
+    def _take_guard(self) -> None:
+        """Take that tasks may start here, or may not any more."""
+        refusal = self._guard.refusal
+        fields = (("reason", refusal), ("runs", len(self._table)))
+        _LOG.info("starts refused" if refusal else "starts allowed", extra={"fields": fields})
+        if refusal:
+            self._ends.refuse_waiting(refusal)
+        self._reporter.tell_all()
+
     def _is_past_gone(self) -> bool:
         """Return whether nothing runs any more that an earlier process here has started."""
         life = self._session.life
@@ -224,6 +241,8 @@
     def _refuse_reason(self, customer: Customer, order: RunOrder, now: float) -> str:
         if customer.lease_until_ms <= now:
             return "lease_over"
+        if self._guard.refusal:
+            return self._guard.refusal
         if not self._accepts():
             return "not_accepting"
         if order.limit_ms <= 0:
@@ -239,7 +258,7 @@
 
     def _accepts(self) -> bool:
         life = self._session.life
-        if self.leaving or life is None or life.told.draining:
+        if self.leaving or life is None or life.told.draining or self._guard.refusal:
             return False
         if not (life.is_clear and life.is_described):
             return False
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from geraniumspool.contracts import Clock
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
 from geraniumspool.rooms import NO_ROOM, Room
 from geraniumspool.run_leases import CLOCK_DRIFT, DISPATCHER_LEASE_MS, MINION_LEASE_MS
@@ -66,6 +67,7 @@
     :ivar runs: open runs by number
     :ivar free: room that is free there as far as known
     :ivar was_usable: whether it has been usable at any time
+    :ivar is_evacuated: whether operators want no task started in its failure domain
     :ivar is_listed: whether its key was in the store at the last look
     :ivar is_owned: whether this dispatcher places new jobs there
     :ivar disowned_ms: when it went to another dispatcher
@@ -90,6 +92,7 @@
         self.disowned_ms = 0.0
         self.is_usable = False
         self.was_usable = False
+        self.is_evacuated = False
         self.is_silent = True
         self.free = NO_ROOM
 
@@ -137,7 +140,7 @@
         self.asked_ms = 0.0
         self.upto = max(self.upto, report.upto)
         self.state = report.state
-        self.is_usable = report.state.accepts
+        self.is_usable = report.state.accepts and not self.is_evacuated
         self.was_usable = self.was_usable or self.is_usable
         self.is_silent = False
         self.free = report.state.free
@@ -158,12 +161,15 @@
         clock: Clock,
         send: Callable[[Peer, Message], bool],
         on_lost: Callable[[list[OpenRun], str], None],
+        evacuations: Evacuations,
     ):
         """Know no worker.
 
         :param on_lost: called with the runs of a worker that is gone, and why
+        :param evacuations: failure domains in which no worker is usable
         """
         self._clock = clock
+        self._evacuations = evacuations
         self._send = send
         self._on_lost = on_lost
         self._views: dict[str, WorkerView] = {}
@@ -178,9 +184,11 @@
         return self._views.values()
 
     def of_service(self, service: str) -> list[WorkerView]:
-        """Return the workers of a service that have been heard of."""
+        """Return the workers of a service that have been heard of and are not evacuated."""
         return [
-            view for view in self._views.values() if view.is_owned and view.state.service == service
+            view
+            for view in self._views.values()
+            if view.is_owned and not view.is_evacuated and view.state.service == service
         ]
 
     def former_of(self, service: str) -> list[WorkerView]:
@@ -194,7 +202,26 @@
     @property
     def has_owned(self) -> bool:
         """Whether this dispatcher places on any worker."""
-        return any(view.is_owned for view in self._views.values())
+        return any(view.is_owned and not view.is_evacuated for view in self._views.values())
+
+    @property
+    def has_evacuated(self) -> bool:
+        """Whether a worker here would be usable if its domain were not evacuated."""
+        return any(view.is_evacuated and view.state.accepts for view in self._views.values())
+
+    def apply_evacuations(self) -> None:
+        """Take that other domains are evacuated than before.
+
+        Workers that were taken back are asked for their state before they are used.
+        """
+        now = self._clock.now()
+        for view in self._views.values():
+            was_evacuated = view.is_evacuated
+            self._mark(view, view.domain)
+            if view.is_evacuated:
+                view.is_usable = False
+            elif was_evacuated:
+                self._renew(view, now)
 
     def usable_of(self, service: str) -> list[WorkerView]:
         """Return the workers of a service that take new runs."""
@@ -214,7 +241,10 @@
         """Return how many workers have been listed just now and may be usable soon."""
         now = self._clock.now()
         return sum(
-            view.is_owned and not view.was_usable and now - view.known_ms < GATHER_MS
+            view.is_owned
+            and not view.was_usable
+            and not view.is_evacuated
+            and now - view.known_ms < GATHER_MS
             for view in self._views.values()
         )
 
@@ -244,6 +274,17 @@
             view.is_owned = address in owned
         self.renew()
 
+    def borrow(self, addresses: Iterable[str]) -> None:
+        """Have some workers of other dispatchers finish the jobs that have begun here."""
+        now = self._clock.now()
+        for address in addresses:
+            view = self._views.get(address)
+            if view is None:
+                view = self._views[address] = WorkerView(address, now)
+                view.is_owned = False
+            view.disowned_ms = now
+        self.renew()
+
     def note_written(self, address: str) -> None:
         """Take that a worker has just written its key: a silent one is up again."""
         view = self._views.get(address)
@@ -263,10 +304,11 @@
         """Send the orders that were made, one message to each worker."""
         outbox, self._outbox = self._outbox, {}
         now = self._clock.now()
+        news = self._evacuations.tell()
         for peer, orders in outbox.items():
             view = self._views[peer.address]
             view.note_sent(now)
-            self._send(peer, StartRuns(view.echo_ms, tuple(orders)))
+            self._send(peer, StartRuns(view.echo_ms, tuple(orders), news))
 
     def stop(self, runs: Iterable[tuple[WorkerView, int]]) -> None:
         """Ask workers to stop runs, with one message to each."""
@@ -297,6 +339,7 @@
                     )
                 },
             )
+        self._mark(view, report.state.domain)
         view.take(report, now)
         if view.runs and view.echo_ms - view.echoed_ms >= RENEW_MS:
             # The lease that an idle worker was left with is nearly over.
@@ -338,12 +381,17 @@
             return now - view.disowned_ms > FORMER_MS
         return silent_ms > FORGET_MS and not view.is_listed
 
+    def _mark(self, view: WorkerView, domain: str) -> None:
+        """Note whether a worker is evacuated; all are until the operators' word is known."""
+        view.is_evacuated = not self._evacuations.is_known or self._evacuations.covers(domain)
+
     def _renew(self, view: WorkerView, now: float) -> None:
         view.note_sent(now)
         old = now - LISTED_AFTER_MS
         numbers = [run.number for run in view.runs.values() if run.sent_ms < old]
         upto = max(numbers, default=0)
-        message = RenewRuns(view.echo_ms, tuple(numbers), upto, view.is_listed)
+        news = self._evacuations.tell()
+        message = RenewRuns(view.echo_ms, tuple(numbers), upto, view.is_listed, news)
         self._send(view.peer, message)
 
     def _reset(self, view: WorkerView, now: float) -> None:
--- a/geraniumspool/job_messages.py
+++ b/geraniumspool/job_messages.py
@@ -11,6 +11,7 @@
 from geraniumspool.job_specs import JobResult, JobSpec
 from geraniumspool.queued_work import NO_WORK, QueuedWork
 from geraniumspool.queues import Queue
+from geraniumspool.run_messages import EvacuationNews
 
 
 class ServiceLoad(NamedTuple):
@@ -72,6 +73,7 @@
     :param numbers: jobs forwarded to the receiver and not answered
     :param upto: highest number among those that the list is complete for
     :param loads: the sender's own workers, by service
+    :param evacuations: what it knows of evacuated domains
     """
 
     now_ms: float
@@ -80,3 +82,4 @@
     numbers: tuple[int, ...]
     upto: int
     loads: tuple[ServiceLoad, ...]
+    evacuations: EvacuationNews = EvacuationNews()
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -17,6 +17,7 @@
 from geraniumspool.dispatch_job import DispatchJob
 from geraniumspool.dispatcher import ANSWER_MARGIN_MS, DEFAULT_WAIT_MS, Dispatcher
 from geraniumspool.dispatcher_peers import DispatcherPeers, PeerView
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.fleet import GATHER_MS, LOST_MS
 from geraniumspool.forwarded_jobs import LEASE_OVER, NOT_RECEIVED, ForwardedJobs
 from geraniumspool.job_admission import GATHERING_MS, NO_WORKER_RETRY_MS
@@ -108,13 +109,17 @@
         domain: str,
         dispatcher: Dispatcher,
         peers: DispatcherPeers,
+        evacuations: Evacuations,
     ):
         """Connect the parts.
 
         :param send: queues a message to a dispatcher
+        :param evacuations: what dispatchers tell each other of evacuated domains
         """
         self._clock = clock
         self._send = send
+        self._evacuations = evacuations
+        evacuations.on_change = self._take_evacuations
         self._counters = counters
         self._domain = domain
         self._dispatcher = dispatcher
@@ -134,8 +139,10 @@
     @property
     def has_workers(self) -> bool:
         """Whether some worker is usable, here or at another dispatcher."""
-        own = any(view.is_usable for view in self._dispatcher.fleet.views)
-        return own or any(self.peers.owners())
+        fleet = self._dispatcher.fleet
+        own = any(view.is_usable for view in fleet.views)
+        # Callers are told that nothing can run now, which needs an entry that is ready.
+        return own or fleet.has_evacuated or any(self.peers.owners())
 
     @property
     def is_idle(self) -> bool:
@@ -176,8 +183,9 @@
         """Return whether a new job is for the dispatcher here, if only to refuse it."""
         if option is not None:
             return option.owner is None
+        fleet = self._dispatcher.fleet
         is_gathering = now - self._owner_known_ms < GATHER_MS and not self.peers.is_leaving
-        return self._dispatcher.fleet.has_owned or not is_gathering
+        return fleet.has_owned or fleet.has_evacuated or not is_gathering
 
     def _hold(self, job: ForwardedJob) -> ForwardedJob:
         """Keep a job for the moment that owners need to be heard of."""
@@ -288,14 +296,16 @@
 
     def take_report(self, sender: Peer, report: DispatcherReport) -> None:
         """Take another dispatcher's load, and settle what both know of its jobs."""
+        now = self._clock.now()
+        self._evacuations.hear(report.evacuations, report.echo_ms)
         view = self.peers.find(sender)
         was_leaving, was_alive = view.is_leaving, view.was_alive
-        view.take(report, self._clock.now())
+        view.take(report, now)
         self.forwarded.settle(sender, report)
         if view.is_leaving != was_leaving or not was_alive:
             self._regroup()
         if self._held and report.loads:
-            self._place_held(self._clock.now())
+            self._place_held(now)
 
     def take_rejection(self, sender: Peer) -> None:
         """Take that another process answers at a dispatcher's address."""
@@ -453,6 +463,7 @@
     def _report(self, now: float) -> None:
         """Tell those that are due what the workers here can take, and which jobs are awaited."""
         loads = self._dispatcher.describe_loads()
+        news = self._evacuations.tell()
         is_news = bool(loads) != self._had_loads
         self._had_loads = bool(loads)
         listed: dict[Peer, list[int]] = {}
@@ -471,7 +482,7 @@
             numbers = tuple(listed.get(view.peer, ()))
             leaving = self.peers.is_leaving
             upto = max(numbers, default=0)
-            report = DispatcherReport(now, view.echo_ms, leaving, numbers, upto, loads)
+            report = DispatcherReport(now, view.echo_ms, leaving, numbers, upto, loads, news)
             if view.silent_ms(now) > RESET_MS and now - view.reset_ms > RESET_MS:
                 view.reset_ms = now
                 self.reset_link(view.peer)
@@ -483,6 +494,22 @@
         if view is not None:
             view.told_ms = -math.inf
 
+    def _take_evacuations(self) -> None:
+        """Place on the workers that may be used now, and tell the others at once."""
+        self._dispatcher.apply_evacuations(self._list_usable)
+        for view in self.peers.views.values():
+            view.told_ms = -math.inf
+        self._report(self._clock.now())
+
+    def _list_usable(self) -> list[str]:
+        """Return the addresses of workers that the store lists and that are not evacuated."""
+        workers = self.peers.directory.workers
+        return [
+            address
+            for address, record in workers.items()
+            if not self._evacuations.covers(record.domain)
+        ]
+
     def _regroup(self) -> None:
         """Place on the workers that are this process's own now."""
         if self.peers.refresh():
--- a/geraniumspool/platform/__main__.py
+++ b/geraniumspool/platform/__main__.py
@@ -22,7 +22,7 @@
 from geraniumspool.errors import InvalidInput
 from geraniumspool.link import NngMessenger
 from geraniumspool.metrics_page import MetricsPage
-from geraniumspool.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from geraniumspool.platform.configuration import OPERATOR_KEYS, decode_configuration
 from geraniumspool.platform.ingress import Ingress, ReadyCheck
 from geraniumspool.platform.minion import HttpMinionControl
 from geraniumspool.platform.reports import Reports
@@ -46,7 +46,7 @@
     messenger = NngMessenger(settings.inbox, draw_incarnation(), clock, metrics)
     store = KeyValueStore(settings.store, clock, metrics)
     entry = DispatchEntry(
-        settings, clock, metrics, messenger, store, CONFIGURATION_KEY, decode_configuration
+        settings, clock, metrics, messenger, store, OPERATOR_KEYS, decode_configuration
     )
     callers = WebServer(
         Ingress(entry.router, entry.configuration, metrics), settings.callers_listen, clock
@@ -68,7 +68,9 @@
     messenger = NngMessenger(settings.inbox, draw_incarnation(), clock, metrics)
     store = KeyValueStore(settings.store, clock, metrics)
     control = HttpMinionControl(clock, metrics)
-    agent = DispatchAgent(settings, clock, metrics, messenger, store, control)
+    agent = DispatchAgent(
+        settings, clock, metrics, messenger, store, control, OPERATOR_KEYS.evacuations
+    )
     reports = WebServer(Reports(agent.executor, metrics), settings.minion_listen, clock)
     agent.serve([reports, *_serve_metrics(metrics, settings, clock)])
     return agent
--- a/geraniumspool/platform/configuration.py
+++ b/geraniumspool/platform/configuration.py
@@ -4,11 +4,12 @@
 
 import msgspec
 
+from geraniumspool.operator_keys import OperatorKeys
 from geraniumspool.queues import Queue, QueueTable
 
 _LOG = logging.getLogger(__name__)
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_KEYS = OperatorKeys("op/", "op/config", "op/evacuate/")
 
 
 class Route(msgspec.Struct):
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -19,6 +19,19 @@
 RUN_REFUSED = "refused"
 
 
+class EvacuationNews(NamedTuple):
+    """What a process tells others of the evacuated domains.
+
+    :param revision: of the store when it listed them, 0 where nothing is known
+    :param domains: all that are evacuated, in order
+    :param age_ms: how long ago the store is known to have said so
+    """
+
+    revision: int = 0
+    domains: tuple[str, ...] = ()
+    age_ms: float = 0.0
+
+
 class RunOrder(NamedTuple):
     """One run of one task.
 
@@ -48,10 +61,12 @@
     """Dispatcher to executor: start these runs.
 
     :param echo_ms: the executor's clock as it was last heard
+    :param evacuations: what the dispatcher knows of evacuated domains
     """
 
     echo_ms: float
     orders: tuple[RunOrder, ...]
+    evacuations: EvacuationNews = EvacuationNews()
 
 
 class StopRuns(NamedTuple):
@@ -71,12 +86,14 @@
     :param numbers: open runs
     :param upto: highest number among those that the list is complete for
     :param is_listed: whether the dispatcher finds the executor in the store
+    :param evacuations: what the dispatcher knows of evacuated domains
     """
 
     echo_ms: float
     numbers: tuple[int, ...] = ()
     upto: int = 0
     is_listed: bool = True
+    evacuations: EvacuationNews = EvacuationNews()
 
 
 class RunEnd(NamedTuple):
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -3,9 +3,13 @@
 import eventlet
 
 from geraniumspool.clock import ManualClock
+from geraniumspool.contracts import KeyValue, Snapshot
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.dispatcher import Dispatcher
 from geraniumspool.dispatcher_peers import DispatcherPeers
+from geraniumspool.errors import StoreUnavailable
+from geraniumspool.evacuation_guard import EvacuationGuard
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.executor import Executor
 from geraniumspool.groups import GROUP_WORKERS
 from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
@@ -27,6 +31,10 @@
 
 QUEUE = Queue("scan", "h.example", "/scan/", "fitting", 0, 2, 1.6, 60.0)
 WORKER_ROOM = Room(10_000, 10_000)
+EVACUATIONS_PREFIX = "op/evacuate/"
+EVACUATION_MS = 5_000.0
+# A watch of the store is answered this often.
+WATCH_MS = 1_000
 
 
 def make_spec(job_id, count=1, cpu=4_000, run_ms=100, how="", declared_ms=None, **step):
@@ -36,18 +44,74 @@
     return JobSpec(job_id, payload, (StepSpec(count, Room(cpu), declared, **step),))
 
 
+class OperatorList:
+    """The evacuated domains as the store lists them."""
+
+    def __init__(self):
+        self.domains = frozenset()
+        self.revision = 1
+
+    def change(self, *domains):
+        """Have these be all that are evacuated."""
+        self.domains = frozenset(domains)
+        self.revision += 1
+
+    def list(self):
+        """Return the keys, as the store does."""
+        keys = [EVACUATIONS_PREFIX + domain for domain in sorted(self.domains)]
+        return Snapshot(self.revision, tuple(KeyValue(key, b"{}", self.revision) for key in keys))
+
+
+def make_guard(clock, counters, domain="north", operators=None):
+    """Return a guard that has read the operators' list."""
+    operators = operators or OperatorList()
+    evacuations = Evacuations(clock, counters)
+    evacuations.replace(operators.domains, operators.revision, clock.now())
+    return EvacuationGuard(
+        clock, domain, evacuations, operators.list, EVACUATIONS_PREFIX, EVACUATION_MS
+    )
+
+
 class Worker:
-    """An executor with its minion, its messenger and its green tasks."""
+    """An executor with its minion, its messenger and its green tasks.
+
+    :ivar is_cut_off: whether it does not reach the store
+    """
 
-    def __init__(self, world, name, incarnation=1, minion=None, fence=1, room=WORKER_ROOM):
+    def __init__(
+        self,
+        world,
+        name,
+        incarnation=1,
+        minion=None,
+        fence=1,
+        room=WORKER_ROOM,
+        domain="north",
+    ):
         self.world = world
         self.name = name
+        self.domain = domain
+        self.is_cut_off = False
         self.minion = minion or MemoryMinion(world.clock, f"i-{name}", room)
         self.counters = MemoryCounters()
         me = Peer(f"tcp://{name}", incarnation)
         self.messenger = MemoryMessenger(world.network, me, self.counters)
+        self.guard = EvacuationGuard(
+            world.clock,
+            domain,
+            Evacuations(world.clock, self.counters),
+            self._list_evacuated,
+            EVACUATIONS_PREFIX,
+            world.evacuation_ms,
+        )
         self.executor = Executor(
-            world.clock, self.minion, self.messenger.send, self.counters, "north", fence
+            world.clock,
+            self.minion,
+            self.messenger.send,
+            self.counters,
+            domain,
+            fence,
+            self.guard,
         )
         handlers = {
             StartRuns: self.executor.take_start,
@@ -58,6 +122,7 @@
             ),
         }
         self.messenger.start(lambda d: handlers[type(d.message)](d.sender, d.message))
+        self.guard.check()
         self.tasks = [
             eventlet.spawn(self.executor.run_looks),
             eventlet.spawn(self.executor.run_ticks),
@@ -68,6 +133,11 @@
     def address(self):
         return f"tcp://{self.name}"
 
+    def _list_evacuated(self):
+        if self.is_cut_off:
+            raise StoreUnavailable("cut off")
+        return self.world.operators.list()
+
     def kill(self):
         """End the process, as by a signal; the minion lives on."""
         for task in self.tasks:
@@ -76,24 +146,36 @@
 
 
 class Home:
-    """A dispatcher with its messenger and its green tasks."""
+    """A dispatcher with its messenger and its green tasks.
 
-    def __init__(self, world, name, incarnation=1, capacity=1.0):
+    :ivar is_cut_off: whether it does not reach the store
+    """
+
+    def __init__(self, world, name, incarnation=1, capacity=1.0, domain="north", is_cut_off=False):
         self.world = world
+        self.is_cut_off = is_cut_off
         self.counters = MemoryCounters()
         me = Peer(f"tcp://{name}", incarnation)
         self.messenger = MemoryMessenger(world.network, me, self.counters)
         policy = world.policy() if world.policy else None
+        self.evacuations = Evacuations(world.clock, self.counters)
         self.dispatcher = Dispatcher(
-            world.clock, self.messenger.send, self.counters, "north", policy
+            world.clock, self.messenger.send, self.counters, domain, self.evacuations, policy
         )
-        self.record = DispatcherRecord("north", capacity)
+        self.record = DispatcherRecord(domain, capacity)
         self.peers = DispatcherPeers(world.clock, me, self.record, world.group_workers)
         self.peers.is_broken = self.messenger.is_broken
         self.dispatcher.fleet.is_broken = self.messenger.is_broken
         self.router = JobRouter(
-            world.clock, self.messenger.send, self.counters, "north", self.dispatcher, self.peers
+            world.clock,
+            self.messenger.send,
+            self.counters,
+            domain,
+            self.dispatcher,
+            self.peers,
+            self.evacuations,
         )
+        self.read_operators()
         handlers = {
             WorkerReport: self.dispatcher.take_report,
             ForwardJob: self.router.take_forward,
@@ -106,7 +188,7 @@
         self.tasks = self._spawn_ticks()
         for worker in world.workers:
             self.list_member(
-                WORKER_PREFIX + worker.address, WorkerRecord("north", worker.minion.life)
+                WORKER_PREFIX + worker.address, WorkerRecord(worker.domain, worker.minion.life)
             )
         for other in (*world.homes, self):
             self.list_member(DISPATCHER_PREFIX + other.address, other.record)
@@ -144,9 +226,22 @@
         self.peers.directory.change(key, encode_record(record), self.world.clock.now())
 
     def _spawn_ticks(self):
-        tasks = (self.dispatcher.run_ticks, self.router.run_ticks)
+        tasks = (self.dispatcher.run_ticks, self.router.run_ticks, self._watch_operators)
         return [eventlet.spawn(task) for task in tasks]
 
+    def read_operators(self):
+        """Take what operators ask for, as a watch of the store tells it."""
+        if not self.is_cut_off:
+            now = self.world.clock.now()
+            self.evacuations.replace(
+                self.world.operators.domains, self.world.operators.revision, now
+            )
+
+    def _watch_operators(self):
+        while True:
+            self.world.clock.sleep(WATCH_MS)
+            self.read_operators()
+
     def _take_rejection(self, sender, _message):
         self.dispatcher.fleet.take_rejection(sender)
         self.router.take_rejection(sender)
@@ -195,18 +290,27 @@
         rooms=None,
         group_workers=GROUP_WORKERS,
         capacities=(),
+        domains=("north",),
+        evacuation_ms=EVACUATION_MS,
     ):
+        self.operators = OperatorList()
+        self.evacuation_ms = evacuation_ms
+        self.domains = domains
         self.policy = policy
         self.group_workers = group_workers
         self.homes = []
         self.clock = ManualClock()
         self.network = MemoryNetwork(self.clock, delay_ms=1.0)
         rooms = rooms or [WORKER_ROOM] * workers
-        self.workers = [Worker(self, f"w{number}", room=room) for number, room in enumerate(rooms)]
+        self.workers = [
+            Worker(self, f"w{number}", room=room, domain=domains[number % len(domains)])
+            for number, room in enumerate(rooms)
+        ]
         self.clock.advance(20)
         for number in range(homes):
             capacity = capacities[number] if number < len(capacities) else 1.0
-            self.homes.append(Home(self, f"h{number}", capacity=capacity))
+            domain = domains[number % len(domains)]
+            self.homes.append(Home(self, f"h{number}", capacity=capacity, domain=domain))
         for home in self.homes:
             home.router.take_members()
         self.clock.advance(200)
@@ -215,6 +319,12 @@
     def home(self):
         return self.homes[0]
 
+    def evacuate(self, *domains):
+        """Have operators evacuate these domains and no others."""
+        self.operators.change(*domains)
+        for home in self.homes:
+            home.read_operators()
+
     def close(self):
         """End all green tasks."""
         for part in (*self.workers, *self.homes):
--- a/tests/test_dispatch_agent.py
+++ b/tests/test_dispatch_agent.py
@@ -12,6 +12,7 @@
 from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer
+from tests.dispatch_world import EVACUATIONS_PREFIX
 
 ADDRESS = "tcp://10.0.0.9:1"
 
@@ -33,7 +34,9 @@
         )
         counters = MemoryCounters()
         messenger = MemoryMessenger(self.network, Peer(ADDRESS, incarnation), counters)
-        agent = DispatchAgent(settings, self.clock, counters, messenger, self.store, self.minion)
+        agent = DispatchAgent(
+            settings, self.clock, counters, messenger, self.store, self.minion, EVACUATIONS_PREFIX
+        )
         agent.start()
         self.addCleanup(agent.stop)
         self.clock.advance(100)
--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -20,6 +20,11 @@
 # ran twice at a time or took more room than there was.
 RESTART_SEEDS = (33, 38, 63, 79, 93, 101, 108, 133, 141, 150, 153, 158, 161, 167, 172)
 ROUGH_SEEDS = (*range(1, 11), 44)
+# The last seven have tasks start where only executors can know that they must not.
+EVACUATION_SEEDS = (*range(1, 5), 13, 14, 17, 21, 23, 29, 36)
+DOMAINS = ("north", "south")
+# Short, so that a storm has evacuations that must be in force.
+EVACUATION_MS = 1_500.0
 STEPS = 500
 # Share of the steps in which something is done: cuts last for two seconds in the mean.
 ACT_SHARE = 0.12
@@ -43,16 +48,27 @@
 
     :ivar keeps_names: whether every other minion that crashes comes back under its name
     :ivar is_rough: whether tasks crash their minions, and rooms shrink and grow
+    :ivar evacuates: whether operators evacuate domains, and processes lose the store
     """
 
-    def __init__(self, seed, keeps_names=False, is_rough=False):
+    def __init__(self, seed, keeps_names=False, is_rough=False, evacuates=False):
         self.keeps_names = keeps_names
         self.is_rough = is_rough
+        self.evacuates = evacuates
         self.draw = random.Random(seed)
         # Placement draws from these, so that a storm repeats.
         random.seed(seed)
         # Every other storm has one dispatcher place on all workers.
-        self.world = DispatchWorld(workers=4, homes=3, group_workers=4 if seed % 2 else 2)
+        self.world = DispatchWorld(
+            workers=4,
+            homes=3,
+            group_workers=4 if seed % 2 else 2,
+            domains=DOMAINS if evacuates else DOMAINS[:1],
+            evacuation_ms=EVACUATION_MS,
+        )
+        self.evacuated_ms = {}
+        self.cut_ms = {}
+        self.starts = {}
         self.acts = []
         self.violations = []
         self.jobs = {}
@@ -76,6 +92,8 @@
         )
         if self.is_rough:
             acts += (self.submit_crashing, self.resize_minion)
+        if self.evacuates:
+            acts += (self.evacuate, self.cut_off)
         for _ in range(STEPS):
             if self.draw.random() < ACT_SHARE:
                 self.draw.choice(acts)()
@@ -109,6 +127,7 @@
         for worker in self.world.workers:
             if worker.minion.crowded:
                 self.violations.append(f"{now}: {worker.name} over its room")
+        self.check_evacuations(now)
 
     def submit(self):
         name = f"j{len(self.jobs)}"
@@ -127,6 +146,39 @@
         eventlet.spawn_n(worker.executor.take_life, worker.minion.life)
         self.note(f"{worker.name} has room {worker.minion.life.room.cpu}")
 
+    def evacuate(self):
+        if self.evacuated_ms and self.draw.random() < 0.5:
+            return
+        domains = self.draw.sample(DOMAINS, self.draw.choice((0, 1, 1, 2)))
+        now = self.world.clock.now()
+        self.evacuated_ms = {name: self.evacuated_ms.get(name, now) for name in domains}
+        self.world.evacuate(*domains)
+        self.note(f"evacuated {domains}")
+
+    def cut_off(self):
+        parts = [*self.world.homes, *self.world.workers]
+        # Executors alone keep the rule while no dispatcher knows, for as long as it lasts.
+        if any(home.is_cut_off for home in self.world.homes) and self.draw.random() < 0.7:
+            return
+        homes = self.world.homes
+        chosen = self.draw.choice((homes, homes, self.draw.sample(parts, 3), []))
+        for part in parts:
+            part.is_cut_off = part in chosen
+        self.note(f"without the store {[part.address for part in parts if part.is_cut_off]}")
+
+    def check_evacuations(self, now):
+        """Nothing starts in a domain once its executors have had time to learn of it."""
+        for worker in self.world.workers:
+            if worker.is_cut_off:
+                self.cut_ms[worker.name] = now
+            before = self.starts.get(worker.name, 0)
+            self.starts[worker.name] = started = len(worker.minion.started)
+            since = max(
+                self.evacuated_ms.get(worker.domain, now), self.cut_ms.get(worker.name, 0.0)
+            )
+            if started > before and now - since > EVACUATION_MS:
+                self.violations.append(f"{now}: {worker.name} started in {worker.domain}")
+
     def hand_in(self, spec):
         home = self.draw.choice([home for home in self.world.homes if not self.is_frozen(home)])
         told = home.submit(spec, wait_ms=5_000.0)
@@ -186,7 +238,12 @@
         place = self.world.workers.index(worker)
         number = worker.messenger.me.incarnation + 1
         self.world.workers[place] = Worker(
-            self.world, worker.name, number, worker.minion, fence=number * 100_000
+            self.world,
+            worker.name,
+            number,
+            worker.minion,
+            fence=number * 100_000,
+            domain=worker.domain,
         )
         self.note(f"{worker.name} replaced")
 
@@ -208,7 +265,14 @@
         if self.is_frozen(old):
             return
         old.kill()
-        new = Home(self.world, old.messenger.me.address.removeprefix("tcp://"), len(self.acts) + 2)
+        name = old.messenger.me.address.removeprefix("tcp://")
+        new = Home(
+            self.world,
+            name,
+            len(self.acts) + 2,
+            domain=old.record.domain,
+            is_cut_off=old.is_cut_off,
+        )
         self.world.homes[place] = new
         due = self.world.clock.now() + RESEND_MS
         for spec, home, told in self.jobs.values():
@@ -218,6 +282,10 @@
 
     def calm(self):
         self.heal()
+        for part in (*self.world.homes, *self.world.workers):
+            part.is_cut_off = False
+        self.world.evacuate()
+        self.evacuated_ms = {}
         for worker in self.world.workers:
             worker.minion.loss = 0.0
 
@@ -270,6 +338,11 @@
             with self.subTest(seed=seed):
                 self.check(Storm(seed, keeps_names=True, is_rough=True))
 
+    def test_storms_with_evacuated_domains(self):
+        for seed in EVACUATION_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(Storm(seed, keeps_names=True, is_rough=True, evacuates=True))
+
     def test_storms_with_minions_that_keep_their_names(self):
         for seed in RESTART_SEEDS:
             with self.subTest(seed=seed):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -12,6 +12,7 @@
 from geraniumspool.memory_minion import CallFault, Scripted
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer
+from geraniumspool.operator_keys import OperatorKeys
 from geraniumspool.queued_work import NO_WORK
 from geraniumspool.registrations import WORKER_PREFIX
 from geraniumspool.rooms import Room
@@ -19,6 +20,8 @@
 from geraniumspool.run_messages import RenewRuns
 from tests.dispatch_world import QUEUE, DispatchWorld, Home, Worker, make_spec
 
+KEYS = OperatorKeys("op/", "op/config", "op/evacuate/")
+
 TASK = "j1.0.0.0"
 # A caller that lost its connection sends its job again after this.
 RESEND_MS = 1_300.0
@@ -288,7 +291,7 @@
     )
     messenger = MemoryMessenger(MemoryNetwork(clock), Peer("tcp://n", 1), MemoryCounters())
     store = MemoryStore(clock)
-    entry = DispatchEntry(settings, clock, MemoryCounters(), messenger, store, "k", bytes)
+    entry = DispatchEntry(settings, clock, MemoryCounters(), messenger, store, KEYS, bytes)
     entry.dispatcher = dispatcher
     entry.serve(Closing(on_drain), [])
     return entry
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -26,6 +26,7 @@
     StartRuns,
     StopRuns,
 )
+from tests.dispatch_world import make_guard
 
 HOME = Peer("tcp://10.0.0.1:1", 7)
 OTHER = Peer("tcp://10.0.0.2:1", 8)
@@ -63,7 +64,13 @@
 
     def make_executor(self, fence=1):
         executor = Executor(
-            self.clock, self.minion, self.take_report, self.counters, "north", fence
+            self.clock,
+            self.minion,
+            self.take_report,
+            self.counters,
+            "north",
+            fence,
+            make_guard(self.clock, self.counters),
         )
         for task in self.tasks:
             task.kill()
@@ -425,7 +432,13 @@
     def test_unknown_runs_are_told_as_lost_only_once_they_must_be_over(self):
         self.minion.silent = True
         self.executor = Executor(
-            self.clock, self.minion, self.take_report, self.counters, "north", 9
+            self.clock,
+            self.minion,
+            self.take_report,
+            self.counters,
+            "north",
+            9,
+            make_guard(self.clock, self.counters),
         )
         self.renew(3)
         self.assertIsNone(self.how(3))
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -15,7 +15,7 @@
 from geraniumspool.platform.reports import Reports
 from geraniumspool.queues import QueueConfiguration
 from geraniumspool.webserver import WebServer
-from tests.dispatch_world import DispatchWorld
+from tests.dispatch_world import DispatchWorld, make_guard
 from tests.small import wait_until
 
 JOB = "5c0e7a21d94b36f8"
@@ -203,7 +203,9 @@
     def setUp(self):
         clock = SystemClock()
         self.minion = MemoryMinion(clock, "i-7f3a91c2")
-        self.executor = Executor(clock, self.minion, lambda *_: True, MemoryCounters(), "north", 1)
+        counters = MemoryCounters()
+        guard = make_guard(clock, counters)
+        self.executor = Executor(clock, self.minion, lambda *_: True, counters, "north", 1, guard)
         self.server = WebServer(Reports(self.executor, MemoryCounters()), "127.0.0.1:0", clock)
         self.server.start()
         self.addCleanup(self.server.stop)
