Operators evacuate a failure domain of entries and agents, and take it back

Cause: only programs on the platform knew of evacuated domains; the product's own operators had no way to ask for one.

Change: a third kind of configuration document, domain/NAME with evacuated, so that the store, the audit trail, the revisions in force per domain and at-most-once changes are those that stand. Homes offer nothing there, runners there refuse offers and give back what waits; both learn it with the configuration. geraniumspool domain evacuate NAME and restore NAME, status and why show it; an unknown name is refused with the known ones.

Ruled out: a table of its own beside the configuration, which would need its own history and watch.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -10,6 +10,8 @@
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Announcement, Clock, Messenger, MinionClient, Store
 from geraniumspool.decisions import (
+    DOMAIN_EVACUATED,
+    DOMAIN_RESTORED,
     DRAIN_FINISHED,
     DRAIN_STARTED,
     RECORDS_HANDED_OVER,
@@ -95,6 +97,7 @@
         self._left = False
         self._told_state = MEMBER_STARTING
         self._draining = False
+        self._is_evacuated = False
         self._announced_ms = clock.now()
         self.configuration = Configuration(clock, metrics)
         self.decisions = DecisionLog(messenger.me.incarnation, clock, _LOG)
@@ -262,10 +265,20 @@
 
     def _take_reply(self, sender: Peer, reply: HeartbeatReply) -> None:
         self.heartbeater.take_reply(sender, reply)
+        self._apply_evacuation()
         for address, incarnation, load in reply.loads:
             self.home.hint(Peer(address, incarnation), load)
         self.home.schedule_place()
 
+    def _apply_evacuation(self) -> None:
+        domain = self._settings.domain
+        is_evacuated = self.configuration.is_evacuated(domain)
+        if is_evacuated != self._is_evacuated:
+            self._is_evacuated = is_evacuated
+            code = DOMAIN_EVACUATED if is_evacuated else DOMAIN_RESTORED
+            self.decisions.record(code, domain, revision=self.configuration.revision)
+            self.runner.set_evacuated(is_evacuated)
+
     def _take_rejection(self, sender: Peer, rejection: WrongIncarnation) -> None:
         self.heartbeater.take_rejection(sender)
         self.home.take_rejection(sender, rejection)
--- a/geraniumspool/change_desk.py
+++ b/geraniumspool/change_desk.py
@@ -112,7 +112,7 @@
     ) -> ChangeReceipt:
         """Change one document; repeating a call with its id is safe.
 
-        :param key: ``service/NAME`` or ``team/NAME``
+        :param key: a kind and a name, such as ``service/fitting``
         :param body: the new document, or None to delete it
         :param expected_revision: revision the change is based on, 0 for none
         :param change_id: id that the operator made up for this change
@@ -144,8 +144,8 @@
     def current(self, key: str) -> CurrentDocument:
         """Return a document from the store, in its outage what is in force.
 
-        :param key: ``service/NAME`` or ``team/NAME``
-        :raises InvalidInput: if the key is neither
+        :param key: a kind and a name, such as ``service/fitting``
+        :raises InvalidInput: if it is none
         """
         _raise_findings(check_key(key))
         try:
@@ -159,9 +159,9 @@
     def history(self, key: str, limit: int = 100) -> History:
         """Return the latest changes of a document, the newest first.
 
-        :param key: ``service/NAME`` or ``team/NAME``
+        :param key: a kind and a name, such as ``service/fitting``
         :param limit: most changes to return
-        :raises InvalidInput: if the key is neither
+        :raises InvalidInput: if it is none
         """
         _raise_findings(check_key(key))
         return self._audit.list(key, limit)
--- a/geraniumspool/cli.py
+++ b/geraniumspool/cli.py
@@ -153,6 +153,38 @@
         self._plan.ask(target, operations.config_status, tables.show_config_status)
 
 
+class DomainCommands:
+    """Failure domains: evacuated, and taken back."""
+
+    def __init__(self, plan: Plan):
+        """Record where to plan."""
+        self._plan = plan
+
+    @_as_text
+    def evacuate(self, name, *, who, why, change_id="", entry="", token="", json="False"):
+        """Have no task started in the failure domain NAME; what runs there goes on.
+
+        :param who: who asks
+        :param why: reason
+        :param change_id: id of an earlier try, to repeat it safely
+        """
+        target = read_target(entry, token, json)
+        arguments = (name, read_text(who, "--who"), read_text(why, "--why"), change_id)
+        self._plan.ask(target, operations.domain_evacuate, tables.show_pairs, *arguments)
+
+    @_as_text
+    def restore(self, name, *, who, why, change_id="", entry="", token="", json="False"):
+        """Use the failure domain NAME again.
+
+        :param who: who asks
+        :param why: reason
+        :param change_id: id of an earlier try, to repeat it safely
+        """
+        target = read_target(entry, token, json)
+        arguments = (name, read_text(who, "--who"), read_text(why, "--why"), change_id)
+        self._plan.ask(target, operations.domain_restore, tables.show_pairs, *arguments)
+
+
 class StandinCommands:
     """Small stand-ins of what the platform gives, for tests and trials."""
 
@@ -187,6 +219,7 @@
         """Record where to plan."""
         self._plan = plan
         self.config = ConfigCommands(plan)
+        self.domain = DomainCommands(plan)
         self.standin = StandinCommands(plan)
 
     @_as_text
--- a/geraniumspool/configuration.py
+++ b/geraniumspool/configuration.py
@@ -14,6 +14,9 @@
 from geraniumspool.documents import (
     DEFAULT_SERVICE,
     DEFAULT_TEAM,
+    DOMAIN_KIND,
+    DomainDocument,
+    OperatorDocument,
     ServiceDocument,
     TeamDocument,
     parse_document,
@@ -46,7 +49,7 @@
         self._clock = clock
         self._counters = counters
         self._held: dict[str, Document] = {}
-        self._parsed: dict[str, ServiceDocument | TeamDocument] = {}
+        self._parsed: dict[str, OperatorDocument] = {}
         self._rejections: dict[str, Rejection] = {}
         self._ordered: tuple[Document, ...] = ()
         self._listed_revision = 0
@@ -180,6 +183,11 @@
         """Return a team's document, or the defaults."""
         return self._parsed.get(f"team/{name}", DEFAULT_TEAM)
 
+    def is_evacuated(self, domain: str) -> bool:
+        """Return whether operators want no task started in a failure domain."""
+        document = self._parsed.get(f"{DOMAIN_KIND}/{domain}", DomainDocument())
+        return document.evacuated
+
     def _take(self, document: Document) -> bool:
         key = document.key
         held = self._held.get(key)
--- a/geraniumspool/decisions.py
+++ b/geraniumspool/decisions.py
@@ -39,6 +39,8 @@
 RECORDS_HANDED_OVER = "records_handed_over"
 DRAIN_STARTED = "drain_started"
 DRAIN_FINISHED = "drain_finished"
+DOMAIN_EVACUATED = "domain_evacuated"
+DOMAIN_RESTORED = "domain_restored"
 
 EXPLANATIONS: dict[str, str] = {
     JOB_ACCEPTED: "The home took the job; its predicted wait meets the deadline.",
@@ -69,6 +71,8 @@
     RECORDS_HANDED_OVER: "A leaving process handed its finished jobs to a peer.",
     DRAIN_STARTED: "The process began to leave; it takes no new work.",
     DRAIN_FINISHED: "The process finished what was running and can end.",
+    DOMAIN_EVACUATED: "Its failure domain is evacuated: no task is started there any more.",
+    DOMAIN_RESTORED: "Its failure domain was taken back; tasks are started there as before.",
 }
 
 LOGGED_CODES = frozenset(
@@ -80,6 +84,8 @@
         RECORDS_HANDED_OVER,
         DRAIN_STARTED,
         DRAIN_FINISHED,
+        DOMAIN_EVACUATED,
+        DOMAIN_RESTORED,
     }
 )
 
--- a/geraniumspool/documents.py
+++ b/geraniumspool/documents.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeAlias
 
 from geraniumspool.errors import Finding, InvalidInput
 from geraniumspool.yamldoc import make_validator, normalize, read_yaml
@@ -10,6 +10,7 @@
 MAX_DURATION_MS = 86_400_000
 MAX_JOB_TASKS = 340
 MAX_DOCUMENT_BYTES = 16 * 1024
+DOMAIN_KIND = "domain"
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"
 DURATION: Mapping[str, Any] = {"type": "integer", "minimum": 1, "maximum": MAX_DURATION_MS}
 BYTES: Mapping[str, Any] = {"type": "integer", "minimum": 1, "maximum": 1 << 30}
@@ -50,6 +51,17 @@
     running_tasks: int | None = None
 
 
+class DomainDocument(NamedTuple):
+    """What operators ask of one failure domain.
+
+    :param evacuated: whether no task may be started there
+    """
+
+    evacuated: bool = False
+
+
+OperatorDocument: TypeAlias = ServiceDocument | TeamDocument | DomainDocument
+
 DEFAULT_SERVICE = ServiceDocument()
 DEFAULT_TEAM = TeamDocument()
 
@@ -77,24 +89,32 @@
     },
 }
 
+_DOMAIN_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {"evacuated": {"type": "boolean"}},
+}
+
 _KINDS = {
     "service": (ServiceDocument, make_validator(_SERVICE_SCHEMA)),
     "team": (TeamDocument, make_validator(_TEAM_SCHEMA)),
+    DOMAIN_KIND: (DomainDocument, make_validator(_DOMAIN_SCHEMA)),
 }
+_KEYS_TEXT = "must be " + " or ".join(f"{kind}/NAME" for kind in _KINDS)
 
 
 def check_key(key: str) -> list[Finding]:
     """Return what is wrong with a document's key."""
     kind, _, name = key.partition("/")
     if kind not in _KINDS or not re.match(NAME_PATTERN, name):
-        return [Finding(key, 0, "", "must be service/NAME or team/NAME")]
+        return [Finding(key, 0, "", _KEYS_TEXT)]
     return []
 
 
-def parse_document(key: str, body: bytes) -> ServiceDocument | TeamDocument:
+def parse_document(key: str, body: bytes) -> OperatorDocument:
     """Return the configuration document in ``body``.
 
-    :param key: ``service/NAME`` or ``team/NAME``
+    :param key: a kind and a name, such as ``service/fitting``
     :param body: JSON or YAML text as the operator wrote it
     :raises InvalidInput: with all findings
     """
--- a/geraniumspool/operations.py
+++ b/geraniumspool/operations.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from geraniumspool.decisions import parse_decision_id
+from geraniumspool.documents import DOMAIN_KIND
 from geraniumspool.entry_client import OUTCOME_UNKNOWN, EntryClient
-from geraniumspool.errors import ChangeUnknown, DispatchError, InvalidInput
+from geraniumspool.errors import ChangeUnknown, DispatchError, Finding, InvalidInput
 from geraniumspool.messages import STATE_MAY_HAVE_RUN, STATE_NOT_RUN
 from geraniumspool.operator_answers import (
     ConfigDocument,
@@ -107,6 +108,39 @@
     return client.call("POST", ("drain",), {"address": address, "who": who, "why": why})
 
 
+def domain_evacuate(
+    client: EntryClient, domain: str, who: str, why: str, change_id: str = ""
+) -> ConfigOutcome:
+    """Have no task started in a failure domain until it is restored.
+
+    :param who: who asks, for the audit trail
+    :param why: reason, for the audit trail
+    :param change_id: id of an earlier try, to repeat it safely
+    :raises InvalidInput: if the entry knows no such domain
+    """
+    return _change_domain(client, domain, True, who, why, change_id)
+
+
+def domain_restore(
+    client: EntryClient, domain: str, who: str, why: str, change_id: str = ""
+) -> ConfigOutcome:
+    """Use a failure domain again; takes what :func:`domain_evacuate` takes."""
+    return _change_domain(client, domain, False, who, why, change_id)
+
+
+def _change_domain(
+    client: EntryClient, domain: str, evacuated: bool, who: str, why: str, change_id: str
+) -> ConfigOutcome:
+    key = f"{DOMAIN_KIND}/{domain}"
+    documents = {one["key"]: one["revision"] for one in config_list(client)["documents"]}
+    known = {row["domain"] for row in status(client)["domains"]}
+    if key not in documents and domain not in known:
+        text = f"is no known failure domain; known are {', '.join(sorted(known))}"
+        raise InvalidInput([Finding(domain, 0, "", text)])
+    body = json.dumps({"evacuated": evacuated})
+    return config_apply(client, key, body, documents.get(key, 0), who, why, change_id)
+
+
 def job(client: EntryClient, ticket: str) -> Any:
     """Return the state or the kept answer of a job, a failure included."""
     return _report_job(lambda: client.get("jobs", ticket))
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -167,6 +167,7 @@
             free=sum(member.load.free for member in agents),
             queued=sum(member.load.queued for member in agents),
             config_revision=revision,
+            evacuated=self._configuration.is_evacuated(domain),
         )
 
     def _get_roster(self, _request: Request) -> Reply:
--- a/geraniumspool/placer.py
+++ b/geraniumspool/placer.py
@@ -81,10 +81,10 @@
     def list_workers(self) -> list[Worker]:
         """Return workers to offer to; a sample where there are many."""
         service = self._service()
-        near = _sample(self._roster.agents(service, self._domain), MAX_NEAR)
+        near = _sample(self._list_usable(service, self._domain), MAX_NEAR)
         far = [
             member
-            for member in _sample(self._roster.agents(service), MAX_NEAR + MAX_FAR)
+            for member in _sample(self._list_usable(service), MAX_NEAR + MAX_FAR)
             if member.domain != self._domain
         ]
         members = near + far[: max(MAX_FAR, MAX_NEAR - len(near))]
@@ -94,6 +94,10 @@
         now = self._clock.now()
         return [worker for worker in workers if worker.look(now)]
 
+    def _list_usable(self, service: str, domain: str | None = None) -> list[Member]:
+        members = self._roster.agents(service, domain)
+        return [one for one in members if not self._configuration.is_evacuated(one.domain)]
+
     def _is_own(self, member: Member) -> bool:
         return (member.address, member.incarnation) == self._me
 
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -28,6 +28,7 @@
 REFUSED_STALE = "offer_stale"
 REFUSED_NO_MINION = "minion_absent"
 REFUSED_LEAVING = "worker_leaving"
+REFUSED_EVACUATED = "domain_evacuated"
 REFUSED_EJECTED = "worker_ejected"
 REFUSED_BUSY = "worker_busy"
 
@@ -101,6 +102,7 @@
         self._kept: OrderedDict[int, Entry] = OrderedDict()
         self.minion: Announcement | None = None
         self.leaving = False
+        self._is_evacuated = False
         self.on_change: Callable[[], None] = lambda: None
         self.measure_backlog: Callable[[], float] = lambda: 0.0
 
@@ -119,7 +121,7 @@
     @property
     def accepts(self) -> bool:
         """Whether offers are taken at all."""
-        return self.minion is not None and not self.leaving
+        return self.minion is not None and not (self.leaving or self._is_evacuated)
 
     def load(self) -> Load:
         """Return what this runner has to offer now."""
@@ -179,6 +181,15 @@
             self._flush(ledger)
         self.on_change()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Start nothing while the failure domain here is evacuated; what runs goes on."""
+        if is_evacuated == self._is_evacuated:
+            return
+        self._is_evacuated = is_evacuated
+        if is_evacuated:
+            self._give_back_queues(REFUSED_EVACUATED)
+        self.on_change()
+
     def _give_back_queues(self, code: str) -> None:
         for queue in self._queues.values():
             for _, _, entry in queue:
@@ -301,6 +312,8 @@
             return REFUSED_NO_MINION
         if self.leaving:
             return REFUSED_LEAVING
+        if self._is_evacuated:
+            return REFUSED_EVACUATED
         if not self._health.admits(len(self._running) + self._queued):
             return REFUSED_EJECTED
         room = self.slots * (1 + self._queue_per_slot)
--- a/geraniumspool/status.py
+++ b/geraniumspool/status.py
@@ -22,3 +22,4 @@
     free: int
     queued: int
     config_revision: int
+    evacuated: bool
--- /dev/null
+++ b/tests/test_domain_evacuation.py
@@ -0,0 +1,172 @@
+"""Operators evacuate a failure domain of entries and agents, and take it back."""
+
+import json
+import unittest
+
+import eventlet
+
+from geraniumspool import operations
+from geraniumspool.decisions import DOMAIN_EVACUATED, DOMAIN_RESTORED
+from geraniumspool.errors import InvalidInput
+from geraniumspool.runner import REFUSED_EVACUATED
+from tests.world import World
+
+# Configuration reaches every agent with the next two heartbeats.
+TAKEN_MS = 3_000.0
+
+
+class DomainCase(unittest.TestCase):
+    """Two domains with an entry and two agents each, each agent with two slots."""
+
+    def setUp(self):
+        self.world = World(domains=2, agents=2, slots=2)
+        self.addCleanup(self.world.stop)
+        self.revision = 0
+
+    def change(self, domain, evacuated):
+        desk = self.world.entries[0].application.desk
+        body = json.dumps({"evacuated": evacuated}).encode()
+        name = f"c{self.revision}"
+
+        def propose():
+            receipt = desk.propose(f"domain/{domain}", body, self.revision, name, "bat", "power")
+            self.revision = receipt.revision
+
+        eventlet.spawn(propose)
+        self.world.run(TAKEN_MS)
+
+    def agents_of(self, domain):
+        return [agent for agent in self.world.agents if agent.domain == domain]
+
+    def count_started(self, domain):
+        return sum(
+            agent.application.metrics.get("tasks_started") for agent in self.agents_of(domain)
+        )
+
+    def submit_all(self, runs=(80.0,) * 6):
+        """Submit a job to each home; return the calls."""
+        entry = self.world.entries[1]
+        return [self.world.submit(entry, self.world.job(home, runs)) for home in self.world.agents]
+
+    def outcomes(self, calls):
+        return {call.outcome for call in calls}
+
+
+class EvacuationTest(DomainCase):
+    """What starts where."""
+
+    def test_nothing_starts_there_and_homes_there_go_on(self):
+        self.change("d0", True)
+        before = self.count_started("d0")
+        calls = self.submit_all()
+        self.world.run(4_000)
+        self.assertEqual({"complete"}, self.outcomes(calls))
+        self.assertEqual(before, self.count_started("d0"))
+        self.assertEqual([], self.world.find_violations())
+
+    def test_taken_back_it_is_used(self):
+        self.change("d0", True)
+        self.change("d0", False)
+        before = self.count_started("d0")
+        calls = self.submit_all()
+        self.world.run(4_000)
+        self.assertEqual({"complete"}, self.outcomes(calls))
+        self.assertGreater(self.count_started("d0"), before)
+
+    def test_what_runs_goes_on_and_what_waits_there_goes_elsewhere(self):
+        calls = self.submit_all((2_000.0,) * 2 + (200.0,) * 2)
+        self.world.run(100)
+        running = self.count_started("d0")
+        self.assertGreater(running, 0)
+        self.change("d0", True)
+        self.world.run(8_000)
+        started = self.count_started("d0")
+        self.world.run(8_000)
+        self.assertEqual({"complete"}, self.outcomes(calls))
+        self.assertEqual(started, self.count_started("d0"))
+        self.assertEqual([], self.world.find_violations())
+
+    def test_a_runner_refuses_what_a_home_offers_that_does_not_know(self):
+        self.change("d0", True)
+        home = self.agents_of("d1")[0]
+        home.application.configuration.is_evacuated = lambda _domain: False
+        before = self.count_started("d0")
+        for agent in self.agents_of("d0"):
+            # As if its last load were from before.
+            slots = agent.application.runner.slots
+            described = agent.application.describe()
+            told = described._replace(load=described.load._replace(slots=slots, free=slots))
+            home.application.roster.observe(told._replace(version=told.version + 1))
+        calls = [
+            self.world.submit(self.world.entries[1], self.world.job(home, (150.0,) * 8))
+            for _ in range(2)
+        ]
+        self.world.run(5_000)
+        self.assertEqual({"complete"}, self.outcomes(calls))
+        self.assertEqual(before, self.count_started("d0"))
+        refused = sum(
+            agent.application.metrics.get("offers_refused", code=REFUSED_EVACUATED)
+            for agent in self.agents_of("d0")
+        )
+        self.assertGreater(refused, 0)
+
+    def test_all_evacuated_is_refused_at_once(self):
+        self.change("d0", True)
+        self.revision = 0
+        self.change("d1", True)
+        calls = self.submit_all()
+        self.world.run(100)
+        self.assertEqual({"not_run"}, self.outcomes(calls))
+
+    def test_it_is_in_the_audit_trail_the_status_and_the_decisions(self):
+        self.change("d0", True)
+        self.change("d0", False)
+        desk = self.world.entries[1].application.desk
+        trail = []
+        eventlet.spawn(lambda: trail.append(desk.history("domain/d0")))
+        self.world.run(100)
+        self.assertEqual(["bat", "bat"], [record.who for record in trail[0].records])
+        agent = self.agents_of("d0")[0].application
+        codes = [decision.code for decision in agent.decisions.about("d0")]
+        self.assertEqual([DOMAIN_EVACUATED, DOMAIN_RESTORED], codes)
+
+
+class Scripted:
+    """A client whose entry knows two domains."""
+
+    def __init__(self):
+        self.changes = []
+
+    def get(self, *path):
+        if path == ("config",):
+            return {"documents": [{"key": "domain/north", "revision": 7, "body": {}}]}
+        return {"domains": [{"domain": "north"}, {"domain": "south"}]}
+
+    def call(self, method, path, body):
+        self.changes.append((method, path, body["expected_revision"], json.loads(body["body"])))
+        return {"status": "accepted", "revision": 8}
+
+
+class CommandTest(unittest.TestCase):
+    """``domain evacuate`` and ``domain restore``."""
+
+    def test_changes_are_based_on_what_is_there(self):
+        client = Scripted()
+        operations.domain_evacuate(client, "south", "bat", "power")
+        operations.domain_restore(client, "north", "bat", "power is back")
+        expected = [
+            ("PUT", ("config", "domain", "south"), 0, {"evacuated": True}),
+            ("PUT", ("config", "domain", "north"), 7, {"evacuated": False}),
+        ]
+        self.assertEqual(expected, client.changes)
+
+    def test_an_unknown_name_is_refused_with_the_known_ones(self):
+        client = Scripted()
+        with self.assertRaises(InvalidInput) as caught:
+            operations.domain_evacuate(client, "west", "bat", "power")
+        self.assertIn("north, south", str(caught.exception.findings[0]))
+        self.assertEqual([], client.changes)
+
+
+if __name__ == "__main__":
+    unittest.main()
