The soak evacuates failure domains and cuts the store off beside it

Seeds from 3000 on draw evacuations among the faults of 2000, on two domains; held is that nothing starts in an evacuated one once that must be in force, but while or shortly after the store was out of reach for all. Seeds below stay what they were.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -7,7 +7,8 @@
 * no task runs at two minions at a time, and no minion is given more than its room;
 * a job whose every try was refused has no start;
 * a job that succeeded had each of its tasks done;
-* every caller is answered, and processes that are asked to leave do so in time.
+* every caller is answered, and processes that are asked to leave do so in time;
+* nothing starts in an evacuated failure domain once that must be in force.
 
 ``python -m benchmarks.soak FIRST COUNT`` plays seeds one by one. The last line is a
 JSON object with ``seeds``, ``failed``, ``jobs`` and ``starts``.
@@ -15,6 +16,7 @@
 
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -60,8 +62,13 @@
 FAULTS = ("stop", "kill", "term", "silence_minion", "cut_store", "reset_minion", "late_start")
 MORE_FAULTS = (*FAULTS, "mute_minion", "mute_minion", "lose_calls")
 CRASHES = (*MORE_FAULTS, "restart_minion", "restart_minion")
+EVACUATIONS = (*CRASHES, "evacuate", "evacuate", "cut_store")
+DOMAINS = ("north", "south")
+EVACUATION_S = 1.5
+# A start that is carried out late is refused once its lease is over.
+LATE_START_S = 1.0
 # Seeds from these on draw more kinds of faults; those below stay what they were.
-FAULTS_FROM = ((2_000, CRASHES), (1_000, MORE_FAULTS), (0, FAULTS))
+FAULTS_FROM = ((3_000, EVACUATIONS), (2_000, CRASHES), (1_000, MORE_FAULTS), (0, FAULTS))
 
 
 class Witness:
@@ -72,9 +79,30 @@
         self.broken: list[str] = []
         self.starts: dict[str, int] = {}
         self.done: set[str] = set()
+        self._evacuated_s: dict[str, float] = {}
+        self._cut_s = 0.0
+
+    def note_evacuated(self, domain: str, is_evacuated: bool) -> None:
+        """Take that the store has acknowledged an evacuation, or its end."""
+        self._evacuated_s.pop(domain, None)
+        if is_evacuated:
+            self._evacuated_s[domain] = time.monotonic()
+
+    def note_cut(self, is_cut: bool) -> None:
+        """Take that the store is out of reach for all, or reached again."""
+        self._cut_s = math.inf if is_cut else time.monotonic()
+
+    def _check_domain(self, minion: "WatchedMinion", task: str) -> None:
+        since = self._evacuated_s.get(minion.domain)
+        if since is None:
+            return
+        waited_s = time.monotonic() - max(since, self._cut_s)
+        if waited_s > EVACUATION_S + LATE_START_S:
+            self.broken.append(f"{task} started in {minion.domain}, evacuated {waited_s:.1f} s ago")
 
     def note_start(self, minion: "WatchedMinion", task: str) -> None:
         """Check a start against everything that runs now."""
+        self._check_domain(minion, task)
         self.starts[task] = self.starts.get(task, 0) + 1
         for other in self.minions:
             if other is not minion and task in other.running:
@@ -86,8 +114,9 @@
 class WatchedMinion(MemoryMinion):
     """A minion in memory that tells the witness."""
 
-    def __init__(self, clock: SystemClock, name: str, witness: Witness):
+    def __init__(self, clock: SystemClock, name: str, witness: Witness, domain: str):
         super().__init__(clock, name, WORKER_ROOM)
+        self.domain = domain
         self._witness = witness
         witness.minions.append(self)
 
@@ -222,6 +251,7 @@
         """
         self._random = random.Random(seed)
         self._faults = next(faults for first, faults in FAULTS_FROM if seed >= first)
+        self._domains = DOMAINS if self._faults is EVACUATIONS else DOMAINS[:1]
         self._load_s = load_s
         self._folder = folder
         self._clock = SystemClock()
@@ -257,7 +287,7 @@
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
     def _build(self) -> None:
-        store = StoreStandin(self._clock, 1_000)
+        store = self._standin = StoreStandin(self._clock, 1_000)
         document = {"version": 1, "routes": [QUEUE], "limits": {}}
         store.store.swap("op/config", 0, json.dumps(document).encode())
         self._store = Proxy(self._serve(store))
@@ -269,27 +299,29 @@
         self._await_ready()
 
     def _build_worker(self, number: int) -> None:
-        minion = WatchedMinion(self._clock, f"i-{number}", self.witness)
+        domain = self._domains[number % len(self._domains)]
+        minion = WatchedMinion(self._clock, f"i-{number}", self.witness, domain)
         proxy = Proxy(self._serve(MinionStandin(minion)))
         self._minion_proxies.append(proxy)
         self._closing.callback(proxy.close)
         listen = _take_address()
-        settings = self._common(f"executor-{number}") | {"minion_listen": listen}
+        settings = self._common(f"executor-{number}", domain) | {"minion_listen": listen}
+        settings["evacuation_ms"] = EVACUATION_S * 1_000
         self._start("executor", settings)
         task = eventlet.spawn(self._beat, minion, proxy.address, listen)
         self._closing.callback(task.kill)
 
     def _build_dispatcher(self, number: int) -> str:
         callers, ready = _take_address(), _take_address()
-        settings = self._common(f"dispatcher-{number}")
+        settings = self._common(f"dispatcher-{number}", self._domains[number % len(self._domains)])
         settings |= {"callers_listen": callers, "ready_listen": ready}
         self._start("dispatcher", settings)
         return callers
 
-    def _common(self, name: str) -> dict:
+    def _common(self, name: str, domain: str) -> dict:
         inbox = f"tcp://{_take_address()}"
         store = self._store.address
-        return {"name": name, "domain": "north", "inbox": inbox, "store": store, "grace_s": GRACE_S}
+        return {"name": name, "domain": domain, "inbox": inbox, "store": store, "grace_s": GRACE_S}
 
     def _start(self, role: str, settings: dict) -> None:
         process = Process(role, settings, self._folder)
@@ -413,8 +445,22 @@
 
     def _do_cut_store(self) -> None:
         self._store.silent = True
+        self.witness.note_cut(True)
         eventlet.sleep(self._random.uniform(0.3, 2.0))
         self._store.silent = False
+        self.witness.note_cut(False)
+
+    def _do_evacuate(self) -> None:
+        domain = self._random.choice(self._domains)
+        key = f"op/evacuate/{domain}"
+        store = self._standin.store
+        written = store.swap(key, 0, b"{}")
+        if not written.swapped:
+            return
+        self.witness.note_evacuated(domain, True)
+        eventlet.sleep(self._random.uniform(0.5, 5.0))
+        self.witness.note_evacuated(domain, False)
+        store.delete(key, written.revision)
 
     def _do_late_start(self) -> None:
         minion = self._random.choice(self.witness.minions)
