A replaced executor keeps its worker's service and rack in the store

Cause: after a loss of power with its host, a minion is back under a new name. The executor that starts beside it found the old one replaced, and wrote its key without any life, so without service; with the minion's next report the service was there again. Meanwhile two owners placed on one worker.

Change: the key goes on with the life that it had until another one is taken.

Test: the key names the service all the while (fails without the change).

--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -117,12 +117,15 @@
         """Take up the minion that an earlier process here has left, then keep the key.
 
         Without it a restarted process waits for the minion's next report, 0.8 s in the mean.
+        The key says what it said until another life tells otherwise: a minion that went down
+        with this host comes back to the same service and rack, and if dispatchers took the
+        worker for one without service meanwhile, all would divide the workers twice for it.
         """
         left = self._key.read()
-        if left:
-            record = decode_record(left, WorkerRecord)
-            if record is not None and record.life is not None:
-                self.executor.take_life(record.life)
+        record = decode_record(left, WorkerRecord) if left else None
+        if record is not None and record.life is not None:
+            self._key.go_on_with(encode_record(WorkerRecord(self._settings.domain, record.life)))
+            self.executor.take_life(record.life)
         self._key.run()
 
     def _keep_life(self, life: MinionLife) -> None:
--- a/geraniumspool/leased_key.py
+++ b/geraniumspool/leased_key.py
@@ -48,6 +48,10 @@
         self._revision = found.revision if found else 0
         return found.value if found else None
 
+    def go_on_with(self, value: bytes) -> None:
+        """Keep another value from the first write on; for before :meth:`run`."""
+        self._value = value
+
     def update(self, value: bytes) -> None:
         """Keep another value under the key from now on; may block for the store."""
         if value != self._value:
--- a/tests/test_dispatch_agent.py
+++ b/tests/test_dispatch_agent.py
@@ -12,6 +12,7 @@
 from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer
+from geraniumspool.registrations import WORKER_PREFIX, WorkerRecord, decode_record
 from tests.dispatch_world import EVACUATIONS_PREFIX
 
 ADDRESS = "tcp://10.0.0.9:1"
@@ -65,6 +66,20 @@
         self.agent.executor.take_life(before)
         self.assertFalse(self.agent.executor.state().accepts)
 
+    def test_its_key_keeps_the_service_of_a_minion_that_is_down(self):
+        # Without it all dispatchers divide the workers anew, and again once the minion is back.
+        self.agent.stop()
+        self.minion.reborn("i-2")
+        seen = set()
+        self.agent = self.start(2)
+        for _ in range(20):
+            record = decode_record(self.store.get(WORKER_PREFIX + ADDRESS).value, WorkerRecord)
+            seen.add((record.service, record.rack, record.domain))
+            self.clock.advance(100)
+        life = self.minion.life
+        self.assertEqual({(life.service, life.rack, "north")}, seen)
+        self.assertFalse(self.agent.executor.state().accepts)
+
     def test_a_minion_that_has_started_again_is_not_taken_for_what_it_was(self):
         self.agent.stop()
         self.minion.restart()
