--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -1,5 +1,6 @@
 """One job at its dispatcher: which tasks wait, run, and are done."""
 
+import logging
 import math
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +14,8 @@
 from geraniumspool.queues import Queue
 from geraniumspool.urgency import Timing
 
+_LOG = logging.getLogger(__name__)
+
 # A step wider than this share of all room is done in waves.
 WAVE_SHARE = 0.25
 # Expected run time where callers declare none, as most tasks last 50 ms to a second.
@@ -169,3 +172,8 @@
         before = max((ends[earlier] for earlier in step.spec.after), default=0.0)
         ends.append(before + waves * step.expected_ms)
     return queue.objective_factor * max(ends, default=0.0) + queue.objective_ms
+
+
+def log_job(text: str, job: DispatchJob, **fields: object) -> None:
+    """Write a line on a decision about a job, with its id."""
+    _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -11,19 +11,19 @@
 
 import eventlet
 
-from geraniumspool import job_admission, packing, urgency
+from geraniumspool import job_admission, urgency
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.crash_blame import CrashBlame
-from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, make_steps
+from geraniumspool.dispatch_job import DispatchJob, Placed, Step, log_job, make_steps
 from geraniumspool.dispatch_job import measure_objective as measure
 from geraniumspool.dispatch_policy import DispatchPolicy, ExpectedUse
 from geraniumspool.evacuations import Evacuations
 from geraniumspool.fleet import Fleet, OpenRun, WorkerView
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog, measure_run
 from geraniumspool.job_messages import ServiceLoad
+from geraniumspool.job_placer import JobPlacer
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
-from geraniumspool.packing import PlaceRequest
 from geraniumspool.queued_work import Arrivals, QueuedWork
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import (
@@ -33,7 +33,6 @@
     RUN_REFUSED,
     RUN_STOPPED,
     RunEnd,
-    RunOrder,
     WorkerReport,
 )
 from geraniumspool.urgency import Timing
@@ -47,8 +46,6 @@
 ANSWER_MARGIN_MS = 40.0
 # A caller that names no time waits this long.
 DEFAULT_WAIT_MS = 15_000.0
-# An order that meets a full worker returns after this, and goes where there is room.
-PATIENCE_MS = 0.0
 # A process that is about to end takes jobs that are over by then, though they take this many
 # times as long as expected, and the time of a message to a full worker more. Callers keep
 # using their connections: 0.8% of the jobs of a day with two restarts were refused before.
@@ -98,7 +95,6 @@
         self._policy = policy or ExpectedUse()
         self._clock = clock
         self._counters = counters
-        self._domain = domain
         self.fleet = Fleet(clock, send, self._lose_runs, evacuations)
         self._jobs: dict[str, DispatchJob] = {}
         # Those with tasks that may be ordered, so that a pass does not look at all jobs.
@@ -107,7 +103,7 @@
         self._arrivals: dict[str, Arrivals] = {}
         self._waits = urgency.WaitLearner()
         self._blame = CrashBlame()
-        self._next_number = 1
+        self._placer = JobPlacer(clock, self.fleet, self._policy, self._blame, domain)
         self._is_placing = False
         self.find_capacity: Callable[[str], float] = _know_no_other
         self.ends_ms = math.inf
@@ -145,7 +141,7 @@
         """
         job = self._jobs.get(spec.job_id)
         if job is not None:
-            self._log_job("job joined", job)
+            log_job("job joined", job)
             job.waiters += 1
             job.holds.append(hold)
             return job
@@ -153,7 +149,7 @@
         refusal = self._judge(job, wait_ms or DEFAULT_WAIT_MS, age_ms)
         if refusal is not None:
             self._counters.add("dispatch_jobs", queue=queue.name, outcome=refusal.code)
-            self._log_job(
+            log_job(
                 "job refused",
                 job,
                 reason=refusal.code,
@@ -168,7 +164,7 @@
         arrivals.note(job.level, job.pending_work(), self._clock.now())
         job.waiters = 1
         job.holds.append(hold)
-        self._log_job(
+        log_job(
             "job accepted",
             job,
             queue=queue.name,
@@ -362,7 +358,7 @@
         for job in waiting:
             if misses >= MAX_MISSES:
                 break
-            if self._place_job(job, now):
+            if self._placer.place(job, now):
                 del self._pending[job.spec.job_id]
                 self._learn_wait(job, now)
                 continue
@@ -412,87 +408,6 @@
                     continue
             ahead += job.pending_work()
 
-    def _place_job(self, job: DispatchJob, now: float) -> bool:
-        """Order what fits of a job; return whether all its waiting tasks found room."""
-        workers = self.fleet.of_service(job.queue.service)
-        if not workers and job.was_ordered:
-            # The workers went to another dispatcher; what has begun is finished there.
-            workers = self.fleet.former_of(job.queue.service)
-        lateness = self._policy.rank(job, now).lateness
-        end = urgency.allowed_end(job.timing, lateness, job.was_ordered)
-        within_ms = job.timing.arrived_ms + end - now
-        placed: dict[str, int] = {}
-        for number, step in enumerate(job.steps):
-            if step not in job.ready_steps():
-                continue
-            self._place_step(job, number, step, workers, within_ms, placed)
-        if placed:
-            job.was_ordered = True
-            self._log_job(
-                "runs ordered",
-                job,
-                workers=",".join(f"{address}={count}" for address, count in placed.items()),
-                waited_ms=round(now - job.timing.arrived_ms),
-                lateness=lateness,
-            )
-        return not job.has_pending
-
-    def _place_step(
-        self,
-        job: DispatchJob,
-        number: int,
-        step: Step,
-        workers: list[WorkerView],
-        within_ms: float,
-        placed: dict[str, int],
-    ) -> None:
-        request = PlaceRequest(step.spec, step.expected_ms, within_ms, self._domain, step.taken)
-        for _ in range(len(step.pending)):
-            task = TaskId(number, step.pending[0])
-            shunned = job.failed_at.get(task)
-            fit = [view for view in workers if id(view) != shunned] if shunned else workers
-            if self._blame.is_suspect(job.task_name(task)):
-                place = self._policy.choose(self._without_suspects(fit), request)
-            else:
-                place = self._policy.choose(fit or workers, request)
-            if place is None:
-                return
-            step.pending.popleft()
-            self._order(job, task, step, place)
-            address = place.worker.peer.address
-            placed[address] = placed.get(address, 0) + 1
-
-    def _without_suspects(self, workers: list[WorkerView]) -> list[WorkerView]:
-        """Return the workers on which a second crash would name one task."""
-        return [
-            view
-            for view in workers
-            if not any(
-                self._blame.is_suspect(run.owner.job.task_name(run.owner.task))
-                for run in view.runs.values()
-            )
-        ]
-
-    def _order(self, job: DispatchJob, task: TaskId, step: Step, place: packing.Place) -> None:
-        now = self._clock.now()
-        view = place.worker
-        order = RunOrder(
-            self._next_number,
-            job.task_name(task),
-            job.next_attempt(task),
-            job.spec.payload,
-            step.spec.need,
-            step.expected_ms,
-            job.timing.latest_start(step.chain_ms) - now,
-            PATIENCE_MS,
-            job.timing.arrived_ms + job.timing.limit_ms - now,
-        )
-        self._next_number += 1
-        placed = Placed(job, task, view, place.run_ms)
-        job.runs[order.number] = placed
-        step.taken[id(view)] = step.taken.get(id(view), 0) + 1
-        self.fleet.order(view, order, placed)
-
     def _take_end(self, placed: Placed, end: RunEnd) -> None:
         job, task = placed.job, placed.task
         step = job.steps[task.step]
@@ -520,7 +435,7 @@
             self._counters.add("orders_refused", reason=end.reason)
         elif end.how in _RETRIED:
             job.failed_at[task] = id(placed.worker)
-        self._log_job(
+        log_job(
             "task waits again",
             job,
             task=f"{task.step}.{task.index}",
@@ -576,7 +491,7 @@
             "dispatch_jobs", queue=job.queue.name, outcome=result.code or result.outcome.value
         )
         self._counters.observe("job_ms", took_ms, queue=job.queue.name)
-        self._log_job(
+        log_job(
             "job ended",
             job,
             outcome=result.outcome.value,
@@ -587,9 +502,6 @@
         )
         job.finished.send()
 
-    def _log_job(self, text: str, job: DispatchJob, **fields: object) -> None:
-        _LOG.info(text, extra={"fields": (("job", job.spec.job_id), *fields.items())})
-
 
 def _tells_crash(end: RunEnd) -> bool:
     return end.how == RUN_LAPSED and end.reason in CRASHES
--- /dev/null
+++ b/geraniumspool/job_placer.py
@@ -0,0 +1,116 @@
+"""Places the waiting tasks of one job on workers with room.
+
+Answered load patterns: jobs that have begun when their workers go to another dispatcher or
+are evacuated; tasks that may crash their minions beside others that may.
+"""
+
+from geraniumspool import packing, urgency
+from geraniumspool.contracts import Clock
+from geraniumspool.crash_blame import CrashBlame
+from geraniumspool.dispatch_job import DispatchJob, Placed, Step, TaskId, log_job
+from geraniumspool.dispatch_policy import DispatchPolicy
+from geraniumspool.fleet import Fleet, WorkerView
+from geraniumspool.packing import PlaceRequest
+from geraniumspool.run_messages import RunOrder
+
+# An order that meets a full worker returns after this, and goes where there is room.
+PATIENCE_MS = 0.0
+
+
+class JobPlacer:
+    """Orders runs for a job's tasks, numbered in the order of their orders."""
+
+    def __init__(
+        self, clock: Clock, fleet: Fleet, policy: DispatchPolicy, blame: CrashBlame, domain: str
+    ):
+        """Connect the parts.
+
+        :param domain: failure domain of this process
+        """
+        self._clock = clock
+        self._fleet = fleet
+        self._policy = policy
+        self._blame = blame
+        self._domain = domain
+        self._next_number = 1
+
+    def place(self, job: DispatchJob, now: float) -> bool:
+        """Order what fits of a job; return whether all its waiting tasks found room."""
+        workers = self._fleet.of_service(job.queue.service)
+        if not workers and job.was_ordered:
+            # The workers went to another dispatcher; what has begun is finished there.
+            workers = self._fleet.former_of(job.queue.service)
+        lateness = self._policy.rank(job, now).lateness
+        end = urgency.allowed_end(job.timing, lateness, job.was_ordered)
+        within_ms = job.timing.arrived_ms + end - now
+        placed: dict[str, int] = {}
+        for number, step in enumerate(job.steps):
+            if step not in job.ready_steps():
+                continue
+            self._place_step(job, number, step, workers, within_ms, placed)
+        if placed:
+            job.was_ordered = True
+            log_job(
+                "runs ordered",
+                job,
+                workers=",".join(f"{address}={count}" for address, count in placed.items()),
+                waited_ms=round(now - job.timing.arrived_ms),
+                lateness=lateness,
+            )
+        return not job.has_pending
+
+    def _place_step(
+        self,
+        job: DispatchJob,
+        number: int,
+        step: Step,
+        workers: list[WorkerView],
+        within_ms: float,
+        placed: dict[str, int],
+    ) -> None:
+        request = PlaceRequest(step.spec, step.expected_ms, within_ms, self._domain, step.taken)
+        for _ in range(len(step.pending)):
+            task = TaskId(number, step.pending[0])
+            shunned = job.failed_at.get(task)
+            fit = [view for view in workers if id(view) != shunned] if shunned else workers
+            if self._blame.is_suspect(job.task_name(task)):
+                place = self._policy.choose(self._without_suspects(fit), request)
+            else:
+                place = self._policy.choose(fit or workers, request)
+            if place is None:
+                return
+            step.pending.popleft()
+            self._order(job, task, step, place)
+            address = place.worker.peer.address
+            placed[address] = placed.get(address, 0) + 1
+
+    def _without_suspects(self, workers: list[WorkerView]) -> list[WorkerView]:
+        """Return the workers on which a second crash would name one task."""
+        return [
+            view
+            for view in workers
+            if not any(
+                self._blame.is_suspect(run.owner.job.task_name(run.owner.task))
+                for run in view.runs.values()
+            )
+        ]
+
+    def _order(self, job: DispatchJob, task: TaskId, step: Step, place: packing.Place) -> None:
+        now = self._clock.now()
+        view = place.worker
+        order = RunOrder(
+            self._next_number,
+            job.task_name(task),
+            job.next_attempt(task),
+            job.spec.payload,
+            step.spec.need,
+            step.expected_ms,
+            job.timing.latest_start(step.chain_ms) - now,
+            PATIENCE_MS,
+            job.timing.arrived_ms + job.timing.limit_ms - now,
+        )
+        self._next_number += 1
+        placed = Placed(job, task, view, place.run_ms)
+        job.runs[order.number] = placed
+        step.taken[id(view)] = step.taken.get(id(view), 0) + 1
+        self._fleet.order(view, order, placed)
