A dispatcher knows from the store which of its workers are evacuated

Cause: a worker's failure domain was known from its first report only. Where all processes are back after a loss of power, a dispatcher in an evacuated domain took its workers for usable until they were heard, 0.25 s later, and let jobs wait for them that were then held for 1.3 s and refused.

Change: the domain is taken from the worker's key, with the division of the workers.

The test fails without the change.

--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -1,7 +1,7 @@
 """The workers that a dispatcher knows: their state, their leases, and its runs there."""
 
 import logging
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Mapping, Set
 from typing import NamedTuple
 
 from geraniumspool.contracts import Clock
@@ -248,17 +248,17 @@
             for view in self._views.values()
         )
 
-    def set_owned(self, owned: Set[str], listed: Set[str], known: Set[str]) -> None:
+    def set_owned(self, owned: Set[str], listed: Set[str], known: Mapping[str, str]) -> None:
         """Place new jobs on these workers from now on, and on no others that are known.
 
         A worker that no dispatcher knows from the store any more stays with the one that hears
         it: it may be cut off from the store alone.
 
         :param listed: workers that are in the store
-        :param known: workers that all dispatchers divide among them
+        :param known: workers that all dispatchers divide among them, with their failure domains
         """
         now = self._clock.now()
-        self._known = known
+        self._known = known.keys()
         owned = owned | {
             view.peer.address
             for view in self._views.values()
@@ -272,6 +272,8 @@
             if view.is_owned and address not in owned:
                 view.disowned_ms = now
             view.is_owned = address in owned
+            if address in known:
+                self._mark(view, known[address])
         self.renew()
 
     def borrow(self, addresses: Iterable[str]) -> None:
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -514,9 +514,8 @@
         """Place on the workers that are this process's own now."""
         if self.peers.refresh():
             directory = self.peers.directory
-            self._dispatcher.fleet.set_owned(
-                self.peers.owned, directory.listed, directory.workers.keys()
-            )
+            domains = {address: record.domain for address, record in directory.workers.items()}
+            self._dispatcher.fleet.set_owned(self.peers.owned, directory.listed, domains)
             self._dispatcher.return_unowned()
 
     def _find_capacity(self, service: str) -> float:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -183,7 +183,7 @@
         other = Home(self.world, "h9")
         self.world.homes.append(other)
         everywhere = {worker.address for worker in self.world.workers}
-        other.dispatcher.fleet.set_owned(everywhere, everywhere, everywhere)
+        other.dispatcher.fleet.set_owned(everywhere, everywhere, dict.fromkeys(everywhere, "north"))
         self.clock.advance(100)
         told = [self.home.submit(make_spec("a", count=3, cpu=5_000))]
         told.append(other.place(make_spec("b", count=1, cpu=5_000)))
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.evacuations import Evacuations
 from geraniumspool.job_specs import JobOutcome
+from geraniumspool.registrations import DISPATCHER_PREFIX
 from geraniumspool.run_messages import EvacuationNews
 from tests.dispatch_world import EVACUATION_MS, DispatchWorld, Home, Worker, make_spec
 
@@ -222,6 +223,39 @@
         self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
 
 
+class RestartTest(EvacuationCase):
+    """All processes are back after a loss of power, with a domain evacuated."""
+
+    def test_jobs_that_come_to_a_dispatcher_there_do_not_wait_for_its_workers(self):
+        self.world.evacuate("south")
+        for home in self.world.homes[:]:
+            home.kill()
+        old, self.world.homes[:] = self.world.homes[:], []
+        for worker in self.world.workers:
+            worker.kill()
+        # Dispatchers are up before executors are.
+        for home in old:
+            name = home.address.removeprefix("tcp://")
+            self.world.homes.append(Home(self.world, name, 2, domain=home.record.domain))
+        for home in self.world.homes:
+            for other in old:
+                home.list_member(DISPATCHER_PREFIX + other.address, other.record)
+            home.router.take_members()
+        told = [self.submit(1) for _ in range(3)]
+        self.advance(40)
+        for place, worker in enumerate(self.world.workers):
+            self.world.workers[place] = Worker(
+                self.world, worker.name, 2, worker.minion, fence=100_000, domain=worker.domain
+            )
+            for home in self.world.homes:
+                # The store's watch tells of its key.
+                home.dispatcher.fleet.note_written(worker.address)
+        before = self.count_starts("south")
+        self.advance(600)
+        self.assertEqual({JobOutcome.SUCCEEDED}, {one.outcome for one in told})
+        self.assertEqual(before, self.count_starts("south"))
+
+
 class GuardTest(EvacuationCase):
     """Executors keep the rule where dispatchers do not know it."""
 
