--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -72,7 +72,7 @@
         self.dispatcher.fleet.reset_link = messenger.reset
         self.dispatcher.fleet.is_broken = messenger.is_broken
         record = DispatcherRecord(settings.domain, settings.capacity)
-        self._peers = DispatcherPeers(clock, messenger.me, record)
+        self._peers = DispatcherPeers(clock, messenger.me, record, self.evacuations)
         self._peers.is_broken = messenger.is_broken
         self.router = JobRouter(
             clock,
--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from geraniumspool.contracts import Clock
+from geraniumspool.evacuations import Evacuations
 from geraniumspool.groups import GROUP_WORKERS, Owner, Site, divide
 from geraniumspool.job_messages import DispatcherReport, ServiceLoad
 from geraniumspool.messages import ANY_INCARNATION, Peer
@@ -111,16 +112,19 @@
         clock: Clock,
         me: Peer,
         record: DispatcherRecord,
+        evacuations: Evacuations,
         group_workers: float = GROUP_WORKERS,
     ):
         """Know nobody else.
 
+        :param evacuations: failure domains whose workers are of no use for now
         :param group_workers: about how many workers a dispatcher places on
         """
         self._group_workers = group_workers
         self._clock = clock
         self._me = me
         self._record = record
+        self._evacuations = evacuations
         self.directory = Directory()
         self.is_leaving = False
         self.views: dict[str, PeerView] = {}
@@ -195,20 +199,34 @@
         if not self.is_leaving:
             members.append(Owner(self._me.address, self._record.domain, self._record.capacity))
         workers = self._list_sites()
-        alike = (sorted(members), workers)
+        alike = (sorted(members), workers, self._evacuations.domains)
         if alike == self._alike:
             return False
         self._alike = alike
         groups: dict[str, str] = {}
         for service in {site.service for site in workers.values()}:
-            own = {address: site for address, site in workers.items() if site.service == service}
-            groups |= divide(members, own, self._group_workers)
+            groups |= self._divide_service(members, service)
         owned = {address for address, owner in groups.items() if owner == self._me.address}
         fields = (("members", len(members)), ("workers", len(workers)), ("owned", len(owned)))
         _LOG.info("workers divided", extra={"fields": fields})
         self.owned = owned
         return True
 
+    def _divide_service(self, members: list[Owner], service: str) -> dict[str, str]:
+        """Return the owners of a service's workers.
+
+        Those that are evacuated are divided by themselves, so that all dispatchers have their
+        part of the rest, and none is left with workers that it may not use.
+        """
+        usable: dict[str, Site] = {}
+        evacuated: dict[str, Site] = {}
+        for address, site in self._list_sites().items():
+            if site.service == service:
+                part = evacuated if self._evacuations.covers(site.domain) else usable
+                part[address] = site
+        owners = divide(members, usable, self._group_workers)
+        return owners | divide(members, evacuated, self._group_workers)
+
 
 def _trust_link(_peer: Peer) -> bool:
     return False
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -214,14 +214,8 @@
 
         Workers that were taken back are asked for their state before they are used.
         """
-        now = self._clock.now()
         for view in self._views.values():
-            was_evacuated = view.is_evacuated
-            self._mark(view, view.domain)
-            if view.is_evacuated:
-                view.is_usable = False
-            elif was_evacuated:
-                self._renew(view, now)
+            self._take_domain(view, view.domain)
 
     def usable_of(self, service: str) -> list[WorkerView]:
         """Return the workers of a service that take new runs."""
@@ -273,7 +267,7 @@
                 view.disowned_ms = now
             view.is_owned = address in owned
             if address in known:
-                self._mark(view, known[address])
+                self._take_domain(view, known[address])
         self.renew()
 
     def borrow(self, addresses: Iterable[str]) -> None:
@@ -387,6 +381,15 @@
         """Note whether a worker is evacuated; all are until the operators' word is known."""
         view.is_evacuated = not self._evacuations.is_known or self._evacuations.covers(domain)
 
+    def _take_domain(self, view: WorkerView, domain: str) -> None:
+        """Stop using an evacuated worker; ask one that was taken back for its state."""
+        was_evacuated = view.is_evacuated
+        self._mark(view, domain)
+        if view.is_evacuated:
+            view.is_usable = False
+        elif was_evacuated:
+            self._renew(view, self._clock.now())
+
     def _renew(self, view: WorkerView, now: float) -> None:
         view.note_sent(now)
         old = now - LISTED_AFTER_MS
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -496,6 +496,7 @@
 
     def _take_evacuations(self) -> None:
         """Place on the workers that may be used now, and tell the others at once."""
+        self._regroup()
         self._dispatcher.apply_evacuations(self._list_usable)
         for view in self.peers.views.values():
             view.told_ms = -math.inf
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -163,7 +163,9 @@
             world.clock, self.messenger.send, self.counters, domain, self.evacuations, policy
         )
         self.record = DispatcherRecord(domain, capacity)
-        self.peers = DispatcherPeers(world.clock, me, self.record, world.group_workers)
+        self.peers = DispatcherPeers(
+            world.clock, me, self.record, self.evacuations, world.group_workers
+        )
         self.peers.is_broken = self.messenger.is_broken
         self.dispatcher.fleet.is_broken = self.messenger.is_broken
         self.router = JobRouter(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -223,6 +223,27 @@
         self.assertEqual(JobOutcome.SUCCEEDED, told.outcome)
 
 
+class DivisionTest(EvacuationCase):
+    """Who owns the workers that are left."""
+
+    workers = 12
+    group_workers = 2.8
+
+    def owned(self, home):
+        views = [view for view in home.dispatcher.fleet.views if view.is_owned]
+        return [view.domain for view in views if not view.is_evacuated]
+
+    def test_a_dispatcher_of_the_domain_has_its_part_of_the_rest(self):
+        self.world.evacuate("south")
+        self.advance(100)
+        parts = [self.owned(home) for home in self.world.homes]
+        self.assertEqual([2, 3, 3], sorted(map(len, parts)))
+        self.assertNotIn("south", sum(parts, []))
+        self.world.evacuate()
+        self.advance(100)
+        self.assertEqual(["south"] * 4, self.owned(self.world.homes[1]))
+
+
 class RestartTest(EvacuationCase):
     """All processes are back after a loss of power, with a domain evacuated."""
 
