--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -116,7 +116,7 @@
     def _keep_key(self) -> None:
         """Take up the minion that an earlier process here has left, then keep the key.
 
-        Without it a restarted process waits for the minion's next report, 0.8 s in the mean.
+        Without it a restarted process waits for the minion's next report.
         The key says what it said until another life tells otherwise: a minion that went down
         with this host comes back to the same service and rack, and if dispatchers took the
         worker for one without service meanwhile, all would divide the workers twice for it.
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -47,8 +47,8 @@
 # A caller that names no time waits this long.
 DEFAULT_WAIT_MS = 15_000.0
 # A process that is about to end takes jobs that are over by then, though they take this many
-# times as long as expected, and the time of a message to a full worker more. Callers keep
-# using their connections: 0.8% of the jobs of a day with two restarts were refused before.
+# times as long as expected, and the time of a message to a full worker more: callers keep
+# using their connections while it leaves.
 LEAVING_FACTOR = 2.0
 LEAVING_MARGIN_MS = 100.0
 # Learning of run times: about the last thirty jobs of a queue.
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -132,8 +132,7 @@
         self._starts.fill()
         self._refuse_impatient(now)
         if now - message.echo_ms > STALE_ECHO_MS:
-            # Without a fresh clock the lease ends while the runs have just begun: it cost
-            # up to one run in six of the first second of calm traffic.
+            # Without a fresh clock the lease ends while the runs have just begun.
             self._reporter.tell(customer)
 
     def take_stop(self, home: Peer, message: StopRuns) -> None:
--- a/geraniumspool/groups.py
+++ b/geraniumspool/groups.py
@@ -13,8 +13,7 @@
 # Dispatchers place on about this many workers: smaller groups are full while others have
 # room, larger ones have one process place all and lose more when it dies.
 GROUP_WORKERS = 12
-# A worker of eight short tasks costs its owner some 2.5% of a core: at this many a core the
-# owner is busy for two fifths of the time, and a start waits for it for as long as it takes.
+# At this many busy workers a core an owner has time to spare; a start waits for a busy one.
 WORKERS_PER_CORE = 16
 
 
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -131,8 +131,8 @@
 def _measure_room(backlog: Backlog, task: int) -> float:
     """Return the room that tasks of a size can use, of workers about to be back as well.
 
-    After a loss of power 62 jobs were refused within 0.6 s for want of workers that were
-    there 0.1 s later.
+    Without those, jobs are refused after a loss of power for want of workers that are there
+    a moment later.
     """
     workers = backlog.workers
     room = sum(max(0.0, view.room.cpu - task * UNUSED_SHARE) for view in workers)
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -35,12 +35,12 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Entries choose owners by reports of this age: with 35 dispatchers at 1.5 times the load that
-# fills 160 workers 0.74 of the jobs are in time, and 0.69 with reports each 150 ms.
+# Entries choose owners by reports of this age; older ones send jobs to groups that have filled
+# meanwhile.
 REPORT_MS = 100.0
 # Where neither side has jobs at the other, dispatchers of other domains hear this often, as do
-# all from one without workers: thirty-five dispatchers of five domains then spend 5,400
-# messages a second on reports, and 11,900 if all heard each other as often as neighbours do.
+# all from one without workers: the reports of many dispatchers would otherwise be most of the
+# messages.
 IDLE_REPORT_MS = 300.0
 # An echo of this age leaves too little of the lease: the owner tells its clock at once.
 STALE_ECHO_MS = 200.0
--- a/geraniumspool/metrics_page.py
+++ b/geraniumspool/metrics_page.py
@@ -15,8 +15,8 @@
 class MetricsPage(Application):
     """WSGI application with the one page ``/metrics``.
 
-    What renders metrics is imported when somebody first asks for them, which saves a
-    process that nobody asks 5 MB.
+    What renders metrics is imported when somebody first asks for them, which saves the memory
+    of a process that nobody asks.
     """
 
     def __init__(self, counters: MemoryCounters, role: str, domain: str):
--- a/geraniumspool/minion_lives.py
+++ b/geraniumspool/minion_lives.py
@@ -59,7 +59,7 @@
         life = session.life
         if life is not None and told.is_life_of(life.told):
             # The name alone is not enough: a minion that starts again under its name counts
-            # from 1, and by the counts of before its leaving went unheard for up to 3.5 s.
+            # from 1, and by the counts of before its leaving would go unheard.
             if told.sequence >= life.told.sequence:
                 self._update(life, told)
             else:
@@ -172,7 +172,7 @@
         """Start what waits and fits by now, and send back what cannot start here any more."""
         if told.draining:
             self._ends.refuse_waiting("minion_draining")
-            # A process that took this one's place started runs there for up to 1.5 s.
+            # Else a process that takes this one's place starts runs there until the next report.
             eventlet.spawn_n(self.on_life, told)
         for run in self._table.waiting():
             if not told.room.fits(run.order.need):
@@ -211,8 +211,7 @@
     def _succeed(self, before: LifeView, life: LifeView, view: MinionView) -> None:
         """Give up the runs of a life that is over, but for those that went to the next one.
 
-        Told as lost while at work, they ran twice at a time: in 13 of 179 storms in memory in
-        which every other minion that crashed came back under its name.
+        Told as lost while at work, they would run twice at a time.
         """
         self._note_lost(before, "minion_replaced")
         if before.told.instance == life.told.instance:
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -76,9 +76,7 @@
 def choose(workers: Iterable[Candidate], request: PlaceRequest) -> Place | None:
     """Return the best worker with room for one task, or None.
 
-    Tasks that are sent ahead of room cannot be overtaken where they wait: with one a worker,
-    at 1.8 times the load that fills all workers, 0.71 of their time went to jobs in time,
-    and without it 0.85.
+    None is sent ahead of room: where it waited, a more urgent one could not overtake it.
     """
     step = request.step
     best = None
--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -26,8 +26,8 @@
 ORDER_ANSWER_MS = 120.0
 # Two looks in a row may be lost before the lease of 500 ms runs out.
 LOOK_ANSWER_MS = 80.0
-# A call takes about 2 ms and a busy worker makes fifty in a second. Few connections stay
-# in use, where many are closed as idle and opened again: 270 new ones a day before.
+# Few connections stay in use, where many are closed as idle and opened again: a call is short
+# against the pause between calls of a busy worker.
 ORDER_CONNECTIONS = 3
 LOOK_CONNECTIONS = 1
 
--- a/geraniumspool/urgency.py
+++ b/geraniumspool/urgency.py
@@ -12,8 +12,8 @@
 # A job that takes up to this many objectives still is of some use to its caller.
 LATE_FACTOR = 3.0
 # Estimates of run times are off by some tens of per cent: a job that has not begun counts as
-# late once less than this share of its objective is to spare. Those behind it are then in
-# time: at 1.5 times the load that fills all workers 0.70 of the jobs, without it 0.67.
+# late once less than this share of its objective is to spare, so that those behind it can
+# still be in time.
 START_MARGIN = 0.1
 # Of long jobs it would be so much that they never became the most urgent.
 MAX_START_MARGIN_MS = 40.0
@@ -26,8 +26,8 @@
 CHANCE_SPREAD = 0.12
 CHANCE_SHIFT = 0.15
 LARGEST_EXPONENT = 50.0
-# A job of which this share is done is finished while its caller waits, however late: with a
-# third of the workers hanging 0.9% of the jobs were left unfinished otherwise.
+# A job of which this share is done is finished while its caller waits, however late: little
+# more work makes an answer of it.
 FINISH_SHARE = 0.5
 # Learning of waits: about the last thirty jobs that had to wait; one tells no more than that
 # it waited for four times as long. Shorter waits are those of messages.
