--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -69,6 +69,18 @@
         whole = DISPATCHER | {"grace_s": 4}
         self.assertEqual(self.load(yaml.safe_dump(whole)), self.load(json.dumps(whole)))
 
+    def test_the_bound_of_an_evacuation_may_be_left_open(self):
+        executor = {key: DISPATCHER[key] for key in ("name", "domain", "inbox", "store")}
+        executor["minion_listen"] = "127.0.0.1:0"
+        for given, expected in (({}, None), ({"evacuation_ms": None}, None)):
+            settings = self.load(json.dumps(executor | given), ExecutorSettings)
+            self.assertEqual(expected, settings.evacuation_ms)
+        # A platform that sets no bound leaves the template's place empty.
+        empty = json.dumps(executor | {"evacuation_ms": 7}).replace("7", "")
+        self.assertIsNone(self.load(empty, ExecutorSettings).evacuation_ms)
+        with self.assertRaises(InvalidInput):
+            self.load(json.dumps(executor | {"evacuation_ms": 0}), ExecutorSettings)
+
     def test_files_that_are_none(self):
         for text in ("- a\n", "a: [\n", ""):
             with self.subTest(text=text), self.assertRaises(InvalidInput):
