An executor asks the store again whatever ended its last question

Found on reading: an error that is no StoreError would have left the question open for ever, and with it the executor refusing to start once its dispatchers fall silent. The answer also counts at once and not with the next tick.

--- a/geraniumspool/evacuation_guard.py
+++ b/geraniumspool/evacuation_guard.py
@@ -102,7 +102,9 @@
             self._is_cut_off = False
             domains = list_evacuated(snapshot, self._prefix)
             self.evacuations.replace(domains, snapshot.revision, asked_ms)
-        self._is_asking = False
+        finally:
+            self._is_asking = False
+        self._note_change()
 
     def _note_change(self) -> None:
         if self.refusal != self._refusal:
