On a second read: one place tells all dispatchers, and evacuation is kept once in an agent

Leaving and a change of evacuations both told every dispatcher at once by the same loop; now _report_to_all does. Agent kept beside its runner whether its domain is evacuated; the runner's word is enough.

--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -97,7 +97,6 @@
         self._left = False
         self._told_state = MEMBER_STARTING
         self._draining = False
-        self._is_evacuated = False
         self._announced_ms = clock.now()
         self.configuration = Configuration(clock, metrics)
         self.decisions = DecisionLog(messenger.me.incarnation, clock, _LOG)
@@ -273,8 +272,7 @@
     def _apply_evacuation(self) -> None:
         domain = self._settings.domain
         is_evacuated = self.configuration.is_evacuated(domain)
-        if is_evacuated != self._is_evacuated:
-            self._is_evacuated = is_evacuated
+        if is_evacuated != self.runner.is_evacuated:
             code = DOMAIN_EVACUATED if is_evacuated else DOMAIN_RESTORED
             self.decisions.record(code, domain, revision=self.configuration.revision)
             self.runner.set_evacuated(is_evacuated)
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -259,9 +259,7 @@
         """Own no workers from now on, and give back what has not begun."""
         self.peers.is_leaving = True
         self._regroup()
-        for view in self.peers.views.values():
-            view.told_ms = -math.inf
-        self._report(self._clock.now())
+        self._report_to_all()
 
     def abandon(self) -> None:
         """End every job, as the process is about to end."""
@@ -488,6 +486,12 @@
                 self.reset_link(view.peer)
             self._send(view.peer, report)
 
+    def _report_to_all(self) -> None:
+        """Tell every dispatcher now."""
+        for view in self.peers.views.values():
+            view.told_ms = -math.inf
+        self._report(self._clock.now())
+
     def _tell_clock(self, peer: Peer) -> None:
         """Have the next tick report to a dispatcher."""
         view = self.peers.views.get(peer.address)
@@ -498,9 +502,7 @@
         """Place on the workers that may be used now, and tell the others at once."""
         self._regroup()
         self._dispatcher.apply_evacuations(self._list_usable)
-        for view in self.peers.views.values():
-            view.told_ms = -math.inf
-        self._report(self._clock.now())
+        self._report_to_all()
 
     def _list_usable(self) -> list[str]:
         """Return the addresses of workers that the store lists and that are not evacuated."""
--- a/geraniumspool/platform/__main__.py
+++ b/geraniumspool/platform/__main__.py
@@ -12,7 +12,7 @@
 import eventlet
 
 # All green tasks share one thread, so that native locks suit them: none is held over a switch,
-# and no task waits for one. Finding all locks to replace takes a third of the start.
+# and no task waits for one. Callers would wait for the search of all locks at each start.
 eventlet.monkey_patch(thread=False)
 
 import importlib
--- a/geraniumspool/runner.py
+++ b/geraniumspool/runner.py
@@ -102,7 +102,7 @@
         self._kept: OrderedDict[int, Entry] = OrderedDict()
         self.minion: Announcement | None = None
         self.leaving = False
-        self._is_evacuated = False
+        self.is_evacuated = False
         self.on_change: Callable[[], None] = lambda: None
         self.measure_backlog: Callable[[], float] = lambda: 0.0
 
@@ -121,7 +121,7 @@
     @property
     def accepts(self) -> bool:
         """Whether offers are taken at all."""
-        return self.minion is not None and not (self.leaving or self._is_evacuated)
+        return self.minion is not None and not (self.leaving or self.is_evacuated)
 
     def load(self) -> Load:
         """Return what this runner has to offer now."""
@@ -183,9 +183,7 @@
 
     def set_evacuated(self, is_evacuated: bool) -> None:
         """Start nothing while the failure domain here is evacuated; what runs goes on."""
-        if is_evacuated == self._is_evacuated:
-            return
-        self._is_evacuated = is_evacuated
+        self.is_evacuated = is_evacuated
         if is_evacuated:
             self._give_back_queues(REFUSED_EVACUATED)
         self.on_change()
@@ -312,7 +310,7 @@
             return REFUSED_NO_MINION
         if self.leaving:
             return REFUSED_LEAVING
-        if self._is_evacuated:
+        if self.is_evacuated:
             return REFUSED_EVACUATED
         if not self._health.admits(len(self._running) + self._queued):
             return REFUSED_EJECTED
