Messages grow: processes of different builds read each other

A fleet that was upgraded process by process did not become ready while two builds ran side by side: the envelope had grown from four to seven elements, named tuples are decoded only at their exact length, and the former build rejected every message of the new one. Any field added to a message would have done the same.

A receiver skips elements and kinds that it does not know. A sender writes in the version that the peer reads; the version is a part of the incarnation, in a range that former builds don't draw, so it is known before the first message and costs no byte. The build with confirmations announces none and is recognised by its stamps.

In test_link the incarnations announce the version, as those of real processes do; the checks are as before.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 5
 FIRST ?= 1
 
-.PHONY: setup demo test lint measure slopes explore soak silences patterns
+.PHONY: setup demo test lint measure slopes explore soak silences patterns upgrades
 
 setup: $(STAMP)
 
@@ -43,5 +43,8 @@
 silences: setup
 	$(PYTHON) -W ignore -m benchmarks.silences
 
+upgrades: setup
+	$(PYTHON) -W ignore -m benchmarks.upgrades $(OLD)
+
 patterns: setup
 	$(PYTHON) -m benchmarks.patterns
--- a/benchmarks/slope_links.py
+++ b/benchmarks/slope_links.py
@@ -7,12 +7,12 @@
 
 from benchmarks.slope_fit import US_PER_S, Point, Slope, fit
 from benchmarks.slope_membership import make_member
-from geraniumspool.application import new_incarnation
 from geraniumspool.clock import SystemClock
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.link import NngMessenger
 from geraniumspool.members import ROLE_AGENT
 from geraniumspool.messages import Heartbeat
+from geraniumspool.wire_versions import new_incarnation
 
 PEER_COUNTS = (25, 75, 150)
 SETTLE_S = 0.5
--- a/benchmarks/soak_deployment.py
+++ b/benchmarks/soak_deployment.py
@@ -14,7 +14,7 @@
 from eventlet import wsgi
 
 from benchmarks.soak_callers import HOST, PREFIX, DispatcherEndpoint, PatientCallers, make_job
-from benchmarks.soak_processes import GRACE_S, Addresses, Process, Proxy
+from benchmarks.soak_processes import CURRENT_BUILD, GRACE_S, Addresses, Build, Process, Proxy
 from benchmarks.soak_witness import EVACUATION_S, WORKER_ROOM, CheckedMinion, GuaranteeChecker
 from geraniumspool.clock import MS_PER_SECOND, SystemClock
 from tests.platform_standin import MinionStandin, StoreStandin
@@ -42,6 +42,7 @@
     :param has_link_proxies: whether the processes reach each other through proxies
     :param has_early_callers: whether callers repeat requests early, and minions take time to stop
     :param evacuation_s: setting ``evacuation_ms`` of the executors in seconds, None for its default
+    :param builds: builds of the programs, assigned in turn to the processes of each role
     """
 
     dispatchers: int
@@ -50,6 +51,7 @@
     has_link_proxies: bool = False
     has_early_callers: bool = True
     evacuation_s: float | None = EVACUATION_S
+    builds: tuple[Build, ...] = (CURRENT_BUILD,)
 
 
 class SoakDeployment:
@@ -154,7 +156,7 @@
         settings = self._common_settings(f"executor-{number}", domain) | {"minion_listen": listen}
         if self._layout.evacuation_s is not None:
             settings["evacuation_ms"] = self._layout.evacuation_s * MS_PER_SECOND
-        self.executors.append(self._start_process("executor", settings))
+        self.executors.append(self._start_process("executor", settings, number))
         task = eventlet.spawn(self._send_heartbeats, minion, proxy.address, listen)
         self._exit_stack.callback(task.kill)
 
@@ -162,7 +164,7 @@
         callers, ready = self._addresses.reserve(), self._addresses.reserve()
         settings = self._common_settings(f"dispatcher-{number}", self._choose_domain(number))
         settings |= {"callers_listen": callers, "ready_listen": ready}
-        process = self._start_process("dispatcher", settings)
+        process = self._start_process("dispatcher", settings, number)
         self.dispatchers.append(process)
         self.endpoints.append(DispatcherEndpoint(callers, process))
 
@@ -183,8 +185,9 @@
             settings["advertised_inbox"] = f"tcp://{proxy.address}"
         return settings
 
-    def _start_process(self, role: str, settings: dict) -> Process:
-        process = Process(role, settings, self._folder)
+    def _start_process(self, role: str, settings: dict, number: int) -> Process:
+        builds = self._layout.builds
+        process = Process(role, settings, self._folder, builds[number % len(builds)])
         self._exit_stack.callback(process.close)
         return process
 
--- a/benchmarks/soak_processes.py
+++ b/benchmarks/soak_processes.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 import eventlet
 import yaml
@@ -152,16 +153,34 @@
         return f"{self._host}:{port}"
 
 
+class Build(NamedTuple):
+    """A build of the programs.
+
+    :param module: module that runs a role, named by its first argument
+    :param arguments: further arguments
+    :param root: folder of the checkout
+    """
+
+    module: str = "geraniumspool.platform"
+    arguments: tuple[str, ...] = ()
+    root: Path = ROOT
+
+
+CURRENT_BUILD = Build()
+
+
 class Process:
     """One dispatcher or executor, which can be started again after it has ended.
 
+    :ivar build: build to start next
     :ivar started_s: monotonic time of the last start
     :ivar unaffected_since_s: monotonic time since which no fault has affected it, that is of its
         last start or resumption; infinite while it is suspended, and once it was told to end
     """
 
-    def __init__(self, role: str, settings: dict, folder: str):
+    def __init__(self, role: str, settings: dict, folder: str, build: Build = CURRENT_BUILD):
         self.name = settings["name"]
+        self.build = build
         self._role = role
         self._path = os.path.join(folder, self.name + ".yaml")
         self._log = open(os.path.join(folder, self.name + ".log"), "ab")  # noqa: SIM115
@@ -173,9 +192,10 @@
         variables = os.environ | {
             "GERANIUMSPOOL_SETTINGS": self._path,
             "EVENTLET_NO_GREENDNS": "yes",
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(self.build.root),
         }
-        command = [sys.executable, "-m", "geraniumspool.platform", self._role]
+        build = self.build
+        command = [sys.executable, "-P", "-m", build.module, self._role, *build.arguments]
         log = self._log.fileno()
         actions = [(os.POSIX_SPAWN_DUP2, log, 1), (os.POSIX_SPAWN_DUP2, log, 2)]
         # Unlike the monkey-patched subprocess module, posix_spawn never yields to other green
--- a/geraniumspool/agent.py
+++ b/geraniumspool/agent.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from geraniumspool.application import Application, ReadyLine, new_incarnation
+from geraniumspool.application import Application, ReadyLine
 from geraniumspool.clock import SystemClock
 from geraniumspool.configuration import Configuration
 from geraniumspool.contracts import Announcement, Clock, Messenger, MinionClient, Store
@@ -63,6 +63,7 @@
 from geraniumspool.submission import collect_findings
 from geraniumspool.web import WebApplication
 from geraniumspool.webserver import WebServer
+from geraniumspool.wire_versions import new_incarnation
 
 _LOG = logging.getLogger(__name__)
 
--- a/geraniumspool/application.py
+++ b/geraniumspool/application.py
@@ -1,7 +1,6 @@
 """Base class of the programs: background green threads, message handlers and shutdown."""
 
 import logging
-import secrets
 from collections.abc import Callable
 from typing import TypedDict
 
@@ -13,7 +12,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-INCARNATION_BITS = 63
 POLL_MS = 20.0
 
 Handler = Callable[[Peer, Message], None]
@@ -36,14 +34,6 @@
     minion: str
 
 
-def new_incarnation() -> int:
-    """Return a random number that identifies one run of a process.
-
-    It is never 0, which stands for any incarnation in messages.
-    """
-    return 1 + secrets.randbits(INCARNATION_BITS)
-
-
 class Application:
     """Base of the programs: runs green threads, dispatches messages and controls shutdown.
 
--- a/geraniumspool/entry.py
+++ b/geraniumspool/entry.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from geraniumspool.application import Application, ReadyLine, new_incarnation
+from geraniumspool.application import Application, ReadyLine
 from geraniumspool.audit import AuditTrail
 from geraniumspool.binding import Bindings
 from geraniumspool.callers import Callers
@@ -50,6 +50,7 @@
 from geraniumspool.ticket import Keyring
 from geraniumspool.web import WebApplication
 from geraniumspool.webserver import WebServer
+from geraniumspool.wire_versions import new_incarnation
 
 _LOG = logging.getLogger(__name__)
 
--- a/geraniumspool/errors.py
+++ b/geraniumspool/errors.py
@@ -95,6 +95,10 @@
     code = "message_malformed"
 
 
+class UnknownKind(MalformedMessage):
+    """A message between processes has a type that this build does not know."""
+
+
 class LinkDown(DispatchError):
     """A peer process could not be reached in time."""
 
--- a/geraniumspool/inbound.py
+++ b/geraniumspool/inbound.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from geraniumspool.contracts import Counters
-from geraniumspool.errors import MalformedMessage
+from geraniumspool.errors import MalformedMessage, UnknownKind
 from geraniumspool.messages import (
     ANY_INCARNATION,
     Delivery,
@@ -18,6 +18,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+# Kinds of messages of newer builds that are logged, one line each.
+MAX_NEWER_KINDS = 100
+
 Receiver = Callable[[Delivery], None]
 
 
@@ -44,11 +47,16 @@
         self._send_reply = send_reply
         self._note_received = note_received
         self.receive: Receiver | None = None
+        self._newer_kinds: set[str] = set()
 
     def handle(self, data: bytes) -> None:
         """Decode one message and pass it to the receive callback, or reject it."""
         try:
             delivery = decode(data)
+        except UnknownKind as error:
+            self._counters.add("messages_rejected", reason="unknown_kind")
+            self._log_newer(str(error))
+            return
         except MalformedMessage:
             self._counters.add("messages_rejected", reason="malformed")
             return
@@ -57,6 +65,9 @@
             self._reject(delivery)
             return
         self._counters.add("messages_received", kind=kind_name(delivery.kind))
+        if delivery.is_newer:
+            self._counters.add("messages_newer", kind=kind_name(delivery.kind))
+            self._log_newer(kind_name(delivery.kind))
         try:
             self.receive(delivery)
         except Exception:
@@ -64,6 +75,13 @@
             self._counters.add("messages_rejected", reason="handler_failed")
             _LOG.exception("message handler failed")
 
+    def _log_newer(self, kind: str) -> None:
+        """Log the first message of a kind of which this build knows only a part, or nothing."""
+        if kind in self._newer_kinds or len(self._newer_kinds) >= MAX_NEWER_KINDS:
+            return
+        self._newer_kinds.add(kind)
+        _LOG.info("message of a newer build", extra={"fields": (("kind", kind),)})
+
     def _reject(self, delivery: Delivery) -> None:
         self._counters.add("messages_rejected", reason="wrong_incarnation")
         if isinstance(delivery.message, WrongIncarnation):
--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -16,7 +16,7 @@
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.inbound import InboundHandler, Receiver
 from geraniumspool.link_monitor import ReopenReason
-from geraniumspool.messages import Delivery, Message, Peer, encode
+from geraniumspool.messages import Delivery, Message, Peer
 from geraniumspool.monitored_links import MonitoredLinks
 
 # nng runs callbacks on its own threads, which share locks with the main thread. With eventlet's
@@ -207,7 +207,8 @@
         """Bind the inbox.
 
         :param listen: address such as ``tcp://127.0.0.1:0``; port 0 picks a free port
-        :param incarnation: random number that identifies this run of the process
+        :param incarnation: identifies this run of the process and its version; see
+            :mod:`wire_versions`
         :param clock: source of time for idle links
         :param counters: where messages, bytes and rejections are counted
         :param scope: returns ``SCOPE_CROSS`` for a peer in another failure domain, else
@@ -216,10 +217,9 @@
         """
         self._socket = pynng.Pull0(recv_buffer_size=INBOX_MESSAGES)
         self._socket.listen(listen)
-        self.local_peer = Peer(advertised or _bound_address(self._socket, listen), incarnation)
-        super().__init__(clock, incarnation)
-        self._counters = counters
-        self._inbound = InboundHandler(self.local_peer, counters, self.send, self._note_received)
+        local_peer = Peer(advertised or _bound_address(self._socket, listen), incarnation)
+        super().__init__(local_peer, clock, counters)
+        self._inbound = InboundHandler(local_peer, counters, self.send, self._note_received)
         self._links: dict[str, _Link] = {}
         self._retired_links: set[_Link] = set()
         self._tasks: list = []
@@ -236,7 +236,9 @@
             delivery = Delivery(self.local_peer, peer.incarnation, 0, message)
             eventlet.spawn_n(self._inbound.receive, delivery)
             return True
-        data = encode(self.local_peer, peer.incarnation, message, self._make_stamp(peer))
+        data = self._encode(peer, message)
+        if data is None:
+            return False
         kind = type(message).__name__
         scope = self.scope(peer)
         self._counters.add("messages_sent", kind=kind, scope=scope)
--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -14,7 +14,12 @@
 from typing import NamedTuple
 
 from geraniumspool.contracts import Clock
-from geraniumspool.messages import LinkStamp, Peer
+from geraniumspool.messages import ANY_INCARNATION, LinkStamp, Peer
+from geraniumspool.wire_versions import (
+    VERSION_BASE,
+    VERSION_STAMPED,
+    announced_version,
+)
 
 # A peer confirms with whatever it sends next. A message sent this long after ours that does not
 # confirm it shows that ours is lost, or that the peer or the network is very slow.
@@ -64,6 +69,7 @@
 
     __slots__ = (
         "incarnation",
+        "version",
         "received",
         "heard_ms",
         "sent",
@@ -76,7 +82,9 @@
     )
 
     def __init__(self):
-        self.incarnation = 0
+        self.incarnation = ANY_INCARNATION
+        # Version of that incarnation, None until it is heard.
+        self.version: int | None = None
         self.received = 0
         self.heard_ms: float | None = None
         # Number and time of the latest message to the peer.
@@ -89,6 +97,18 @@
         self.reopened_ms: float | None = None
         self.reopen_interval_ms = 0.0
 
+    def note_incarnation(self, sender: Peer, stamp: LinkStamp) -> None:
+        """Record which process has sent a message, and the version that it reads."""
+        if self.incarnation != sender.incarnation:
+            self.incarnation = sender.incarnation
+            self.version = announced_version(sender.incarnation)
+            self.received = 0
+        if stamp.number:
+            self.version = max(self.version, VERSION_STAMPED)
+        if self.version == VERSION_BASE:
+            # The peer confirms nothing.
+            self.unconfirmed = 0
+
     def track_latest(self) -> None:
         """Track the latest message until it is confirmed."""
         self.unconfirmed = self.sent
@@ -128,13 +148,11 @@
 
     def note_received(self, sender: Peer, stamp: LinkStamp) -> ReopenReason | None:
         """Record a message; return why the connection to its sender is dead, None if it is not."""
-        if not stamp.number:
-            return None
         record = self._find_or_add(sender.address)
         record.heard_ms = self._clock.now()
-        if record.incarnation != sender.incarnation:
-            record.incarnation = sender.incarnation
-            record.received = 0
+        record.note_incarnation(sender, stamp)
+        if not stamp.number:
+            return None
         record.received = max(record.received, stamp.number)
         if record.unconfirmed:
             record.confirm(stamp.received)
@@ -146,6 +164,26 @@
         unconfirmed_ms = record.heard_ms - record.unconfirmed_since_ms
         return ReopenReason.NOT_RECEIVED if unconfirmed_ms > CONFIRMATION_LIMIT_MS else None
 
+    def heard_version(self, sender: Peer) -> int | None:
+        """Return the version of a process that was heard, None before its first message."""
+        record = self._records.get(sender.address)
+        if record is None or record.incarnation != sender.incarnation:
+            return None
+        return record.version
+
+    def version_of(self, peer: Peer) -> int | None:
+        """Return the version that a peer reads, or None if it is not known.
+
+        For any incarnation at an address, that is the version of the one last heard there.
+        """
+        announced = announced_version(peer.incarnation)
+        if announced != VERSION_BASE:
+            return announced
+        if peer.incarnation != ANY_INCARNATION:
+            return self.heard_version(peer)
+        record = self._records.get(peer.address)
+        return None if record is None else record.version
+
     def is_unconfirmed(self, address: str, sent_ms: float) -> bool:
         """Return whether nothing was confirmed of what was sent at or after a time.
 
--- a/geraniumspool/memory_link.py
+++ b/geraniumspool/memory_link.py
@@ -8,8 +8,9 @@
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.inbound import InboundHandler, Receiver
 from geraniumspool.link_monitor import ReopenReason
-from geraniumspool.messages import NO_STAMP, Delivery, LinkStamp, Message, Peer, encode
+from geraniumspool.messages import Delivery, Message, Peer
 from geraniumspool.monitored_links import MonitoredLinks
+from geraniumspool.wire_versions import CURRENT_VERSION
 
 
 class MemoryNetwork:
@@ -89,15 +90,15 @@
         """Return whether no messenger is attached to an address."""
         return address not in self._inboxes
 
-    def transmit(
-        self, sender: Peer, receiver: Peer, message: Message, stamp: LinkStamp = NO_STAMP
-    ) -> None:
-        """Schedule the delivery of one message, subject to the injected faults."""
+    def transmit(self, sender: Peer, receiver: Peer, message: Message, data: bytes) -> None:
+        """Schedule the delivery of one message, subject to the injected faults.
+
+        :param data: the encoded message
+        """
         self.sent.append((sender, receiver, message))
         kind = type(message).__name__
         if kind in self.dropped_kinds or self.is_lost(sender.address, receiver.address):
             return
-        data = encode(sender, receiver.incarnation, message, stamp)
         address = receiver.address
         for delay_ms in self.choose_delays(sender.address, address):
             self.clock.after(delay_ms, lambda: self._deliver(address, data))
@@ -128,15 +129,22 @@
     :ivar reopened: how many connections were replaced
     """
 
-    def __init__(self, network: MemoryNetwork, local_peer: Peer, counters: Counters):
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        local_peer: Peer,
+        counters: Counters,
+        unknown_version: int = CURRENT_VERSION,
+    ):
         """Create the messenger; it receives messages only after :meth:`start`.
 
         :param network: the network that delivers the messages
         :param local_peer: address and incarnation of the process
         :param counters: where received and rejected messages are counted
+        :param unknown_version: version in which peers are written to whose incarnation announces
+            none
         """
-        super().__init__(network.clock, local_peer.incarnation)
-        self.local_peer = local_peer
+        super().__init__(local_peer, network.clock, counters, unknown_version)
         self.reopened = 0
         self._network = network
         self._inbound = InboundHandler(local_peer, counters, self.send, self._note_received)
@@ -150,8 +158,10 @@
         """Send a message, which the network may lose; always return True."""
         if peer == self.local_peer:
             self.deliver_locally(Delivery(self.local_peer, peer.incarnation, 0, message))
-        else:
-            self._network.transmit(self.local_peer, peer, message, self._make_stamp(peer))
+            return True
+        data = self._encode(peer, message)
+        if data is not None:
+            self._network.transmit(self.local_peer, peer, message, data)
         return True
 
     def handle_data(self, data: bytes) -> None:
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -6,6 +6,10 @@
 Times are in milliseconds. Deadlines and limits are sent as durations, never
 as points in time.
 
+Messages grow at their ends: a new field has a default and follows the others, and a receiver
+skips what it does not know. Processes of earlier builds are sent what they read; see
+:mod:`wire_versions`.
+
 Two roles appear in the messages about jobs: an *entry* accepts requests from
 callers, and an agent is the *home* of a job: it keeps the job's state and
 assigns its tasks. In messages about tasks, the *runner* is the part of an
@@ -26,9 +30,11 @@
     JobsFenced,
     OpenClaims,
 )
-from geraniumspool.errors import MalformedMessage
+from geraniumspool.errors import MalformedMessage, UnknownKind
 from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
+from geraniumspool.message_growth import skip_unknown_elements, trim_elements
 from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
+from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_EXTENSIBLE, VERSION_STAMPED
 
 # As the receiver of a message: any run of the process at the address may handle it.
 ANY_INCARNATION = 0
@@ -500,9 +506,11 @@
 NO_STAMP = LinkStamp()
 
 
-class Envelope(NamedTuple):
+class Envelope(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """Wire format of every message: routing header and encoded body.
 
+    Further elements are skipped.
+
     :param kind: number of the message type
     :param sender: the sending process
     :param receiver: incarnation of the intended receiver, or ``ANY_INCARNATION``
@@ -557,6 +565,10 @@
     FenceJobs,
     JobsFenced,
 )
+# Kinds below this number are known to every build that is in use.
+_BASE_KINDS = 31
+# How many fields the types that have grown since the base version had in it.
+_BASE_LENGTHS: dict[type, int] = {}
 _KIND_BY_TYPE = {message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)}
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
@@ -568,6 +580,7 @@
     :param receiver: incarnation of the intended receiver, or ``ANY_INCARNATION``
     :param kind: number of the message type
     :param stamp: its number, and what its sender has received
+    :param is_newer: whether elements that this build does not know were skipped
     """
 
     sender: Peer
@@ -575,6 +588,7 @@
     kind: int
     message: Message
     stamp: LinkStamp = NO_STAMP
+    is_newer: bool = False
 
 
 @functools.cache
@@ -596,16 +610,32 @@
     return _MESSAGE_TYPES[kind].__name__
 
 
-def encode(sender: Peer, receiver: int, message: Message, stamp: LinkStamp = NO_STAMP) -> bytes:
+def is_readable(message: Message, version: int) -> bool:
+    """Return whether processes of a version know a message's kind."""
+    return version >= VERSION_EXTENSIBLE or _KIND_BY_TYPE[type(message)] < _BASE_KINDS
+
+
+def encode(
+    sender: Peer,
+    receiver: int,
+    message: Message,
+    stamp: LinkStamp = NO_STAMP,
+    version: int = CURRENT_VERSION,
+) -> bytes:
     """Return the encoded form of a message, envelope included.
 
     :param sender: the sending process
     :param receiver: incarnation of the intended receiver, or ``ANY_INCARNATION``
     :param message: instance of a registered message type
     :param stamp: its number, and what the sender has received from the receiver
+    :param version: version that the receiver reads; see :mod:`wire_versions`
     """
     kind = _KIND_BY_TYPE[type(message)]
+    if version < VERSION_EXTENSIBLE:
+        message = trim_elements(message, _BASE_LENGTHS)
     body = msgspec.Raw(_ENCODER.encode(message))
+    if version < VERSION_STAMPED:
+        return _ENCODER.encode((kind, sender, receiver, body))
     return _ENCODER.encode(Envelope(kind, sender, receiver, body, *stamp))
 
 
@@ -613,14 +643,33 @@
     """Decode the output of :func:`encode`.
 
     :param data: the encoded message
-    :raises MalformedMessage: if ``data`` is not a valid encoding of a registered type
+    :raises UnknownKind: if ``data`` is a message of a type that this build does not know
+    :raises MalformedMessage: if ``data`` is not a valid encoding of a message
     """
     try:
         envelope = _ENVELOPE_DECODER.decode(data)
-        if not 0 <= envelope.kind < len(_MESSAGE_TYPES):
-            raise MalformedMessage(f"unknown message kind {envelope.kind}")
-        message = _decoder_for(envelope.kind).decode(envelope.body)
+        if envelope.kind >= len(_MESSAGE_TYPES):
+            raise UnknownKind(str(envelope.kind))
+        if envelope.kind < 0:
+            raise MalformedMessage(f"message kind {envelope.kind}")
+        message, is_newer = _decode_body(envelope.kind, envelope.body)
     except msgspec.MsgspecError as error:
         raise MalformedMessage(str(error)) from error
     stamp = LinkStamp(envelope.number, envelope.received, envelope.generation)
-    return Delivery(envelope.sender, envelope.receiver, envelope.kind, message, stamp)
+    return Delivery(envelope.sender, envelope.receiver, envelope.kind, message, stamp, is_newer)
+
+
+def _decode_body(kind: int, body: msgspec.Raw) -> tuple[Message, bool]:
+    """Return a message, and whether unknown elements were skipped.
+
+    Named tuples are decoded only at their exact length, so a message with unknown elements takes
+    a second, slower pass.
+    """
+    try:
+        return _decoder_for(kind).decode(body), False
+    except msgspec.ValidationError:
+        message_type = _MESSAGE_TYPES[kind]
+        known, has_skipped = skip_unknown_elements(msgspec.msgpack.decode(body), message_type)
+        if not has_skipped:
+            raise
+        return msgspec.convert(known, message_type), True
--- a/geraniumspool/monitored_links.py
+++ b/geraniumspool/monitored_links.py
@@ -1,10 +1,14 @@
 """Connections that are replaced once the link monitor has found them dead."""
 
+import logging
 import math
 
-from geraniumspool.contracts import Clock
+from geraniumspool.contracts import Clock, Counters
 from geraniumspool.link_monitor import UNCONFIRMED_LIMIT_MS, LinkMonitor, ReopenReason
-from geraniumspool.messages import LinkStamp, Peer
+from geraniumspool.messages import NO_STAMP, LinkStamp, Message, Peer, encode, is_readable
+from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_BASE, VERSION_STAMPED
+
+_LOG = logging.getLogger(__name__)
 
 
 class MonitoredLinks:
@@ -14,14 +18,25 @@
         milliseconds
     """
 
-    def __init__(self, clock: Clock, incarnation: int):
+    def __init__(
+        self,
+        local_peer: Peer,
+        clock: Clock,
+        counters: Counters,
+        unknown_version: int = VERSION_BASE,
+    ):
         """Start without any connection.
 
-        :param incarnation: incarnation of this process
+        :param local_peer: address and incarnation of this process
+        :param counters: where peers are counted by version, and messages withheld from them
+        :param unknown_version: version in which peers are written to whose version is not known
         """
         self.reopened_ms = -math.inf
+        self.local_peer = local_peer
         self._clock = clock
-        self._monitor = LinkMonitor(clock, incarnation)
+        self._counters = counters
+        self._unknown_version = unknown_version
+        self._monitor = LinkMonitor(clock, local_peer.incarnation)
 
     def reset(self, peer: Peer) -> None:
         """Replace the connection to a peer."""
@@ -40,18 +55,45 @@
         is_dead = self._monitor.is_unconfirmed(peer.address, sent_ms)
         return is_dead and self._reopen_if_due(peer, ReopenReason.UNCONFIRMED)
 
-    def _make_stamp(self, peer: Peer) -> LinkStamp:
-        """Return the stamp of the next message to a peer, whose link may be replaced first."""
-        self.reopen_unconfirmed(peer, self._clock.now() - UNCONFIRMED_LIMIT_MS)
-        return self._monitor.make_stamp(peer.address)
+    def _encode(self, peer: Peer, message: Message) -> bytes | None:
+        """Return a message in the form that its receiver reads.
+
+        The link to the receiver may be replaced first.
+
+        :return: the encoded message, None if the receiver's build does not know its kind
+        """
+        if self.reopen_unconfirmed(peer, self._clock.now() - UNCONFIRMED_LIMIT_MS):
+            # An earlier build may run at the address now, which answers only what it can read.
+            version = VERSION_BASE
+        else:
+            version = self._monitor.version_of(peer)
+            if version is None:
+                version = self._unknown_version
+        if not is_readable(message, version):
+            self._counters.add("messages_withheld", kind=type(message).__name__)
+            return None
+        is_stamped = version >= VERSION_STAMPED
+        stamp = self._monitor.make_stamp(peer.address) if is_stamped else NO_STAMP
+        return encode(self.local_peer, peer.incarnation, message, stamp, version)
 
     def _note_received(self, sender: Peer, stamp: LinkStamp) -> None:
+        former_version = self._monitor.heard_version(sender)
         reason = self._monitor.note_received(sender, stamp)
+        self._report_version(sender, former_version)
         if reason is ReopenReason.PEER_REOPENED:
             self._reopen(sender, reason)
         elif reason is not None:
             self._reopen_if_due(sender, reason)
 
+    def _report_version(self, sender: Peer, former_version: int | None) -> None:
+        version = self._monitor.heard_version(sender)
+        if version == former_version:
+            return
+        self._counters.add("peers_heard", version=str(version))
+        if version != CURRENT_VERSION:
+            fields = (("peer", sender.address), ("version", version), ("own", CURRENT_VERSION))
+            _LOG.info("peer of another version", extra={"fields": fields})
+
     def _reopen_if_due(self, peer: Peer, reason: ReopenReason) -> bool:
         # A connection that was closed is reconnected below the messenger.
         if self.is_connection_closed(peer) or not self._monitor.may_reopen(peer.address):
--- a/geraniumspool/operator_answers.py
+++ b/geraniumspool/operator_answers.py
@@ -36,7 +36,10 @@
 
 
 class MemberStatus(TypedDict):
-    """One process in the membership list."""
+    """One process in the membership list.
+
+    Keys: ``message_version`` is the version of its messages, 0 if its build announces none.
+    """
 
     address: str
     incarnation: str
@@ -47,6 +50,7 @@
     slots: int
     free: int
     queued: int
+    message_version: int
 
 
 class Roster(TypedDict):
--- a/geraniumspool/operators.py
+++ b/geraniumspool/operators.py
@@ -23,6 +23,7 @@
 from geraniumspool.routes import Request, Route
 from geraniumspool.status import REACHABLE, UNREACHABLE, DomainStatus
 from geraniumspool.submission import FindingCollector
+from geraniumspool.wire_versions import announced_version
 
 _LOG = logging.getLogger(__name__)
 
@@ -195,6 +196,7 @@
                 "slots": member.load.slots,
                 "free": member.load.free,
                 "queued": member.load.queued,
+                "message_version": announced_version(member.incarnation),
             }
             for member in self._roster.members()
         ]
--- a/geraniumspool/platform/dispatcher_program.py
+++ b/geraniumspool/platform/dispatcher_program.py
@@ -2,7 +2,6 @@
 
 import sys
 
-from geraniumspool.application import new_incarnation
 from geraniumspool.bounded_log import configure_rate_limited_logging
 from geraniumspool.clock import SystemClock
 from geraniumspool.counters import MemoryCounters
@@ -15,6 +14,7 @@
 from geraniumspool.platform.store import KeyValueStore
 from geraniumspool.process_start import PROCESS_STARTED_MS
 from geraniumspool.webserver import WebServer
+from geraniumspool.wire_versions import new_incarnation
 
 
 def build(path: str) -> DispatcherProcess:
--- a/geraniumspool/platform/executor_program.py
+++ b/geraniumspool/platform/executor_program.py
@@ -2,7 +2,6 @@
 
 import sys
 
-from geraniumspool.application import new_incarnation
 from geraniumspool.bounded_log import configure_rate_limited_logging
 from geraniumspool.clock import SystemClock
 from geraniumspool.counters import MemoryCounters
@@ -16,6 +15,7 @@
 from geraniumspool.platform.store import KeyValueStore
 from geraniumspool.process_start import PROCESS_STARTED_MS
 from geraniumspool.webserver import WebServer
+from geraniumspool.wire_versions import new_incarnation
 
 
 def build(path: str) -> ExecutorProcess:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -25,7 +25,9 @@
     encode,
     kind_number,
 )
+from geraniumspool.wire_versions import make_incarnation
 
+ONE, TWO, THREE, FOUR = map(make_incarnation, (11, 22, 33, 44))
 LIMIT_S = 10.0
 ANY_PORT = "tcp://127.0.0.1:0"
 
@@ -51,8 +53,8 @@
         self.addCleanup(self.stop_all)
         self.deliveries = {}
         self.counts = {}
-        self.one = self.start(11)
-        self.two = self.start(22)
+        self.one = self.start(ONE)
+        self.two = self.start(TWO)
 
     def start(self, incarnation, listen=ANY_PORT, receive=None, advertised=""):
         """Start a messenger that collects what it receives."""
@@ -102,50 +104,50 @@
         for number in range(500):
             self.assertTrue(self.one.send(self.two.local_peer, Inquire(number, "t" * number)))
         self.two.send(self.one.local_peer, Inquire(7, "back"))
-        self.wait(lambda: len(self.deliveries[22]) == 500 and self.deliveries[11])
-        self.assertEqual(self.requests(22), list(range(500)))
-        self.assertEqual(self.deliveries[22][0][:2], (self.one.local_peer, 22))
-        self.assertEqual(self.deliveries[11][0].sender, self.two.local_peer)
+        self.wait(lambda: len(self.deliveries[TWO]) == 500 and self.deliveries[ONE])
+        self.assertEqual(self.requests(TWO), list(range(500)))
+        self.assertEqual(self.deliveries[TWO][0][:2], (self.one.local_peer, TWO))
+        self.assertEqual(self.deliveries[ONE][0].sender, self.two.local_peer)
 
     def test_message_to_own_address(self):
         """A message to the sender itself bypasses the sockets and is delivered asynchronously."""
         self.one.send(self.one.local_peer, Inquire(1, "t"))
-        self.assertEqual(self.deliveries[11], [])
-        self.wait(lambda: self.deliveries[11])
-        self.assertEqual(self.deliveries[11][0].message, Inquire(1, "t"))
+        self.assertEqual(self.deliveries[ONE], [])
+        self.wait(lambda: self.deliveries[ONE])
+        self.assertEqual(self.deliveries[ONE][0].message, Inquire(1, "t"))
 
     def test_wrong_incarnation(self):
         """A message for another incarnation is not delivered but answered with a rejection."""
         self.one.send(Peer(self.two.local_peer.address, 21), Inquire(5, "t"))
-        self.wait(lambda: self.deliveries[11])
+        self.wait(lambda: self.deliveries[ONE])
         self.assertEqual(
-            self.deliveries[11][0].message, WrongIncarnation(kind_number(Inquire), 5, 21)
+            self.deliveries[ONE][0].message, WrongIncarnation(kind_number(Inquire), 5, 21)
         )
-        self.assertEqual(self.deliveries[11][0].sender, self.two.local_peer)
-        self.assertEqual(self.deliveries[22], [])
-        self.assertEqual(self.counts[22]["messages_rejected/wrong_incarnation"], 1)
+        self.assertEqual(self.deliveries[ONE][0].sender, self.two.local_peer)
+        self.assertEqual(self.deliveries[TWO], [])
+        self.assertEqual(self.counts[TWO]["messages_rejected/wrong_incarnation"], 1)
 
     def test_rejection_is_not_rejected_again(self):
         """A rejection that itself has the wrong incarnation is dropped, not rejected again."""
         self.one.send(Peer(self.two.local_peer.address, 21), WrongIncarnation(0, 1, 1))
-        self.wait(lambda: "messages_rejected/wrong_incarnation" in self.counts[22])
+        self.wait(lambda: "messages_rejected/wrong_incarnation" in self.counts[TWO])
         self.assert_alive(self.two)
-        self.assertEqual(self.deliveries[11], [])
+        self.assertEqual(self.deliveries[ONE], [])
 
     def test_message_to_any_incarnation(self):
         """A message for any incarnation is delivered."""
         self.one.send(Peer(self.two.local_peer.address, ANY_INCARNATION), Inquire(3, "t"))
-        self.wait(lambda: self.deliveries[22])
-        self.assertEqual(self.deliveries[22][0].receiver, ANY_INCARNATION)
+        self.wait(lambda: self.deliveries[TWO])
+        self.assertEqual(self.deliveries[TWO][0].receiver, ANY_INCARNATION)
 
     def test_malformed_bytes(self):
         """Malformed messages are counted and dropped; the next valid one is delivered."""
-        good = encode(self.one.local_peer, 22, Inquire(1, "abcd"))
+        good = encode(self.one.local_peer, TWO, Inquire(1, "abcd"))
         wrong = good.replace(b"abcd", b"\xff\xff\xff\xff")
         self.send_raw(self.two, b"\xc1", good[:-1], b"x" * 100_000, wrong, good)
-        self.wait(lambda: self.deliveries[22])
-        self.assertEqual(self.requests(22), [1])
-        self.assertEqual(self.counts[22]["messages_rejected/malformed"], 4)
+        self.wait(lambda: self.deliveries[TWO])
+        self.assertEqual(self.requests(TWO), [1])
+        self.assertEqual(self.counts[TWO]["messages_rejected/malformed"], 4)
 
     def test_unusable_sender_address(self):
         """A valid message whose sender address cannot be dialled does not stop the receiver."""
@@ -170,7 +172,7 @@
             if delivery.message.request == 1:
                 raise RuntimeError("handler failed")
 
-        three = self.start(33, receive=receive)
+        three = self.start(THREE, receive=receive)
         for number in (1, 2):
             self.one.send(three.local_peer, Inquire(number, "t"))
         self.wait(lambda: len(received) == 2)
@@ -183,7 +185,7 @@
             eventlet.sleep(0.02)
             received.append(delivery.message.request)
 
-        three = self.start(33, receive=receive)
+        three = self.start(THREE, receive=receive)
         for number in range(5):
             self.one.send(three.local_peer, Inquire(number, "t"))
             eventlet.sleep(0.01)
@@ -192,7 +194,7 @@
 
     def test_least_recently_used_link_is_evicted(self):
         """At the limit of links, the least recently used one is closed if it is idle."""
-        others = [self.start(number) for number in (33, 44)]
+        others = [self.start(number) for number in (THREE, FOUR)]
         peers = [self.two.local_peer, *(other.local_peer for other in others)]
         for min_idle_ms, expected in ((-1.0, peers[1:]), (60_000.0, peers)):
             with self.subTest(min_idle_ms=min_idle_ms):
@@ -222,7 +224,7 @@
         old = self.two.local_peer
         self.assertFalse(self.one.is_connection_closed(old))
         self.one.send(old, Inquire(1, "t"))
-        self.wait(lambda: self.deliveries[22])
+        self.wait(lambda: self.deliveries[TWO])
         self.assertFalse(self.one.is_connection_closed(old))
         self.two.stop()
         self.wait(lambda: self.one.is_connection_closed(old))
@@ -233,12 +235,12 @@
         """After a restart, messages to the old incarnation are rejected, to the new delivered."""
         old = self.two.local_peer
         self.one.send(old, Inquire(1, "t"))
-        self.wait(lambda: self.deliveries[22])
+        self.wait(lambda: self.deliveries[TWO])
         self.two.stop()
         new = self.start(23, old.address)
         self.wait(lambda: self.send_until_refused(old))
         self.assertEqual(self.deliveries[23], [])
-        self.assertEqual(self.deliveries[11][0].sender, new.local_peer)
+        self.assertEqual(self.deliveries[ONE][0].sender, new.local_peer)
         self.one.send(new.local_peer, Inquire(3, "t"))
         self.wait(lambda: self.deliveries[23])
         self.assertEqual(self.requests(23), [3])
@@ -246,7 +248,7 @@
     def send_until_refused(self, old):
         """Send to the old incarnation; return whether a rejection has arrived."""
         self.one.send(old, Inquire(2, "t"))
-        return bool(self.deliveries[11])
+        return bool(self.deliveries[ONE])
 
     def test_queue_of_link_is_bounded(self):
         """A peer that never listens costs bounded memory; other links are unaffected."""
@@ -256,19 +258,19 @@
         sent = [self.one.send(Peer(address, 23), Inquire(n, "t")) for n in range(total)]
         self.assertFalse(sent[-1])
         self.assertLessEqual(sum(sent), 2 * link.LINK_MESSAGES + 2)
-        self.assertEqual(self.counts[11]["messages_dropped/link_full"], total - sum(sent))
-        three = self.start(33)
+        self.assertEqual(self.counts[ONE]["messages_dropped/link_full"], total - sum(sent))
+        three = self.start(THREE)
         self.one.send(three.local_peer, Inquire(1, "t"))
-        self.wait(lambda: self.deliveries[33])
+        self.wait(lambda: self.deliveries[THREE])
 
     def test_counts_by_kind(self):
         """Messages sent and received are counted by kind, with scope and bytes."""
         self.one.send(self.two.local_peer, Inquire(1, "t"))
-        self.wait(lambda: self.deliveries[22])
-        self.assertEqual(self.counts[11]["messages_sent/Inquire/local"], 1)
-        size = len(encode(self.one.local_peer, 22, Inquire(1, "t")))
-        self.assertEqual(self.counts[11]["message_bytes_sent/Inquire"], size)
-        self.assertEqual(self.counts[22]["messages_received/Inquire"], 1)
+        self.wait(lambda: self.deliveries[TWO])
+        self.assertEqual(self.counts[ONE]["messages_sent/Inquire/local"], 1)
+        size = len(encode(self.one.local_peer, TWO, Inquire(1, "t")))
+        self.assertEqual(self.counts[ONE]["message_bytes_sent/Inquire"], size)
+        self.assertEqual(self.counts[TWO]["messages_received/Inquire"], 1)
 
 
 class RecycledDescriptorTest(unittest.TestCase):
@@ -306,8 +308,8 @@
         self.stop_all()
         self.messengers.clear()
         self.proxies = {}
-        self.one = self.start_behind_proxy(33)
-        self.two = self.start_behind_proxy(44)
+        self.one = self.start_behind_proxy(THREE)
+        self.two = self.start_behind_proxy(FOUR)
         self.exchange()
 
     def start_behind_proxy(self, incarnation):
@@ -342,10 +344,10 @@
 
     def test_a_peer_that_is_heard_but_receives_nothing_is_sent_to_over_a_new_connection(self):
         """Only the direction to the peer is silent, and only its messages show that."""
-        self.proxies[44].silence()
+        self.proxies[FOUR].silence()
         self.send_until_received(self.one, self.two, other_way=True)
-        self.assertEqual(self.counts[33]["links_reset/not_received"], 1)
-        self.assertEqual(self.counts[44]["links_reset/peer_reopened"], 1)
+        self.assertEqual(self.counts[THREE]["links_reset/not_received"], 1)
+        self.assertEqual(self.counts[FOUR]["links_reset/peer_reopened"], 1)
 
     def test_both_directions_work_after_one_side_has_noticed_the_silence(self):
         """The side that sends nothing learns from the other one that its connection is dead."""
@@ -357,11 +359,11 @@
         self.assertFalse(self.one.reopen_unconfirmed(self.two.local_peer, sent_ms - 1.0))
         self.assertTrue(self.one.reopen_unconfirmed(self.two.local_peer, self.clock.now()))
         self.exchange()
-        self.assertEqual(self.counts[44]["links_reset/peer_reopened"], 1)
+        self.assertEqual(self.counts[FOUR]["links_reset/peer_reopened"], 1)
 
     def test_a_link_that_was_evicted_is_reopened_only_once(self):
         """What was sent over an evicted link stays unconfirmed."""
-        self.proxies[44].silence()
+        self.proxies[FOUR].silence()
         self.one.send(self.two.local_peer, Inquire(1, "lost"))
         self.one._links.pop(self.two.local_peer.address).close()
         answers = [
@@ -371,12 +373,12 @@
 
     def test_messages_of_a_slow_connection_arrive_after_it_was_replaced(self):
         """A connection that was only slow still delivers what was sent over it."""
-        self.proxies[44].is_stalled = True
+        self.proxies[FOUR].is_stalled = True
         self.one.send(self.two.local_peer, Inquire(7, "slow"))
         self.assertTrue(self.one.reopen_unconfirmed(self.two.local_peer, self.clock.now()))
         eventlet.sleep(0.1)
-        self.proxies[44].is_stalled = False
-        self.wait(lambda: 7 in self.requests(44))
+        self.proxies[FOUR].is_stalled = False
+        self.wait(lambda: 7 in self.requests(FOUR))
 
 
 class ForeignThreadsTest(unittest.TestCase):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -52,7 +52,7 @@
             with self.subTest(kind=kind.__name__):
                 message = sample(kind)
                 delivery = decode(encode(SENDER, 5, message, stamp))
-                self.assertEqual(delivery, (SENDER, 5, number, message, stamp))
+                self.assertEqual(delivery, (SENDER, 5, number, message, stamp, False))
                 self.assertIs(type(delivery.message), kind)
                 self.assertEqual(messages.kind_number(kind), number)
                 self.assertEqual(messages.kind_name(number), kind.__name__)
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,7 +21,7 @@
 from geraniumspool.idempotency import make_key
 from geraniumspool.memory_link import MemoryMessenger, MemoryNetwork
 from geraniumspool.memory_store import MemoryStore
-from geraniumspool.messages import NO_STAMP, Peer, encode
+from geraniumspool.messages import Peer
 from geraniumspool.metrics import Metrics
 from geraniumspool.minion import MemoryMinionClient
 from geraniumspool.settings import AgentSettings, EntrySettings
@@ -176,10 +176,10 @@
         self.delay_ms_by_kind: dict[str, float] = {}
         self.random_faults: random.Random | None = None
 
-    def transmit(self, sender, receiver, message, stamp=NO_STAMP) -> None:
+    def transmit(self, sender, receiver, message, data) -> None:
         kind = type(message).__name__
         if self.random_faults is not None:
-            self._carry_in_storm(sender, receiver, message, stamp)
+            self._carry_in_storm(sender, receiver, message, data)
             return
         if self.lose_next[kind] > 0:
             self.lose_next[kind] -= 1
@@ -187,11 +187,11 @@
             return
         if kind in self.delay_ms_by_kind and not self.is_lost(sender.address, receiver.address):
             self.sent.append((sender, receiver, message))
-            self._carry_late(sender, receiver, message, stamp, self.delay_ms_by_kind[kind])
+            self._carry_late(sender, receiver, message, data, self.delay_ms_by_kind[kind])
             return
-        super().transmit(sender, receiver, message, stamp)
+        super().transmit(sender, receiver, message, data)
 
-    def _carry_in_storm(self, sender, receiver, message, stamp) -> None:
+    def _carry_in_storm(self, sender, receiver, message, data) -> None:
         self.sent.append((sender, receiver, message))
         draw = self.random_faults.random()
         if draw < self.STORM_LOSS_SHARE or self.is_lost(sender.address, receiver.address):
@@ -204,10 +204,9 @@
                 if is_late
                 else self.random_faults.random()
             )
-            self._carry_late(sender, receiver, message, stamp, late_ms)
+            self._carry_late(sender, receiver, message, data, late_ms)
 
-    def _carry_late(self, sender, receiver, message, stamp, late_ms: float) -> None:
-        data = encode(sender, receiver.incarnation, message, stamp)
+    def _carry_late(self, sender, receiver, message, data, late_ms: float) -> None:
         self.clock.after(self.delay_ms + late_ms, lambda: self._deliver(receiver.address, data))
 
     def clear(self) -> None:
