Claims: a settled arbiter answers every list of open claims

A dispatcher repeats its list of open claims every 50 ms to each arbiter that it does not know to be settled. A settled arbiter answered only if it had verdicts, so two dispatchers without claims repeated the list for good, with the square of the number of dispatchers. The list is now always answered.

The test fails without the change.

--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -222,13 +222,17 @@
         """Answer another dispatcher's claims as an arbiter."""
         self._note_incarnation(sender)
         self._yield_to_fences(sender, message.claims)
-        self._answer(sender, self.table.apply_claim_jobs(sender, message))
+        verdicts = self.table.apply_claim_jobs(sender, message)
+        if verdicts or not self._is_settled_for(sender):
+            self._send_verdicts(sender, verdicts)
 
     def handle_open_claims(self, sender: Peer, message: OpenClaims) -> None:
         """Handle the complete list of another dispatcher's claims."""
         self._note_incarnation(sender)
         self._yield_to_fences(sender, message.claims)
-        self._answer(sender, self.table.apply_open_claims(sender, message))
+        # Answered also without verdicts: the list is repeated until this arbiter is known to be
+        # settled.
+        self._send_verdicts(sender, self.table.apply_open_claims(sender, message))
 
     def _note_incarnation(self, peer: Peer) -> None:
         former = self.table.note_incarnation(peer)
@@ -244,10 +248,11 @@
             if claim is not None and claim.is_granted and foreign.rank > claim.rank:
                 self._give_up(claim, sender.address)
 
-    def _answer(self, sender: Peer, verdicts: list[ClaimVerdict]) -> None:
-        is_settled = self.table.is_settled and self.table.is_synced(sender)
-        if verdicts or not is_settled:
-            self._send(sender, ClaimVerdicts(tuple(verdicts), is_settled))
+    def _is_settled_for(self, sender: Peer) -> bool:
+        return self.table.is_settled and self.table.is_synced(sender)
+
+    def _send_verdicts(self, sender: Peer, verdicts: list[ClaimVerdict]) -> None:
+        self._send(sender, ClaimVerdicts(tuple(verdicts), self._is_settled_for(sender)))
 
     def handle_end_claims(self, sender: Peer, _message: EndClaims) -> None:
         """Handle that another dispatcher exits with no run left."""
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -385,6 +385,13 @@
                 getattr(self.claims[receiver], handlers[type(message)])(peer, message)
             self.clock.run_ready_threads()
 
+    def test_lists_are_not_repeated_to_a_settled_arbiter(self):
+        """Without claims there are no verdicts, which used to be the only answer."""
+        for name in self.names:
+            self.claims[name].update_members()
+        self.clock.run_ready_threads()
+        self.assertEqual([], self.messages.held)
+
     def test_a_list_of_open_claims_does_not_release_a_pending_claim(self):
         job, arbiters = next(
             (name, chosen)
