Fences are requested in rounds, not once for each job

After a power loss no arbiter is settled, so every job needs a fence of every executor. Each arriving job started a round of requests to all of them: 6,500 messages for 100 jobs in a second with 65 executors, and small dispatchers were busy with these until their arbiters were settled, 1.3 s after the start.

Rounds now begin at most every 2 ms for each executor, and every 200 ms at the latest. A first job is still requested at once.

--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -4,6 +4,7 @@
 for this dispatcher, no other dispatcher can run the job.
 """
 
+import math
 from collections.abc import Callable, Collection, Iterable
 
 from geraniumspool.claim_messages import FenceJobs, JobsFenced
@@ -14,6 +15,11 @@
 
 # Interval at which requests are repeated, as executors may be starting.
 REQUEST_PERIOD_MS = 50.0
+# Rounds of requests begin at most once in this time for each executor. After a power loss every job
+# needs a fence of every executor: a round for each job would keep a small host busy for seconds.
+ROUND_INTERVAL_PER_EXECUTOR_MS = 2.0
+# Longest interval between rounds, so that the silence of executors still counts.
+MAX_ROUND_INTERVAL_MS = 200.0
 # An executor's silence counts only while it is asked at least this often.
 MAX_REQUEST_GAP_MS = 300.0
 
@@ -59,24 +65,31 @@
         self.is_connection_closed: Callable[[str], bool] = _assume_open
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
+        self._round_ms = -math.inf
 
     def request(self, claims: Iterable[OpenClaim]) -> list[OpenClaim]:
         """Request fences for the claims that are due, in one message to each executor.
 
+        Does nothing if the last round of requests was too recent.
+
         :param claims: claims that arbiters cannot decide
         :returns: claims whose fence is complete, as ``is_complete`` says
         """
         now = self._clock.now()
+        executors = self._list_executors()
+        interval_ms = ROUND_INTERVAL_PER_EXECUTOR_MS * len(executors)
+        if now - self._round_ms < min(interval_ms, MAX_ROUND_INTERVAL_MS):
+            return []
         job_ids_by_executor: dict[str, list[str]] = {}
         fenced = []
         for claim in claims:
             if now - claim.fence_asked_ms < REQUEST_PERIOD_MS:
                 continue
-            claim.fence_asked_ms = now
+            claim.fence_asked_ms = self._round_ms = now
             if claim.fence_rank != self.rank:
                 claim.fence_rank = self.rank
                 claim.fenced_by.clear()
-            for address in self._list_executors():
+            for address in executors:
                 if address not in claim.fenced_by:
                     job_ids_by_executor.setdefault(address, []).append(claim.job_id)
             if self.is_complete(claim):
