Setting orders: an executor starts only where the minion takes calls

Cause: the platform's field orders says whether minions get their instructions by calls or in the answers to their reports. The executor implements the first alone and did not know the field, so that under the second it would have called minions that take no calls.

Change: setting orders of the executor, invoke by default and for null, as the platform renders a field that it does not have. Any other value is a fault of the settings. A finding about a value of a wrong type now states the value as well as the setting.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -1,7 +1,7 @@
 """Settings of the dispatcher and executor programs, read from a YAML or JSON file."""
 
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -54,6 +54,9 @@
     :param minion_listen: ``host:port`` that the minion sends its reports to
     :param evacuation_ms: time in milliseconds within which an evacuation must be in force,
         None for ``DEFAULT_EVACUATION_MS`` of :mod:`geraniumspool.evacuation_guard`
+    :param orders: how the minion gets its instructions: ``invoke``, also meant by None, for calls
+        to it. The platform's other way, answers to the minion's reports, is not implemented. A
+        minion that waits for those would start nothing, so that any other value is refused.
     """
 
     name: str
@@ -62,6 +65,7 @@
     store: str
     minion_listen: str
     evacuation_ms: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    orders: Literal["invoke"] | None = "invoke"
     metrics_listen: str = ""
     grace_s: float = 6.0
     advertised_inbox: str = ""
@@ -124,7 +128,8 @@
         try:
             msgspec.convert(value[field.name], field.type)
         except msgspec.ValidationError as error:
-            findings.append(Finding(path, 0, field.name, str(error)))
+            text = f"is {value[field.name]!r}: {error}"
+            findings.append(Finding(path, 0, field.name, text))
     known = {field.name for field in msgspec.structs.fields(kind)}
     unknown = sorted(set(map(str, value)) - known)
     return findings + [Finding(path, 0, name, "is not a known setting") for name in unknown]
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -86,6 +86,23 @@
         with self.assertRaises(InvalidInput):
             self.load(json.dumps(executor | {"evacuation_ms": 0}), ExecutorSettings)
 
+    def test_only_orders_by_calls_to_the_minion_are_accepted(self):
+        # An executor that ignored another value would call a minion that takes no calls, and every
+        # run there would fail.
+        executor = {key: DISPATCHER[key] for key in ("name", "domain", "inbox", "store")}
+        executor["minion_listen"] = "127.0.0.1:0"
+        # The platform renders a field that it does not have as null.
+        for given in ({}, {"orders": None}, {"orders": "invoke"}):
+            with self.subTest(given=given):
+                settings = self.load(json.dumps(executor | given), ExecutorSettings)
+                self.assertIn(settings.orders, (None, "invoke"))
+        for value in ("heartbeat", "Invoke", "", 7, False, ["invoke"], {}):
+            with self.subTest(value=value), self.assertRaises(InvalidInput) as raised:
+                self.load(json.dumps(executor | {"orders": value}), ExecutorSettings)
+            (finding,) = raised.exception.findings
+            self.assertEqual("orders", finding.path)
+            self.assertIn(repr(value), str(finding))
+
     def test_invalid_and_missing_files(self):
         for text in ("- a\n", "a: [\n", ""):
             with self.subTest(text=text), self.assertRaises(InvalidInput):
