Records and reports of other writers disturb no member

Cause, each shown by a row of tests.test_foreign_records that failed before: - A record nested too deeply raised RecursionError, and a value that is not Base64 binascii.Error. Either ended the watch of the members for good, at every dispatcher, or the upkeep of the executor's own key. - A record without any field counted as a dispatcher of capacity 1, and as an executor. - Minions without a name, service or usable address, with negative or unbounded numbers were listed. Calls to them raised errors that no caller expects, numbers over 64 bits cannot be sent. - A report with the name and start time of the served minion could move it to another address or service. - A refused connection to an address from any report counted as the end of the minion that an earlier executor process had served: its runs would be reported as over up to 0.5 s too early. - A program that answers polls with rows of other types, or refuses every fencing token, raised errors in the task that handles the report.

Change: the new module report_checks checks what a minion says of itself, for records and reports alike. The domain of a record is required. An incarnation keeps its service and address once it has reported. Only a stored report tells of the end of an earlier minion. A report is tried 100 times at most. Undecodable values read as empty, with a log line.

A new start time under the same name already counted as a new incarnation with all counts anew; two tests now guard it.

--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -172,7 +172,7 @@
         view = self.views.get(sender.address)
         now = self._clock.now()
         if view is None:
-            record = self.directory.dispatchers.get(sender.address, DispatcherRecord())
+            record = self.directory.dispatchers.get(sender.address, DispatcherRecord(""))
             view = self._add(sender.address, record, now)
         if view.peer.incarnation != sender.incarnation:
             if view.peer.incarnation != ANY_INCARNATION:
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -136,9 +136,13 @@
             round(self._ends.pace.value, 3),
         )
 
-    def handle_minion_report(self, report: MinionIncarnation) -> None:
-        """Handle a report in which a minion describes itself."""
-        self.incarnations.handle_report(report)
+    def handle_minion_report(self, report: MinionIncarnation, is_stored: bool = True) -> None:
+        """Handle a report in which a minion describes itself.
+
+        :param is_stored: whether an earlier executor process has served that minion, as the key
+            that it left says; a report from the network may come from another writer
+        """
+        self.incarnations.handle_report(report, is_stored)
 
     def handle_minion_departure(self, instance: str, started_unix_ms: int = 0) -> None:
         """Handle the departure of a minion.
--- a/geraniumspool/minion_lives.py
+++ b/geraniumspool/minion_lives.py
@@ -25,6 +25,10 @@
 
 # Interval at which an incarnation that is being replaced is checked for its end.
 END_CHECK_INTERVAL_MS = 10.0
+# Tries to handle one report, each after the fencing token was raised or another incarnation was
+# adopted meanwhile. A program that refuses every token is given up then; each try raises the token
+# by a minute, so a real minion accepts it sooner unless its clock was set back by hours.
+MAX_REPORT_TRIES = 100
 
 
 class MinionIncarnations:
@@ -63,23 +67,35 @@
         self.on_incarnation: Callable[[MinionIncarnation], None] = _ignore_life
         self.on_adopted: Callable[[IncarnationState, MinionStatus, float], None] = _ignore_view
 
-    def handle_report(self, report: MinionIncarnation) -> None:
+    def handle_report(self, report: MinionIncarnation, is_stored: bool = True) -> None:
         """Handle a report in which a minion describes itself.
 
         A report of an unknown incarnation counts only once that incarnation has answered a call,
         because it may be a delayed report of one that has ended.
+
+        :param is_stored: whether an earlier executor process has served that minion
         """
+        for _ in range(MAX_REPORT_TRIES):
+            if self._try_report(report, is_stored):
+                return
+        fields = (*_life_fields(report), ("reason", "too_many_tries"))
+        _LOG.warning("minion not adopted", extra={"fields": fields})
+
+    def _try_report(self, report: MinionIncarnation, is_stored: bool) -> bool:
+        """Handle a report as far as nothing changes meanwhile; return whether it is handled."""
         session = self._session
         incarnation = session.incarnation
         if incarnation is not None and report.is_same_incarnation(incarnation.report):
             # The name alone does not identify an incarnation. After a restart under the same name
             # the sequence begins at 1 again, and compared with that of the previous incarnation the
             # announcement of its departure would look outdated.
-            if report.sequence >= incarnation.report.sequence and not incarnation.has_left:
+            if _is_contradictory(incarnation, report):
+                self._ignore_contradictory(incarnation, report)
+            elif report.sequence >= incarnation.report.sequence and not incarnation.has_left:
                 self._update(incarnation, report)
             else:
                 self._ignore_stale(incarnation, report)
-            return None
+            return True
         fence = session.fencing_token
         try:
             session.control.poll(report, fence, 0, None, 0.0)
@@ -87,22 +103,23 @@
             min_fence = session.invalidate_earlier_calls()
             status = session.control.poll(report, min_fence, 0, None, 0.0)
         except (MinionReplaced, MinionSilent) as error:
-            self._note_earlier_minion(error)
+            if is_stored:
+                self._note_earlier_minion(error)
             _log_not_adopted(report, error)
-            return None
+            return True
         except Fenced:
             session.raise_fencing_token(fence)
-            return self.handle_report(report)
+            return False
         if session.incarnation is not incarnation:
             # Another report or a poll has changed the served incarnation in the meantime.
-            return self.handle_report(report)
+            return False
         if incarnation is not None and incarnation.report.address != report.address:
             # If both have the same address, the answer of the new incarnation proves that the old
             # one has ended. At another address it does not.
             self._await_end(incarnation)
-            return self.handle_report(report)
+            return False
         self._adopt(report, status, sent_ms, min_fence)
-        return None
+        return True
 
     def _note_earlier_minion(self, error: DispatchError) -> None:
         """Derive from a failed poll whether the minion of an earlier process here has ended."""
@@ -215,6 +232,19 @@
             },
         )
 
+    def _ignore_contradictory(
+        self, incarnation: IncarnationState, report: MinionIncarnation
+    ) -> None:
+        self._counters.add("minion_reports", outcome="contradictory")
+        fields = (
+            *_life_fields(report),
+            ("service", report.service),
+            ("address", report.address),
+            ("known_service", incarnation.report.service),
+            ("known_address", incarnation.report.address),
+        )
+        _LOG.warning("contradictory minion report ignored", extra={"fields": fields})
+
     def _update(self, incarnation: IncarnationState, report: MinionIncarnation) -> None:
         previous, incarnation.report = incarnation.report, report
         if not incarnation.has_reported:
@@ -320,6 +350,17 @@
         self._counters.add("minion_lives_ended", reason=reason)
 
 
+def _is_contradictory(incarnation: IncarnationState, report: MinionIncarnation) -> bool:
+    """Return whether a report gives an incarnation another service or address than it has.
+
+    Neither changes while a minion runs, so that the report is from another writer. Until the
+    incarnation has reported, both are those of the incarnation before it.
+    """
+    known = incarnation.report
+    is_same = (report.service, report.address) == (known.service, known.address)
+    return incarnation.has_reported and not is_same
+
+
 def _log_not_adopted(report: MinionIncarnation, error: DispatchError) -> None:
     fields = (*_life_fields(report), ("reason", error.code))
     _LOG.info("minion not adopted", extra={"fields": fields})
--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, LocationValueError
 
 from geraniumspool.contracts import (
     Clock,
@@ -45,6 +45,10 @@
 }
 
 AnswerT = TypeVar("AnswerT")
+# Leading columns of the rows of a poll's answer; further columns are not used.
+RunningRow = tuple[str, int, Any, float]
+EndedRow = tuple[int, str, int, str]
+ROW_COLUMNS = 4
 
 
 class StartBody(msgspec.Struct):
@@ -177,8 +181,14 @@
                 f"not {incarnation.started_unix_ms}"
             )
             raise MinionReplaced(detail, held.born)
-        running = {RunKey(row[0], row[1]): row[3] / 100 for row in held.running}
-        ended = tuple(FinishedRun(row[0], RunKey(row[1], row[2]), row[3]) for row in held.ended)
+        running = {
+            RunKey(task, attempt): percent / 100
+            for task, attempt, _, percent in _convert_rows(held.running, RunningRow)
+        }
+        ended = tuple(
+            FinishedRun(number, RunKey(task, attempt), how)
+            for number, task, attempt, how in _convert_rows(held.ended, EndedRow)
+        )
         is_partial = len(ended) >= MAX_LISTED_ENDS
         return MinionStatus(held.clock_ms, running, ended, held.born, is_partial)
 
@@ -194,7 +204,8 @@
         data = msgspec.json.encode(body)
         try:
             response = endpoint.request("POST", path, limit_ms, body=data, headers=headers)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, OSError, ValueError) as error:
+            # ValueError: the instance name cannot be sent in a header.
             exception = MinionDown if _is_refused(error) else MinionSilent
             outcome = "refused" if exception is MinionDown else "unanswered"
             self._counters.add("minion_calls", path=path, outcome=outcome)
@@ -211,7 +222,10 @@
     ) -> Endpoint:
         endpoint = endpoints.get(incarnation.address)
         if endpoint is None:
-            endpoint = Endpoint(f"http://{incarnation.address}", connections, self._clock)
+            try:
+                endpoint = Endpoint(f"http://{incarnation.address}", connections, self._clock)
+            except LocationValueError as error:
+                raise MinionSilent(f"unusable address {incarnation.address!r}") from error
             endpoints[incarnation.address] = endpoint
         return endpoint
 
@@ -232,5 +246,12 @@
 def _decode(response: urllib3.BaseHTTPResponse, answer_type: type[AnswerT]) -> AnswerT:
     try:
         return msgspec.json.decode(response.data, type=answer_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MinionSilent(f"invalid {answer_type.__name__} from the minion: {error}") from error
+
+
+def _convert_rows(rows: list[list[Any]], row_type: Any) -> list[Any]:
+    try:
+        return msgspec.convert([row[:ROW_COLUMNS] for row in rows], list[row_type])
+    except msgspec.ValidationError as error:
+        raise MinionSilent(f"invalid row from the minion: {error}") from error
--- a/geraniumspool/platform/reports.py
+++ b/geraniumspool/platform/reports.py
@@ -9,6 +9,7 @@
 from geraniumspool.contracts import Counters, MinionIncarnation
 from geraniumspool.executor import Executor
 from geraniumspool.reply import Reply, reply_json, reply_problem
+from geraniumspool.report_checks import find_report_fault
 from geraniumspool.rooms import Resources
 from geraniumspool.routes import Request, Route
 from geraniumspool.web import WebApplication
@@ -85,8 +86,8 @@
     def _handle_report(self, request: Request) -> Reply:
         try:
             body = msgspec.json.decode(request.body, type=ReportBody)
-        except msgspec.MsgspecError as error:
-            return _reject_report(request, error)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            return _reject_report(request, str(error))
         incarnation = MinionIncarnation(
             request.parameters[0],
             body.service,
@@ -97,21 +98,24 @@
             body.seq,
             body.born,
         )
+        fault = find_report_fault(incarnation)
+        if fault:
+            return _reject_report(request, fault)
         # A task of its own: the executor calls the minion back before it accepts a new
         # incarnation, which would delay this reply.
-        eventlet.spawn_n(self._executor.handle_minion_report, incarnation)
+        eventlet.spawn_n(self._executor.handle_minion_report, incarnation, False)
         return reply_json(200, {})
 
     def _handle_leave(self, request: Request) -> Reply:
         try:
             body = msgspec.json.decode(request.body or b"{}", type=DeregistrationBody)
-        except msgspec.MsgspecError as error:
-            return _reject_report(request, error)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            return _reject_report(request, str(error))
         self._executor.handle_minion_departure(request.parameters[0], body.born)
         return reply_json(200, {})
 
 
-def _reject_report(request: Request, error: msgspec.MsgspecError) -> Reply:
-    fields = (("instance", request.parameters[0]), ("reason", str(error)))
+def _reject_report(request: Request, reason: str) -> Reply:
+    fields = (("instance", request.parameters[0]), ("reason", reason))
     _LOG.warning("invalid minion report", extra={"fields": fields})
-    return reply_problem(400, "invalid_input", str(error))
+    return reply_problem(400, "invalid_input", reason)
--- a/geraniumspool/platform/store.py
+++ b/geraniumspool/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client for the platform's key-value store."""
 
 import base64
+import logging
 from collections.abc import Iterator
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -19,6 +20,8 @@
     StoreUnknown,
 )
 
+_LOG = logging.getLogger(__name__)
+
 # The store answers in 4 ms, and in about 240 ms when it is slow.
 DEFAULT_TIMEOUT_MS = 800.0
 # Longest wait of one watch call at the store. A broken watch is detected within this plus the
@@ -181,7 +184,7 @@
                 raise CompactedRevision(f"revision {revision} of {prefix!r} has been compacted")
             batch = _decode(response, WatchAnswer, StoreUnavailable)
             for event in batch.events:
-                value = None if event.deleted else base64.b64decode(event.value)
+                value = None if event.deleted else _decode_value(event)
                 yield Change(event.key, value, event.revision)
             revision = max(revision, batch.as_of)
             yield None
@@ -252,4 +255,17 @@
 
 
 def _key_value(item: Item) -> KeyValue:
-    return KeyValue(item.key, base64.b64decode(item.value), item.revision)
+    return KeyValue(item.key, _decode_value(item), item.revision)
+
+
+def _decode_value(item: Item) -> bytes:
+    """Return the value of a key, empty if it is not Base64.
+
+    An error would hide all other keys of the same answer.
+    """
+    try:
+        return base64.b64decode(item.value)
+    except ValueError as error:
+        fields = (("key", item.key), ("reason", str(error)))
+        _LOG.warning("invalid value in the store", extra={"fields": fields})
+        return b""
--- a/geraniumspool/registrations.py
+++ b/geraniumspool/registrations.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from geraniumspool.contracts import KeyValue, MinionIncarnation
+from geraniumspool.report_checks import find_report_fault
 
 _LOG = logging.getLogger(__name__)
 
@@ -26,6 +27,8 @@
 # Largest valid capacity in cores, far more than a single-threaded process can use. A record
 # with more was not written by a dispatcher.
 MAX_CAPACITY = 1_000.0
+# Part of every address of a process, after the name of its transport.
+ADDRESS_MARK = "://"
 
 Record = TypeVar("Record", "WorkerRecord", "DispatcherRecord")
 
@@ -37,7 +40,7 @@
     :param life: the minion's last report, None while there is no minion
     """
 
-    domain: str = ""
+    domain: str
     life: MinionIncarnation | None = None
 
     @property
@@ -58,7 +61,7 @@
     :param capacity: processor capacity in cores
     """
 
-    domain: str = ""
+    domain: str
     capacity: Annotated[float, msgspec.Meta(gt=0, le=MAX_CAPACITY)] = 1.0
 
 
@@ -98,7 +101,8 @@
         """Apply the change of one registration key.
 
         An invalid record does not replace the member's last valid one. A worker with an
-        invalid record and no earlier one is listed with an empty record.
+        invalid record and no earlier one is listed with an empty record if its key has the address
+        of a process, because it may be an executor of another build.
 
         :param value: new value, None if the key was deleted or its lease expired
         :param now: time in milliseconds
@@ -111,13 +115,16 @@
         self._unlisted_since_ms.pop(key, None)
         if key.startswith(WORKER_PREFIX):
             address = key.removeprefix(WORKER_PREFIX)
-            self.listed.add(address)
-            record = decode_record(value, WorkerRecord)
-            self.workers[address] = record or self.workers.get(address, WorkerRecord())
+            record = decode_record(value, WorkerRecord) or self.workers.get(address)
+            if record is None and ADDRESS_MARK in address:
+                record = WorkerRecord("")
+            if record is not None and address:
+                self.listed.add(address)
+                self.workers[address] = record
         elif key.startswith(DISPATCHER_PREFIX):
             address = key.removeprefix(DISPATCHER_PREFIX)
             record = decode_record(value, DispatcherRecord)
-            if record is not None:
+            if record is not None and address:
                 self.dispatchers[address] = record
 
     def remove_expired(self, now: float) -> bool:
@@ -141,10 +148,16 @@
     An invalid value may have been written by another program.
     """
     try:
-        return msgspec.json.decode(value, type=record_type)
-    except msgspec.MsgspecError as error:
+        record = msgspec.json.decode(value, type=record_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
         _LOG.warning("invalid member record: %s", error)
         return None
+    life = record.life if isinstance(record, WorkerRecord) else None
+    fault = find_report_fault(life) if life else ""
+    if fault:
+        _LOG.warning("invalid member record: %s", fault)
+        return None
+    return record
 
 
 def encode_record(record: Record) -> bytes:
