--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, LocationValueError
 
 from geraniumspool.contracts import (
     Clock,
@@ -28,8 +28,11 @@
 POLL_TIMEOUT_MS = 80.0
 # Connection limits per minion. Calls are short compared with the pauses between them, so that
 # a few connections suffice and stay in use; more would be closed as idle and opened again.
-COMMAND_CONNECTIONS = 3
-POLL_CONNECTIONS = 1
+START_CONNECTIONS = 3
+# Stops do not wait for starts, each of which may take 120 ms if it is not answered.
+STOP_CONNECTIONS = 3
+# One for the poll that waits for ended runs, one for polls about the outcome of a start or stop.
+POLL_CONNECTIONS = 2
 # Most finished runs in one answer to a poll; more follow once these are acknowledged.
 MAX_LISTED_ENDS = 500
 
@@ -42,6 +45,10 @@
 }
 
 AnswerT = TypeVar("AnswerT")
+# Leading columns of the rows of a poll's answer; further columns are not used.
+RunningRow = tuple[str, int, Any, float]
+EndedRow = tuple[int, str, int, str]
+ROW_COLUMNS = 4
 
 
 class StartBody(msgspec.Struct):
@@ -114,7 +121,8 @@
         """
         self._clock = clock
         self._counters = counters
-        self._command_endpoints: dict[str, Endpoint] = {}
+        self._start_endpoints: dict[str, Endpoint] = {}
+        self._stop_endpoints: dict[str, Endpoint] = {}
         self._poll_endpoints: dict[str, Endpoint] = {}
 
     def start(
@@ -127,7 +135,7 @@
     ) -> StartAnswer:
         """Start a run; see :meth:`geraniumspool.contracts.MinionControl.start`."""
         body = StartBody(key.task, key.attempt, payload, int(lease_until_ms), fencing_token)
-        endpoint = self._endpoint_for(self._command_endpoints, incarnation, COMMAND_CONNECTIONS)
+        endpoint = self._endpoint_for(self._start_endpoints, incarnation, START_CONNECTIONS)
         response = self._call(endpoint, incarnation, "/run-start", body, COMMAND_TIMEOUT_MS)
         if response.status in (429, 503):
             return StartAnswer(StartOutcome.UNHEALTHY, 0.0)
@@ -145,7 +153,7 @@
     def stop(self, incarnation: MinionIncarnation, key: RunKey, fencing_token: int) -> None:
         """Stop a run; see :meth:`geraniumspool.contracts.MinionControl.stop`."""
         body = StopBody(key.task, key.attempt, fencing_token)
-        endpoint = self._endpoint_for(self._command_endpoints, incarnation, COMMAND_CONNECTIONS)
+        endpoint = self._endpoint_for(self._stop_endpoints, incarnation, STOP_CONNECTIONS)
         response = self._call(endpoint, incarnation, "/run-stop", body, COMMAND_TIMEOUT_MS)
         _raise_unless_ok(response)
 
@@ -173,8 +181,14 @@
                 f"not {incarnation.started_unix_ms}"
             )
             raise MinionReplaced(detail, held.born)
-        running = {RunKey(row[0], row[1]): row[3] / 100 for row in held.running}
-        ended = tuple(FinishedRun(row[0], RunKey(row[1], row[2]), row[3]) for row in held.ended)
+        running = {
+            RunKey(task, attempt): percent / 100
+            for task, attempt, _, percent in _convert_rows(held.running, RunningRow)
+        }
+        ended = tuple(
+            FinishedRun(number, RunKey(task, attempt), how)
+            for number, task, attempt, how in _convert_rows(held.ended, EndedRow)
+        )
         is_partial = len(ended) >= MAX_LISTED_ENDS
         return MinionStatus(held.clock_ms, running, ended, held.born, is_partial)
 
@@ -190,7 +204,8 @@
         data = msgspec.json.encode(body)
         try:
             response = endpoint.request("POST", path, limit_ms, body=data, headers=headers)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, OSError, ValueError) as error:
+            # ValueError: the instance name cannot be sent in a header.
             exception = MinionDown if _is_refused(error) else MinionSilent
             outcome = "refused" if exception is MinionDown else "unanswered"
             self._counters.add("minion_calls", path=path, outcome=outcome)
@@ -207,7 +222,10 @@
     ) -> Endpoint:
         endpoint = endpoints.get(incarnation.address)
         if endpoint is None:
-            endpoint = Endpoint(f"http://{incarnation.address}", connections, self._clock)
+            try:
+                endpoint = Endpoint(f"http://{incarnation.address}", connections, self._clock)
+            except LocationValueError as error:
+                raise MinionSilent(f"unusable address {incarnation.address!r}") from error
             endpoints[incarnation.address] = endpoint
         return endpoint
 
@@ -228,5 +246,12 @@
 def _decode(response: urllib3.BaseHTTPResponse, answer_type: type[AnswerT]) -> AnswerT:
     try:
         return msgspec.json.decode(response.data, type=answer_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MinionSilent(f"invalid {answer_type.__name__} from the minion: {error}") from error
+
+
+def _convert_rows(rows: list[list[Any]], row_type: Any) -> list[Any]:
+    try:
+        return msgspec.convert([row[:ROW_COLUMNS] for row in rows], list[row_type])
+    except msgspec.ValidationError as error:
+        raise MinionSilent(f"invalid row from the minion: {error}") from error
