Claims: former members without announced exit are kept for as long as claims last

Arbiters forgot former members 1.27 s after these had left the list of members. A member that is only partitioned, and off the store as well, keeps its leases at executors: the job that it ran was granted to another dispatcher and ran twice. A former member that has not announced its exit (EndClaims) now counts as an arbiter for 15 s, or the longest time that was claimed, plus RUNS_OVER_MS; one that has, for RUNS_OVER_MS as before. Each group of former members has its own time. Forgetting them is logged and counted.

Keeping them does not suffice where a single arbiter of three remains: it was an arbiter before, but may not be one of the two that had granted the job. An arbiter is sure now only if each quorum includes one of each former quorum.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -9,7 +9,7 @@
 
 import logging
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from zlib import crc32
 
 from geraniumspool.claim_messages import Claim, ClaimJobs, ClaimVerdict, OpenClaims
@@ -23,6 +23,10 @@
 ARBITER_COUNT = 3
 # Interval at which expired grants are removed.
 SWEEP_MS = 1_000.0
+# Callers that state no time limit wait for this long. A dispatcher that left the list of members
+# without a clean exit may still run the jobs that it has claimed, and counts as an arbiter until
+# they must have ended.
+USUAL_CLAIM_MS = 15_000.0
 
 
 def choose_arbiters(job_id: str, members: Mapping[str, str]) -> list[str]:
@@ -49,6 +53,11 @@
     return (chosen + same_domain)[:ARBITER_COUNT]
 
 
+def quorum_of(arbiters: Sequence[str]) -> int:
+    """Return how many of a job's arbiters must grant a claim: a majority."""
+    return len(arbiters) // 2 + 1
+
+
 class _Grant:
     """A granted claim; ``until_ms`` is when all runs of the job must have ended."""
 
@@ -79,6 +88,17 @@
         self.clean: frozenset[str] = frozenset()
 
 
+class _FormerMembers:
+    """Members that were in force until ``ended_ms``; ``lost`` are the addresses that then left."""
+
+    __slots__ = ("ended_ms", "lost", "members")
+
+    def __init__(self, members: Mapping[str, str], lost: frozenset[str], ended_ms: float):
+        self.members = members
+        self.lost = lost
+        self.ended_ms = ended_ms
+
+
 class ClaimTable:
     """Grants of one arbiter, by job.
 
@@ -100,8 +120,9 @@
         self._clean_exits: dict[str, Peer] = {}
         self._is_settled = False
         self._last_removal_ms = clock.now()
-        # Former and current members, each with the time since when they were in force.
-        self._membership_history: list[tuple[float, Mapping[str, str]]] = []
+        self._members: Mapping[str, str] = {}
+        self._former_members: list[_FormerMembers] = []
+        self._longest_claim_ms = USUAL_CLAIM_MS
 
     def __len__(self) -> int:
         """Return the number of granted jobs."""
@@ -112,21 +133,54 @@
 
         :param members: failure domains of all dispatchers by address, this one included
         """
+        # The first members are assumed to have also granted the claims of the former incarnation.
+        if self._members and self._members != members:
+            lost = frozenset(self._members.keys() - members.keys())
+            former = _FormerMembers(self._members, lost, self._clock.now())
+            self._former_members.append(former)
+        self._members = members
+
+    def forget_former_members(self) -> int:
+        """Forget former members whose grants have all expired; return how many have left since."""
         now = self._clock.now()
-        if not self._membership_history:
-            # Assume that these members also granted the claims of the former incarnation.
-            self._membership_history.append((-math.inf, members))
-        elif self._membership_history[-1][1] != members:
-            self._membership_history.append((now, members))
-
-    def forget_former_members(self) -> None:
-        """Forget former members whose grants have all expired."""
-        now = self._clock.now()
-        while (
-            len(self._membership_history) > 1
-            and self._membership_history[1][0] <= now - RUNS_OVER_MS
-        ):
-            del self._membership_history[0]
+        kept, forgotten = [], set()
+        for former in self._former_members:
+            if now - former.ended_ms < self._find_retention_ms(former):
+                kept.append(former)
+            elif former.lost:
+                forgotten |= former.lost
+                fields = (
+                    ("members", ",".join(sorted(former.lost))),
+                    ("unannounced", len(self._find_unannounced(former))),
+                    ("kept_ms", round(now - former.ended_ms)),
+                )
+                _LOG.info("former members forgotten", extra={"fields": fields})
+        self._former_members = kept
+        return len(forgotten)
+
+    @property
+    def keeps_unannounced(self) -> bool:
+        """Whether a former member that did not announce its exit may still run jobs."""
+        return any(self._find_unannounced(former) for former in self._former_members)
+
+    def _find_retention_ms(self, former: _FormerMembers) -> float:
+        """Return for how long former members are kept.
+
+        Members that are still listed repeat their claims to new arbiters. One that has left without
+        announcing its exit may only be partitioned: executors may still run its jobs.
+        """
+        if not self._find_unannounced(former):
+            return RUNS_OVER_MS
+        return self._longest_claim_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
+
+    def _find_unannounced(self, former: _FormerMembers) -> list[str]:
+        """Return the addresses that have left without announcing the exit of their process."""
+        return [address for address in former.lost if not self._has_announced_exit(address)]
+
+    def _has_announced_exit(self, address: str) -> bool:
+        """Return whether the last known incarnation of a dispatcher has announced its exit."""
+        member = self._dispatchers.get(address)
+        return member is not None and self._clean_exits.get(address) == member.peer
 
     @property
     def is_settled(self) -> bool:
@@ -200,6 +254,7 @@
     def decide(self, claimant: Peer, claim: Claim) -> ClaimVerdict:
         """Grant a claim, or answer with the dispatcher that holds the job."""
         now = self._clock.now()
+        self._longest_claim_ms = max(self._longest_claim_ms, claim.left_ms)
         self._remove_expired(now)
         grant = self._grants.get(claim.job_id)
         is_held = grant is not None and grant.holder != claimant and now < grant.until_ms
@@ -208,13 +263,13 @@
             return ClaimVerdict(claim.number, holder.address, holder.incarnation)
         if grant is not None and grant.holder == claimant and grant.number > claim.number:
             # A late message: the dispatcher has meanwhile repeated the claim with a new number.
-            return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id, now))
+            return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
         if grant is not None:
             self.release(grant.holder, grant.number)
         until_ms = now + claim.left_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
         self._grants[claim.job_id] = _Grant(claimant, claim, until_ms)
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
-        return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id, now))
+        return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
     def release(self, holder: Peer, number: int) -> None:
         """Remove the grant of a released or expired claim; does nothing if there is none."""
@@ -222,15 +277,24 @@
         if job_id is not None:
             del self._grants[job_id]
 
-    def _is_sure(self, job_id: str, now: float) -> bool:
-        """Return whether every earlier claim on a job is known here.
+    def _is_sure(self, job_id: str) -> bool:
+        """Return whether this arbiter's grant may count towards a quorum.
 
-        Grants by the job's former arbiters may still hold after a change of the members, so this
-        dispatcher must have been an arbiter under all members that are still kept.
+        Grants by the job's former arbiters may still hold after a change of the members. So this
+        dispatcher must have been an arbiter under all members that are kept, and each quorum now
+        must include an arbiter of each former quorum: one remaining dispatcher alone may not have
+        been asked.
         """
-        return self.is_settled and all(
-            self.me in choose_arbiters(job_id, members) for _, members in self._membership_history
-        )
+        if not self.is_settled:
+            return False
+        if not self._former_members:
+            return True
+        quorum = quorum_of(choose_arbiters(job_id, self._members))
+        for former in self._former_members:
+            arbiters = choose_arbiters(job_id, former.members)
+            if self.me not in arbiters or quorum + quorum_of(arbiters) <= len(arbiters):
+                return False
+        return True
 
     def _find_start_ms(self, address: str) -> float:
         """Return when a dispatcher's process started; infinite until it has sent its claims."""
@@ -240,12 +304,11 @@
         return member.started_ms if member is not None and member.is_synced else math.inf
 
     def _check_settled(self, now: float) -> bool:
-        if not self._membership_history:
+        if not self._members:
             return False
-        members = self._membership_history[-1][1]
-        if not all(self._is_accounted_for(address, now) for address in members):
+        if not all(self._is_accounted_for(address, now) for address in self._members):
             return False
-        fields = (("members", len(members)), ("age_ms", round(now - self._started_ms)))
+        fields = (("members", len(self._members)), ("age_ms", round(now - self._started_ms)))
         _LOG.info("arbiter knows all earlier claims", extra={"fields": fields})
         return True
 
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -146,7 +146,9 @@
         if self._domains != previous:
             self.table.set_members(self._domains)
             self._reassign_arbiters()
-        self.table.forget_former_members()
+        forgotten = self.table.forget_former_members()
+        if forgotten:
+            self._counters.add("former_members_forgotten", forgotten)
         for view in self._peers.values():
             if view.peer.incarnation != ANY_INCARNATION:
                 self._note_incarnation(view.peer)
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -3,6 +3,7 @@
 import math
 from typing import Protocol
 
+from geraniumspool.claim_table import quorum_of
 from geraniumspool.messages import Peer
 
 
@@ -89,7 +90,7 @@
     @property
     def quorum(self) -> int:
         """Return how many arbiters must grant it: a majority."""
-        return len(self.arbiters) // 2 + 1
+        return quorum_of(self.arbiters)
 
     @property
     def has_quorum(self) -> bool:
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -3,10 +3,15 @@
 import unittest
 
 from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims
-from geraniumspool.claim_table import ARBITER_COUNT, ClaimTable, choose_arbiters
+from geraniumspool.claim_table import (
+    ARBITER_COUNT,
+    USUAL_CLAIM_MS,
+    ClaimTable,
+    choose_arbiters,
+)
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import CLOCK_DRIFT, RUNS_OVER_MS
 
 ME = "tcp://a"
 ONE, OTHER = Peer("tcp://b", 1), Peer("tcp://c", 1)
@@ -176,22 +181,108 @@
         arbiters = choose_arbiters(JOB, members)
         self.assertEqual(ARBITER_COUNT, len(set(arbiters)))
 
-    def test_a_new_arbiter_of_a_job_is_not_sure_while_former_grants_may_hold(self):
-        clock = ManualClock()
-        members = {f"tcp://{number}": f"d{number}" for number in range(8)}
-        job_id = next(f"j{n}" for n in range(99) if "tcp://0" in choose_arbiters(f"j{n}", members))
-        former_members = members | {f"tcp://x{number}": f"x{number}" for number in range(60)}
-        self.assertNotIn("tcp://0", choose_arbiters(job_id, former_members))
-        table = ClaimTable(clock, "tcp://0", clock.now() - LONG_AGO_MS)
-        for in_force in (former_members, members):
-            table.set_members(in_force)
-        for address in former_members:
-            table.apply_open_claims(Peer(address, 1), OpenClaims((), 0, LONG_AGO_MS, True, ()))
-        message = ClaimJobs((claim(1, job_id),), (), 1)
-        self.assertFalse(table.apply_claim_jobs(Peer("tcp://1", 1), message)[0].is_sure)
-        clock.advance(RUNS_OVER_MS + 10)
-        table.forget_former_members()
-        self.assertTrue(table.apply_claim_jobs(Peer("tcp://1", 1), message)[0].is_sure)
+
+class FormerMembersTest(unittest.TestCase):
+    """Dispatchers that have left the list of members while their grants may still hold.
+
+    An arbiter that forgets them too early grants a job that one of them still runs.
+    """
+
+    members = {f"tcp://{number}": f"d{number}" for number in range(8)}
+    lost = {f"tcp://x{number}": f"x{number}" for number in range(60)}
+    longest_ms = USUAL_CLAIM_MS * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.table = ClaimTable(self.clock, "tcp://0", self.clock.now() - LONG_AGO_MS)
+        self.job_id = next(
+            f"j{n}"
+            for n in range(99)
+            if "tcp://0" in choose_arbiters(f"j{n}", self.members)
+            and "tcp://0" not in choose_arbiters(f"j{n}", self.members | self.lost)
+        )
+
+    def lose_members(self, members=members, lost=lost, announced=()):
+        """Have members leave after all have sent their open claims."""
+        for in_force in (members | lost, members):
+            self.table.set_members(in_force)
+        for address in members | lost:
+            self.table.apply_open_claims(Peer(address, 1), OpenClaims((), 0, LONG_AGO_MS, True, ()))
+        for address in announced:
+            self.table.note_clean_exit(Peer(address, 1))
+
+    def is_sure_after(self, time_ms, left_ms=LEFT_MS):
+        """Return whether a grant counts towards a quorum after some more time."""
+        self.clock.advance(time_ms)
+        self.table.forget_former_members()
+        message = ClaimJobs((Claim(1, self.job_id, left_ms),), (), 1)
+        return self.table.apply_claim_jobs(Peer("tcp://1", 1), message)[0].is_sure
+
+    def test_members_that_announced_their_exit_are_kept_until_their_runs_are_over(self):
+        self.lose_members(announced=self.lost)
+        self.assertFalse(self.is_sure_after(RUNS_OVER_MS - 10))
+        self.assertTrue(self.is_sure_after(20))
+
+    def test_members_without_announced_exit_are_kept_until_their_jobs_are_over(self):
+        """They may only be partitioned, and hold their leases at executors."""
+        for announced in ((), list(self.lost)[1:]):
+            with self.subTest(announced=len(announced)):
+                self.setUp()
+                self.lose_members(announced=announced)
+                self.assertFalse(self.is_sure_after(self.longest_ms - 10))
+                self.assertTrue(self.is_sure_after(20))
+
+    def test_an_announced_exit_of_an_earlier_incarnation_does_not_count(self):
+        self.lose_members(announced=self.lost)
+        for address in self.lost:
+            self.table.note_incarnation(Peer(address, 2))
+        self.assertFalse(self.is_sure_after(self.longest_ms - 10))
+
+    def test_members_are_kept_for_as_long_as_the_longest_claim_may_last(self):
+        self.lose_members()
+        self.is_sure_after(0, left_ms=2 * USUAL_CLAIM_MS)
+        self.assertFalse(self.is_sure_after(self.longest_ms + USUAL_CLAIM_MS - 10))
+        self.assertTrue(self.is_sure_after(USUAL_CLAIM_MS))
+
+    def test_each_group_of_former_members_is_kept_for_its_own_time(self):
+        """Members that announce their exit later must not shorten the time of the first ones."""
+        self.lose_members()
+        self.table.set_members(self.members | {"tcp://y": "y"})
+        self.table.note_clean_exit(Peer("tcp://y", 1))
+        self.table.set_members(self.members)
+        self.assertFalse(self.is_sure_after(self.longest_ms - 10))
+        self.assertTrue(self.is_sure_after(20))
+
+    def test_one_remaining_arbiter_of_three_is_not_sure(self):
+        """The two others may have granted the job without asking it."""
+        members, lost = {"tcp://0": "d0"}, {"tcp://1": "d1", "tcp://2": "d2"}
+        self.lose_members(members, lost)
+        self.assertFalse(self.is_sure_after(self.longest_ms - 10))
+        self.assertTrue(self.is_sure_after(20))
+
+    def test_one_remaining_arbiter_of_two_is_sure(self):
+        """Both must have granted each claim, so it knows them all."""
+        self.lose_members({"tcp://0": "d0"}, {"tcp://1": "d1"})
+        self.assertTrue(self.is_sure_after(0))
+
+    def test_forgetting_members_is_logged_and_counted(self):
+        self.lose_members(lost={"tcp://x": "x", "tcp://y": "y"}, announced=["tcp://y"])
+        self.clock.advance(self.longest_ms - 10)
+        with self.assertNoLogs("geraniumspool.claim_table", "INFO"):
+            self.assertEqual(0, self.table.forget_former_members())
+        self.clock.advance(20)
+        with self.assertLogs("geraniumspool.claim_table", "INFO") as logs:
+            self.assertEqual(2, self.table.forget_former_members())
+        fields = dict(logs.records[0].fields)
+        self.assertEqual("former members forgotten", logs.records[0].message)
+        self.assertEqual(
+            {
+                "members": "tcp://x,tcp://y",
+                "unannounced": 1,
+                "kept_ms": round(self.longest_ms + 10),
+            },
+            fields,
+        )
 
 
 if __name__ == "__main__":
