Setting remote_data_factor: how much longer tasks take away from their data

Cause: packing took 1.5 for every platform, and owner_choice 100 ms for every job. Where remote data costs three times the run time, tasks were sent to free workers on which they could not end in time, and executors reported the distance as slowness of their minions.

Change: the dispatcher's setting (at least 1), rendered from the platform's far_x, replaces both constants. Where it is set it is corrected by observed run times, and executors expect the longer run time. Where it is absent, 1.5 and 100 ms apply without correction, as before.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -10,6 +10,9 @@
 
 Settings = TypeVar("Settings")
 
+# A larger factor is a mistake: no task could run away from its data within its objective.
+MAX_REMOTE_DATA_FACTOR = 100.0
+
 
 class DispatcherSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a dispatcher.
@@ -27,6 +30,8 @@
     :param advertised_inbox: address of the inbox for other processes, where it differs from the one
         that the process listens on, as behind address translation; empty if it does not
     :param log_level: lowest level that is logged
+    :param remote_data_factor: how many times as long a task takes away from the rack of its data,
+        None for ``DEFAULT_REMOTE_DATA_FACTOR`` of :mod:`geraniumspool.data_locality`
     """
 
     name: str
@@ -41,6 +46,9 @@
     grace_s: float = 6.0
     advertised_inbox: str = ""
     log_level: str = "info"
+    remote_data_factor: Annotated[float, msgspec.Meta(ge=1, le=MAX_REMOTE_DATA_FACTOR)] | None = (
+        None
+    )
 
     @property
     def capacity(self) -> float:
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -93,7 +93,13 @@
         )
         self.claims.links = messenger
         self.dispatcher = Dispatcher(
-            clock, messenger.send, metrics, settings.domain, self.evacuations, self.claims
+            clock,
+            messenger.send,
+            metrics,
+            settings.domain,
+            self.evacuations,
+            self.claims,
+            remote_data_factor=settings.remote_data_factor,
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -14,8 +14,9 @@
 from geraniumspool import job_admission, packing, urgency
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.crash_blame import CrashBlame
+from geraniumspool.data_locality import RemoteDataFactor
 from geraniumspool.departures import ActiveRun, find_runs_to_move
-from geraniumspool.dispatch_job import DispatchJob, PlacedRun, Step, log_job, make_steps
+from geraniumspool.dispatch_job import DispatchJob, PlacedRun, log_job, make_steps
 from geraniumspool.dispatch_job import compute_objective_ms as measure
 from geraniumspool.dispatch_policy import DispatchPolicy, UsefulnessPolicy
 from geraniumspool.evacuations import Evacuations
@@ -80,6 +81,7 @@
     """Queue, schedule and track the jobs accepted by this process.
 
     :ivar exit_ms: clock time in ms at which the process will exit, infinite if unknown
+    :ivar remote_data: factor by which tasks take longer away from their data
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
     """
@@ -93,6 +95,7 @@
         evacuations: Evacuations,
         claims: JobClaims,
         policy: DispatchPolicy | None = None,
+        remote_data_factor: float | None = None,
     ):
         """Create a dispatcher without jobs or workers.
 
@@ -102,6 +105,8 @@
         :param claims: exclusive claims that keep other dispatchers from running the same jobs
         :param policy: admission, ordering and placement policy, by default
             :class:`UsefulnessPolicy`
+        :param remote_data_factor: how many times as long a task takes away from the rack of its
+            data; None for the default
         """
         self._policy = policy or UsefulnessPolicy()
         self._clock = clock
@@ -116,7 +121,10 @@
         self._arrivals: dict[str, Arrivals] = {}
         self._wait_learner = urgency.WaitLearner()
         self._blame = CrashBlame()
-        self._placer = JobPlacer(clock, self.fleet, self._policy, self._blame, domain)
+        self.remote_data = RemoteDataFactor(remote_data_factor)
+        self._placer = JobPlacer(
+            clock, self.fleet, self._policy, self._blame, domain, self.remote_data
+        )
         self._is_placing = False
         self._claims = claims
         claims.on_granted = self._on_claim_granted
@@ -534,7 +542,7 @@
         if end.how in (RUN_DONE, RUN_FAILED):
             self._blame.acquit(job.task_name(task))
         if end.how == RUN_DONE:
-            self._learn_run_time(job, step, end.ran_ms)
+            self._learn_run_time(placed, end.ran_ms)
             step.unfinished -= 1
             if all(other.unfinished == 0 for other in job.steps):
                 self._end(job, JobResult(JobOutcome.SUCCEEDED))
@@ -582,15 +590,28 @@
         for run in runs:
             self._handle_run_end(run.owner, RunEnd(run.number, RUN_LAPSED, reason=reason))
 
-    def _learn_run_time(self, job: DispatchJob, step: Step, ran_ms: float) -> None:
+    def _learn_run_time(self, placed: PlacedRun, ran_ms: float) -> None:
         """Update the queue's ratio of actual to declared run times."""
-        declared = step.spec.declared_ms
+        job, spec = placed.job, placed.job.steps[placed.task.step].spec
+        declared = spec.declared_ms
         if declared <= 0 or ran_ms <= 0:
             return
+        if spec.rack and self.remote_data.is_set:
+            ran_ms = self._learn_remote_data(placed, ran_ms)
         ratio = self._run_time_ratios.get(job.queue.name, 1.0)
         seen = min(MAX_RUN_TIME_RATIO, max(MIN_RUN_TIME_RATIO, ran_ms / declared))
         self._run_time_ratios[job.queue.name] = ratio + RUN_TIME_WEIGHT * (seen - ratio)
 
+    def _learn_remote_data(self, placed: PlacedRun, ran_ms: float) -> float:
+        """Correct the factor of remote data; return the run time without it."""
+        is_remote = packing.is_remote(placed.worker, placed.job.steps[placed.task.step].spec)
+        data = self.remote_data
+        if data.record(placed.job.queue.name, is_remote, placed.run_ms, ran_ms):
+            self._counters.add("remote_factor_changes")
+            fields = (("factor", round(data.value, 3)), ("samples", data.samples))
+            _LOG.info("remote data factor corrected", extra={"fields": fields})
+        return ran_ms / data.value if is_remote else ran_ms
+
     def _expire(self) -> None:
         """End jobs whose caller times out, or that can no longer start early enough."""
         now = self._clock.now()
--- a/geraniumspool/job_placer.py
+++ b/geraniumspool/job_placer.py
@@ -7,6 +7,7 @@
 from geraniumspool import packing, urgency
 from geraniumspool.contracts import Clock
 from geraniumspool.crash_blame import CrashBlame
+from geraniumspool.data_locality import RemoteDataFactor
 from geraniumspool.dispatch_job import DispatchJob, PlacedRun, Step, TaskId, log_job
 from geraniumspool.dispatch_policy import DispatchPolicy
 from geraniumspool.fleet import Fleet, WorkerView
@@ -22,13 +23,21 @@
     """Send runs of a job's tasks to workers, with ascending run numbers."""
 
     def __init__(
-        self, clock: Clock, fleet: Fleet, policy: DispatchPolicy, blame: CrashBlame, domain: str
+        self,
+        clock: Clock,
+        fleet: Fleet,
+        policy: DispatchPolicy,
+        blame: CrashBlame,
+        domain: str,
+        remote_data: RemoteDataFactor,
     ):
         """Create a placer that has sent no run.
 
         :param blame: tasks suspected of crashing minions
         :param domain: failure domain of this process
+        :param remote_data: factor by which tasks take longer away from their data
         """
+        self._remote_data = remote_data
         self._clock = clock
         self._fleet = fleet
         self._policy = policy
@@ -78,6 +87,7 @@
             self._domain,
             step.runs_by_worker,
             self._clock.now(),
+            self._remote_data.value,
         )
         for _ in range(len(step.pending)):
             task = TaskId(number, step.pending[0])
@@ -119,7 +129,7 @@
             job.next_attempt(task),
             job.spec.payload,
             step.spec.need,
-            step.expected_ms,
+            self._expected_at(view, step),
             job.timing.latest_start(step.chain_ms) - now,
             WORKER_QUEUE_MS,
             job.timing.arrived_ms + job.timing.timeout_ms - now,
@@ -130,3 +140,13 @@
         job.runs[order.number] = placed
         step.runs_by_worker[id(view)] = step.runs_by_worker.get(id(view), 0) + 1
         self._fleet.queue_run(view, order, placed)
+
+    def _expected_at(self, view: WorkerView, step: Step) -> float:
+        """Return the run time that an executor is to expect on a worker of usual speed.
+
+        If it did not include the distance from the data, the executor would take that for slowness
+        of its minion and report it as pace.
+        """
+        if self._remote_data.is_set and packing.is_remote(view, step.spec):
+            return step.expected_ms * self._remote_data.value
+        return step.expected_ms
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -426,7 +426,7 @@
         if not self.peers.is_leaving and THIS_PROCESS not in tried:
             own = self._dispatcher.describe_load(service)
             options.append(OwnerOption(None, self._domain, own))
-        request = owner_choice.describe_job(spec, queue)
+        request = owner_choice.describe_job(spec, queue, self._dispatcher.remote_data)
         return owner_choice.choose_owner(options, request, self._domain)
 
     def _follow_claim(self, job: ForwardedJob, result: JobResult) -> None:
--- a/geraniumspool/owner_choice.py
+++ b/geraniumspool/owner_choice.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from geraniumspool.data_locality import REMOTE_DATA_PENALTY_MS, RemoteDataFactor
+from geraniumspool.dispatch_job import DEFAULT_RUN_MS
 from geraniumspool.job_messages import ServiceLoad
 from geraniumspool.job_specs import JobSpec
 from geraniumspool.queued_work import level_of
@@ -22,11 +24,10 @@
 # An owner in another failure domain is chosen only if its wait is shorter by this: traffic between
 # failure domains is the most expensive.
 CROSS_DOMAIN_PENALTY_MS = 15.0
-# Run time saved near the data: away from it, jobs take at least twice as long, which makes this
-# difference for a typical job.
-REMOTE_DATA_PENALTY_MS = 100.0
 # Upper bound of predicted waits.
 MAX_PREDICTED_WAIT_MS = 60_000.0
+# Used where operators have set no factor.
+DEFAULT_REMOTE_DATA = RemoteDataFactor()
 
 
 class OwnerOption(NamedTuple):
@@ -50,19 +51,28 @@
     :param level: priority level of its queue; 0 is the most urgent
     :param cpu: CPU that the tasks of its first steps need, in thousandths of a core
     :param racks: racks near its data
+    :param remote_penalty_ms: what it loses at an owner without workers in these racks
     """
 
     level: int
     cpu: float
     racks: frozenset[str]
+    remote_penalty_ms: float = REMOTE_DATA_PENALTY_MS
 
 
-def describe_job(spec: JobSpec, queue: Queue) -> AssignmentRequest:
-    """Return the properties of a job that decide which dispatcher it is assigned to."""
+def describe_job(
+    spec: JobSpec, queue: Queue, remote_data: RemoteDataFactor = DEFAULT_REMOTE_DATA
+) -> AssignmentRequest:
+    """Return the properties of a job that decide which dispatcher it is assigned to.
+
+    :param remote_data: factor by which tasks take longer away from their data
+    """
     first_steps = [step for step in spec.steps if not step.after]
     cpu = sum(step.count * step.need.cpu for step in first_steps)
     racks = frozenset(step.rack for step in spec.steps if step.rack)
-    return AssignmentRequest(level_of(queue.priority), cpu, racks)
+    run_ms = max((s.declared_ms or DEFAULT_RUN_MS for s in spec.steps if s.rack), default=0.0)
+    penalty_ms = remote_data.remote_penalty_ms(run_ms)
+    return AssignmentRequest(level_of(queue.priority), cpu, racks, penalty_ms)
 
 
 def choose_owner(
@@ -106,7 +116,7 @@
     if option.domain != domain:
         cost += CROSS_DOMAIN_PENALTY_MS
     if request.racks and not request.racks & set(option.load.racks):
-        cost += REMOTE_DATA_PENALTY_MS
+        cost += request.remote_penalty_ms
     return cost
 
 
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -9,14 +9,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from geraniumspool.data_locality import DEFAULT_REMOTE_DATA_FACTOR
 from geraniumspool.departures import DEPARTURE_MARGIN_MS
 from geraniumspool.job_specs import StepSpec
 from geraniumspool.rooms import Resources
 
 # Round trip between failure domains; one way takes about 1 ms.
 CROSS_DOMAIN_ROUND_TRIP_MS = 2.0
-# Factor by which a task takes longer outside the rack near its data.
-REMOTE_DATA_FACTOR = 1.5
 # A full worker is scored as slower than an idle one by UTILIZATION_PENALTY, and a random share of
 # up to JITTER_SHARE is added, so that dispatchers with the same information don't all fill the
 # fastest workers.
@@ -58,6 +57,7 @@
     :param domain: failure domain of the dispatcher
     :param runs_by_worker: number of open runs of the step by worker, keyed by the worker's ``id``
     :param now: clock time in ms
+    :param remote_factor: factor by which a task takes longer outside the rack of its data
     """
 
     step: StepSpec
@@ -66,6 +66,7 @@
     domain: str
     runs_by_worker: dict[int, int]
     now: float = 0.0
+    remote_factor: float = DEFAULT_REMOTE_DATA_FACTOR
 
 
 class WorkerChoice(NamedTuple):
@@ -75,9 +76,22 @@
     run_ms: float
 
 
-def predict_run_ms(worker: Candidate, step: StepSpec, expected_ms: float) -> float:
-    """Return the predicted run time in ms of a task on a worker."""
-    locality_factor = REMOTE_DATA_FACTOR if step.rack and step.rack != worker.rack else 1.0
+def is_remote(worker: Candidate, step: StepSpec) -> bool:
+    """Return whether a worker is outside the rack of a step's data."""
+    return bool(step.rack) and step.rack != worker.rack
+
+
+def predict_run_ms(
+    worker: Candidate,
+    step: StepSpec,
+    expected_ms: float,
+    remote_factor: float = DEFAULT_REMOTE_DATA_FACTOR,
+) -> float:
+    """Return the predicted run time in ms of a task on a worker.
+
+    :param remote_factor: as in :class:`PlacementRequest`
+    """
+    locality_factor = remote_factor if is_remote(worker, step) else 1.0
     return expected_ms * worker.pace * locality_factor
 
 
@@ -101,7 +115,7 @@
     for worker in workers:
         if not worker.free.fits(step.need) or not _accepts(worker, step, request.runs_by_worker):
             continue
-        run_ms = predict_run_ms(worker, step, request.expected_ms)
+        run_ms = predict_run_ms(worker, step, request.expected_ms, request.remote_factor)
         if run_ms > request.max_run_ms or now + run_ms > worker.departs_ms:
             continue
         score = -_placement_cost(worker, step, run_ms, request.domain)
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -86,6 +86,20 @@
         with self.assertRaises(InvalidInput):
             self.load(json.dumps(executor | {"evacuation_ms": 0}), ExecutorSettings)
 
+    def test_the_factor_of_remote_data_is_optional_and_at_least_one(self):
+        """A platform that names no factor renders it as null, which means the default."""
+        for given, expected in (({}, None), ({"remote_data_factor": None}, None)):
+            settings = self.load(json.dumps(DISPATCHER | given))
+            self.assertEqual(expected, settings.remote_data_factor)
+        for value in (1, 1.5, 3):
+            document = json.dumps(DISPATCHER | {"remote_data_factor": value})
+            self.assertEqual(value, self.load(document).remote_data_factor)
+        for value in (0.9, 0, -1, 101, "3", True, float("nan"), float("inf")):
+            with self.subTest(value=value), self.assertRaises(InvalidInput) as raised:
+                self.load(yaml.safe_dump(DISPATCHER | {"remote_data_factor": value}))
+            findings = raised.exception.findings
+            self.assertEqual(["remote_data_factor"], [finding.path for finding in findings])
+
     def test_invalid_and_missing_files(self):
         for text in ("- a\n", "a: [\n", ""):
             with self.subTest(text=text), self.assertRaises(InvalidInput):
