--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -11,10 +11,12 @@
 
 import eventlet
 
-from geraniumspool import job_admission, urgency
+from geraniumspool import job_admission, packing, urgency
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.crash_blame import CrashBlame
-from geraniumspool.dispatch_job import DispatchJob, PlacedRun, Step, log_job, make_steps
+from geraniumspool.data_locality import RemoteDataFactor
+from geraniumspool.departures import ActiveRun, find_runs_to_move
+from geraniumspool.dispatch_job import DispatchJob, PlacedRun, log_job, make_steps
 from geraniumspool.dispatch_job import compute_objective_ms as measure
 from geraniumspool.dispatch_policy import DispatchPolicy, UsefulnessPolicy
 from geraniumspool.evacuations import Evacuations
@@ -79,6 +81,7 @@
     """Queue, schedule and track the jobs accepted by this process.
 
     :ivar exit_ms: clock time in ms at which the process will exit, infinite if unknown
+    :ivar remote_data: factor by which tasks take longer away from their data
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
     """
@@ -92,6 +95,7 @@
         evacuations: Evacuations,
         claims: JobClaims,
         policy: DispatchPolicy | None = None,
+        remote_data_factor: float | None = None,
     ):
         """Create a dispatcher without jobs or workers.
 
@@ -101,6 +105,8 @@
         :param claims: exclusive claims that keep other dispatchers from running the same jobs
         :param policy: admission, ordering and placement policy, by default
             :class:`UsefulnessPolicy`
+        :param remote_data_factor: how many times as long a task takes away from the rack of its
+            data; None for the default
         """
         self._policy = policy or UsefulnessPolicy()
         self._clock = clock
@@ -115,7 +121,10 @@
         self._arrivals: dict[str, Arrivals] = {}
         self._wait_learner = urgency.WaitLearner()
         self._blame = CrashBlame()
-        self._placer = JobPlacer(clock, self.fleet, self._policy, self._blame, domain)
+        self.remote_data = RemoteDataFactor(remote_data_factor)
+        self._placer = JobPlacer(
+            clock, self.fleet, self._policy, self._blame, domain, self.remote_data
+        )
         self._is_placing = False
         self._claims = claims
         claims.on_granted = self._on_claim_granted
@@ -316,8 +325,57 @@
         self._handle_crash([placed for placed, end in ended if _is_crash(end)])
         for placed, end in ended:
             self._handle_run_end(placed, end)
+        self._move_departing_runs(view, report)
         self.schedule()
 
+    def _move_departing_runs(self, view: WorkerView, report: WorkerReport) -> None:
+        """Stop the runs that do not end before their worker shuts down.
+
+        Their tasks are requeued once the worker has reported the ends of these runs.
+        """
+        if not view.runs or math.isinf(view.departs_ms):
+            return
+        now = self._clock.now()
+        straggler_left_ms = {run.number: run.left_ms for run in report.stragglers}
+        runs = [
+            ActiveRun(
+                run.number, now - run.sent_ms, run.owner.run_ms, straggler_left_ms.get(run.number)
+            )
+            for run in view.runs.values()
+            if run.number <= view.highest_number
+            and run.number not in view.stopping
+            and self._is_movable(run.owner, now)
+        ]
+        moves = find_runs_to_move(runs, view.departs_ms - now)
+        for move in moves:
+            placed = view.runs[move.run.number].owner
+            self._counters.add("runs_moved", queue=placed.job.queue.name)
+            log_job(
+                "run moved off leaving worker",
+                placed.job,
+                task=f"{placed.task.step}.{placed.task.index}",
+                worker=view.peer.address,
+                age_ms=round(move.run.age_ms),
+                expected_ms=round(move.run.run_ms),
+                predicted_ms=round(move.left_ms),
+                time_left_ms=round(view.departs_ms - now),
+            )
+        self.fleet.stop([(view, move.run.number) for move in moves])
+
+    def _is_movable(self, placed: PlacedRun, now: float) -> bool:
+        """Return whether a run can be placed anew and then end before its caller times out."""
+        job, step = placed.job, placed.job.steps[placed.task.step]
+        if job.has_ended or not job.is_claimed:
+            return False
+        if job.failures.get(placed.task, 0) >= job.queue.attempts:
+            return False
+        if now + step.expected_ms > job.timing.arrived_ms + job.timing.timeout_ms:
+            return False
+        return any(
+            other is not placed.worker and packing.can_run(other, step.spec)
+            for other in self.fleet.usable_workers(job.queue.service)
+        )
+
     def _handle_crash(self, crashed: list[PlacedRun]) -> None:
         """Fail the jobs whose tasks are to blame for a minion crash.
 
@@ -484,7 +542,7 @@
         if end.how in (RUN_DONE, RUN_FAILED):
             self._blame.acquit(job.task_name(task))
         if end.how == RUN_DONE:
-            self._learn_run_time(job, step, end.ran_ms)
+            self._learn_run_time(placed, end.ran_ms)
             step.unfinished -= 1
             if all(other.unfinished == 0 for other in job.steps):
                 self._end(job, JobResult(JobOutcome.SUCCEEDED))
@@ -532,15 +590,28 @@
         for run in runs:
             self._handle_run_end(run.owner, RunEnd(run.number, RUN_LAPSED, reason=reason))
 
-    def _learn_run_time(self, job: DispatchJob, step: Step, ran_ms: float) -> None:
+    def _learn_run_time(self, placed: PlacedRun, ran_ms: float) -> None:
         """Update the queue's ratio of actual to declared run times."""
-        declared = step.spec.declared_ms
+        job, spec = placed.job, placed.job.steps[placed.task.step].spec
+        declared = spec.declared_ms
         if declared <= 0 or ran_ms <= 0:
             return
+        if spec.rack and self.remote_data.is_set:
+            ran_ms = self._learn_remote_data(placed, ran_ms)
         ratio = self._run_time_ratios.get(job.queue.name, 1.0)
         seen = min(MAX_RUN_TIME_RATIO, max(MIN_RUN_TIME_RATIO, ran_ms / declared))
         self._run_time_ratios[job.queue.name] = ratio + RUN_TIME_WEIGHT * (seen - ratio)
 
+    def _learn_remote_data(self, placed: PlacedRun, ran_ms: float) -> float:
+        """Correct the factor of remote data; return the run time without it."""
+        is_remote = packing.is_remote(placed.worker, placed.job.steps[placed.task.step].spec)
+        data = self.remote_data
+        if data.record(placed.job.queue.name, is_remote, placed.run_ms, ran_ms):
+            self._counters.add("remote_factor_changes")
+            fields = (("factor", round(data.value, 3)), ("samples", data.samples))
+            _LOG.info("remote data factor corrected", extra={"fields": fields})
+        return ran_ms / data.value if is_remote else ran_ms
+
     def _expire(self) -> None:
         """End jobs whose caller times out, or that can no longer start early enough."""
         now = self._clock.now()
--- a/geraniumspool/minion_lives.py
+++ b/geraniumspool/minion_lives.py
@@ -1,6 +1,7 @@
 """Track which incarnation of a minion is served, and settle the runs of the previous one."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import eventlet
@@ -29,6 +30,9 @@
 # adopted meanwhile. A program that refuses every token is given up then; each try raises the token
 # by a minute, so a real minion accepts it sooner unless its clock was set back by hours.
 MAX_REPORT_TRIES = 100
+# Dispatchers are told at once of a departure that has moved by this: by less, the predicted ends of
+# runs differ anyway.
+DEPARTURE_SHIFT_MS = 100.0
 
 
 class MinionIncarnations:
@@ -67,21 +71,25 @@
         self.on_incarnation: Callable[[MinionIncarnation], None] = _ignore_life
         self.on_adopted: Callable[[IncarnationState, MinionStatus, float], None] = _ignore_view
 
-    def handle_report(self, report: MinionIncarnation, is_stored: bool = True) -> None:
+    def handle_report(
+        self, report: MinionIncarnation, is_stored: bool = True, departs_ms: float = math.inf
+    ) -> None:
         """Handle a report in which a minion describes itself.
 
         A report of an unknown incarnation counts only once that incarnation has answered a call,
         because it may be a delayed report of one that has ended.
 
         :param is_stored: whether an earlier executor process has served that minion
+        :param departs_ms: earliest clock time in ms at which a draining minion shuts down, infinite
+            if it does not say
         """
         for _ in range(MAX_REPORT_TRIES):
-            if self._try_report(report, is_stored):
+            if self._try_report(report, is_stored, departs_ms):
                 return
         fields = (*_life_fields(report), ("reason", "too_many_tries"))
         _LOG.warning("minion not adopted", extra={"fields": fields})
 
-    def _try_report(self, report: MinionIncarnation, is_stored: bool) -> bool:
+    def _try_report(self, report: MinionIncarnation, is_stored: bool, departs_ms: float) -> bool:
         """Handle a report as far as nothing changes meanwhile; return whether it is handled."""
         session = self._session
         incarnation = session.incarnation
@@ -92,7 +100,7 @@
             if _is_contradictory(incarnation, report):
                 self._ignore_contradictory(incarnation, report)
             elif report.sequence >= incarnation.report.sequence and not incarnation.has_left:
-                self._update(incarnation, report)
+                self._update(incarnation, report, departs_ms)
             else:
                 self._ignore_stale(incarnation, report)
             return True
@@ -118,7 +126,7 @@
             # one has ended. At another address it does not.
             self._await_end(incarnation)
             return False
-        self._adopt(report, status, sent_ms, min_fence)
+        self._adopt(report, status, sent_ms, min_fence, departs_ms=departs_ms)
         return True
 
     def _note_earlier_minion(self, error: DispatchError) -> None:
@@ -245,8 +253,11 @@
         )
         _LOG.warning("contradictory minion report ignored", extra={"fields": fields})
 
-    def _update(self, incarnation: IncarnationState, report: MinionIncarnation) -> None:
+    def _update(
+        self, incarnation: IncarnationState, report: MinionIncarnation, departs_ms: float
+    ) -> None:
         previous, incarnation.report = incarnation.report, report
+        has_moved = _set_departure(incarnation, departs_ms)
         if not incarnation.has_reported:
             incarnation.has_reported = True
             self._reporter.report_to_all()
@@ -266,6 +277,8 @@
             )
             self._refit_queued(report)
             self._reporter.report_to_all()
+        elif has_moved:
+            self._reporter.report_to_all()
 
     def _refit_queued(self, report: MinionIncarnation) -> None:
         """Refuse queued runs that can no longer start here, and start those that fit now."""
@@ -286,6 +299,7 @@
         sent_ms: float,
         min_fence: int,
         has_reported: bool = True,
+        departs_ms: float = math.inf,
     ) -> None:
         """Serve another incarnation from now on.
 
@@ -295,11 +309,13 @@
         :param min_fence: fencing token of that poll; calls sent with it since then may also have
             started runs
         :param has_reported: whether ``report`` was sent by this incarnation
+        :param departs_ms: as in :meth:`handle_report`
         """
         session = self._session
         now = self._clock.now()
         previous = session.incarnation
         incarnation = session.incarnation = IncarnationState(report, now, has_reported)
+        _set_departure(incarnation, departs_ms)
         _LOG.info(
             "minion adopted",
             extra={
@@ -361,6 +377,18 @@
     return incarnation.has_reported and not is_same
 
 
+def _set_departure(incarnation: IncarnationState, departs_ms: float) -> bool:
+    """Set when an incarnation shuts down; return whether dispatchers need to know at once.
+
+    The latest report counts, also if it names no time: operators may cancel a shutdown.
+    """
+    previous_ms = incarnation.departs_ms
+    incarnation.departs_ms = departs_ms if incarnation.report.draining else math.inf
+    if incarnation.departs_ms == previous_ms:
+        return False
+    return abs(incarnation.departs_ms - previous_ms) >= DEPARTURE_SHIFT_MS
+
+
 def _log_not_adopted(report: MinionIncarnation, error: DispatchError) -> None:
     fields = (*_life_fields(report), ("reason", error.code))
     _LOG.info("minion not adopted", extra={"fields": fields})
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -487,7 +487,7 @@
         )
         self.minion.refuses_connections = True
         foreign = LIFE._replace(instance="i-other", started_unix_ms=5)
-        eventlet.spawn_n(self.executor.handle_minion_report, foreign, False)
+        eventlet.spawn_n(self.executor.handle_minion_report, foreign, is_stored=False)
         self.clock.advance(MINION_LEASE_MS + 200)
         self.renew(1)
         self.assertIsNone(self.outcome(1))
