Messages: queues have a weight, loads report what each queue got

Cause: least shares of queues need the operators' weights at the owner, and an owner that takes over workers needs to know what the queues got before.

Change: `Queue.weight`, read from an optional `weight` of a route (above 0, at most 1,000; another value rejects the configuration with its path), and `ServiceLoad.served`. Both are last fields with defaults; Queue had 10 fields and ServiceLoad 6 in the base version.

--- a/geraniumspool/job_messages.py
+++ b/geraniumspool/job_messages.py
@@ -11,6 +11,7 @@
 from geraniumspool.job_specs import JobResult, JobSpec
 from geraniumspool.queued_work import NO_WORK, QueuedWork
 from geraniumspool.queues import Queue
+from geraniumspool.room_shares import QueueShare
 from geraniumspool.run_messages import EvacuationNews
 
 
@@ -24,6 +25,7 @@
     :param run_ms: mean duration of a run
     :param queued: work that is queued for these workers
     :param racks: racks that these workers are in
+    :param served: capacity that each queue got recently
     """
 
     service: str
@@ -32,6 +34,7 @@
     run_ms: float
     queued: QueuedWork = NO_WORK
     racks: tuple[str, ...] = ()
+    served: tuple[QueueShare, ...] = ()
 
 
 class ForwardJob(NamedTuple):
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -31,8 +31,15 @@
     OpenClaims,
 )
 from geraniumspool.errors import MalformedMessage, UnknownKind
-from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
+from geraniumspool.job_messages import (
+    DispatcherReport,
+    DropJobs,
+    ForwardedEnd,
+    ForwardJob,
+    ServiceLoad,
+)
 from geraniumspool.message_growth import skip_unknown_elements, trim_elements
+from geraniumspool.queues import Queue
 from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
 from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_EXTENSIBLE, VERSION_STAMPED
 
@@ -568,7 +575,7 @@
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
 # How many fields the types that have grown since the base version had in it.
-_BASE_LENGTHS: dict[type, int] = {}
+_BASE_LENGTHS: dict[type, int] = {Queue: 10, ServiceLoad: 6}
 _KIND_BY_TYPE = {message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)}
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
--- a/geraniumspool/platform/configuration.py
+++ b/geraniumspool/platform/configuration.py
@@ -1,6 +1,7 @@
 """Format of the operators' configuration in the platform's store."""
 
 import logging
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -12,6 +13,11 @@
 OPERATOR_KEYS = OperatorKeys("op/", "op/config", "op/evacuate/")
 
 
+# Larger weights would let the parts of the other queues vanish in rounding.
+MAX_WEIGHT = 1_000.0
+Weight: TypeAlias = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+
+
 class RouteBody(msgspec.Struct):
     """A queue, as a stored configuration describes it.
 
@@ -22,6 +28,7 @@
     :ivar stretch: factor of the job's estimated run time in the latency objective
     :ivar target_duration_ms: constant part of the latency objective
     :ivar timeout_ms: longest wait of a caller; jobs are not limited by it
+    :ivar weight: part of the capacity reserved for the queues of a service, relative to the others
     :ivar hint: set if an external service decides which minions may run the queue's tasks
     """
 
@@ -35,6 +42,7 @@
     target_duration_ms: float = 0.0
     timeout_ms: float = 0.0
     hint: dict | None = None
+    weight: Weight = 1.0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -80,4 +88,5 @@
         route.target_duration_ms,
         route.timeout_ms,
         route.hint is not None,
+        route.weight,
     )
--- a/geraniumspool/queues.py
+++ b/geraniumspool/queues.py
@@ -18,6 +18,8 @@
     :param objective_ms: constant part of the latency objective in ms, added to the multiple
     :param timeout_ms: upper bound of a caller's timeout in ms, whatever it asks for
     :param advised: whether a service restricts which minions may run a task
+    :param weight: its part of the capacity that is reserved for the queues of its service,
+        relative to the others
     """
 
     name: str
@@ -30,6 +32,7 @@
     objective_ms: float = 0.0
     timeout_ms: float = 0.0
     advised: bool = False
+    weight: float = 1.0
 
 
 class QueueTable:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -187,6 +187,22 @@
         self.assertEqual(404, self.request("GET", "/lohu930/")[0])
         self.assertIsNone(decode_configuration(b"{"))
 
+    def test_an_impossible_weight_is_rejected_with_its_name(self):
+        self.configure(version=3)
+        first, *others = CONFIGURATION["routes"]
+        for weight in (0, -1, 1_001, "2", None):
+            document = CONFIGURATION | {"version": 4, "routes": [first | {"weight": weight}]}
+            with (
+                self.subTest(weight=weight),
+                self.assertLogs("geraniumspool.platform.configuration", "ERROR") as logs,
+            ):
+                self.assertIsNone(decode_configuration(json.dumps(document).encode()))
+                self.assertIn("routes[0].weight", str(logs.records[0].fields))
+        self.assertEqual(3, self.configuration.table.version)
+        self.configure(version=5, routes=[first | {"weight": 2.5}, *others])
+        weights = [queue.weight for queue in self.configuration.table.queues]
+        self.assertEqual([2.5, 1.0, 1.0], weights)
+
     def test_readiness_check(self):
         ready = [False]
         server = WebServer(
