Dispatcher: share scarce capacity by value and by least shares

Cause: under a lasting shortage the least urgent queue gets what is left, jobs are accepted that end late, and accepted jobs are refused after long waits.

Change: `ScarcityPolicy` beside `UsefulnessPolicy`, chosen by the settings `least_share` and `value_order`, both off by default. While capacity is scarce it refuses jobs on arrival that can only end late or displace more value than they bring, decides on accepted jobs within a quarter of their objective only, and serves queues below their part of the capacity first.

--- a/benchmarks/pattern_play.py
+++ b/benchmarks/pattern_play.py
@@ -138,7 +138,7 @@
     def __init__(
         self,
         pattern: Pattern,
-        policy: type[DispatchPolicy],
+        policy: Callable[[], DispatchPolicy],
         seed: int = 1,
         workers: int = WORKERS,
         dispatchers: int = DISPATCHERS,
@@ -169,6 +169,11 @@
         self._held_jobs: dict[str, list[_SentJob]] = {}
         self._random = random.Random(seed)
 
+    @property
+    def sent_jobs(self) -> list[_SentJob]:
+        """Return all jobs that were sent so far, in the order of their arrival."""
+        return self._sent
+
     def run(self) -> Row:
         """Run the simulation and return the results."""
         clock = self.world.clock
--- a/benchmarks/pattern_policies.py
+++ b/benchmarks/pattern_policies.py
@@ -1,11 +1,17 @@
 """Alternative dispatch policies, to compare with the one in use."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from geraniumspool import packing, urgency
+from geraniumspool.counters import MemoryCounters
 from geraniumspool.dispatch_job import DispatchJob
-from geraniumspool.dispatch_policy import DispatchPolicy, UsefulnessPolicy
+from geraniumspool.dispatch_policy import (
+    DispatchPolicy,
+    ScarcityPolicy,
+    SharingSettings,
+    UsefulnessPolicy,
+)
 from geraniumspool.job_specs import StepSpec
 from geraniumspool.packing import Candidate, PlacementRequest, WorkerChoice
 from geraniumspool.urgency import Outlook, Rank
@@ -182,9 +188,20 @@
     return [worker for worker in usable if worker.free.fits(step.need)]
 
 
+def _share(least_share: float, value_order: bool) -> Callable[[], DispatchPolicy]:
+    """Return a function that makes the policy for scarce capacity with some settings."""
+    settings = SharingSettings(least_share, value_order)
+    return lambda: ScarcityPolicy(settings, MemoryCounters())
+
+
 POLICY_IN_USE = "expected use"
-POLICIES: dict[str, type[DispatchPolicy]] = {
+POLICY_BY_VALUE = "by value"
+POLICY_WITH_SHARES = "by value with least shares"
+POLICIES: dict[str, Callable[[], DispatchPolicy]] = {
     POLICY_IN_USE: UsefulnessPolicy,
+    POLICY_BY_VALUE: _share(0.0, True),
+    "least shares": _share(0.3, False),
+    POLICY_WITH_SHARES: _share(0.3, True),
     "new and begun alike": NoPreferenceForBegun,
     "without priorities": LatestStartFirst,
     "only in time": RefuseIfLikelyLate,
--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -27,6 +27,10 @@
     :param advertised_inbox: address of the inbox for other processes, where it differs from the one
         that the process listens on, as behind address translation; empty if it does not
     :param log_level: lowest level that is logged
+    :param least_share: part of the capacity that is reserved for the queues of a service by
+        their weights while capacity is scarce, 0 for none
+    :param value_order: whether, while capacity is scarce, jobs are refused by the value that they
+        bring and displace
     """
 
     name: str
@@ -41,6 +45,8 @@
     grace_s: float = 6.0
     advertised_inbox: str = ""
     log_level: str = "info"
+    least_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    value_order: bool = False
 
     @property
     def capacity(self) -> float:
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -14,6 +14,7 @@
 from geraniumspool.contracts import Change, Clock, Messenger, Snapshot, Store
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import DispatcherSettings
+from geraniumspool.dispatch_policy import SharingSettings, make_policy
 from geraniumspool.dispatcher import Dispatcher
 from geraniumspool.dispatcher_peers import DispatcherPeers
 from geraniumspool.evacuations import Evacuations
@@ -93,7 +94,13 @@
         )
         self.claims.links = messenger
         self.dispatcher = Dispatcher(
-            clock, messenger.send, metrics, settings.domain, self.evacuations, self.claims
+            clock,
+            messenger.send,
+            metrics,
+            settings.domain,
+            self.evacuations,
+            self.claims,
+            make_policy(SharingSettings(settings.least_share, settings.value_order), metrics),
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -82,6 +82,7 @@
         interrupted
     :ivar predicted_wait_ms: queueing time predicted on the job's arrival
     :ivar wait_factor: correction factor used in that prediction, see :class:`WaitLearner`
+    :ivar accepted_capacity: usable CPU at the job's acceptance, in thousandths of a core
     :ivar wait_recorded: whether the actual queueing time was recorded
     :ivar may_have_started: whether a run was sent to a worker and so may have started
     :ivar finished: event that is sent when the job ends
@@ -105,6 +106,7 @@
         self.failed_at: dict[TaskId, int] = {}
         self.predicted_wait_ms = 0.0
         self.wait_factor = 1.0
+        self.accepted_capacity = 0.0
         self.wait_recorded = False
         self.may_have_started = False
         self.finished = Event()
@@ -171,6 +173,13 @@
         """
         return sum(len(step.pending) * step.spec.need.cpu * step.expected_ms for step in self.steps)
 
+    def work(self) -> float:
+        """Return the work of all tasks, started or not.
+
+        :return: thousandths of a core times ms
+        """
+        return sum(step.spec.count * step.spec.need.cpu * step.expected_ms for step in self.steps)
+
     def next_attempt(self, task: TaskId) -> int:
         """Return the attempt number for the next run of a task, counting from 1."""
         number = self.attempts.get(task, 0) + 1
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -16,7 +16,7 @@
 from geraniumspool.crash_blame import CrashBlame
 from geraniumspool.dispatch_job import DispatchJob, PlacedRun, Step, log_job, make_steps
 from geraniumspool.dispatch_job import compute_objective_ms as measure
-from geraniumspool.dispatch_policy import DispatchPolicy, UsefulnessPolicy
+from geraniumspool.dispatch_policy import DispatchPolicy, FindServed, UsefulnessPolicy
 from geraniumspool.evacuations import Evacuations
 from geraniumspool.fleet import Fleet, OpenRun, WorkerView
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog, mean_run_ms
@@ -27,6 +27,7 @@
 from geraniumspool.messages import Message, Peer
 from geraniumspool.queued_work import Arrivals, QueuedWork
 from geraniumspool.queues import Queue
+from geraniumspool.room_shares import QueueShare
 from geraniumspool.run_messages import (
     FENCED,
     RUN_DONE,
@@ -37,7 +38,7 @@
     RunEnd,
     WorkerReport,
 )
-from geraniumspool.urgency import Timing
+from geraniumspool.urgency import Outlook, Rank, Timing
 
 _LOG = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
     :ivar exit_ms: clock time in ms at which the process will exit, infinite if unknown
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
+    :ivar find_served: returns what other dispatchers report that the queues of a service got
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         claims.fences.find_silent_since = self.fleet.find_silent_since
         claims.fences.is_connection_closed = self.fleet.is_worker_connection_closed
         self.get_remote_capacity: Callable[[str], float] = _no_remote_capacity
+        self.find_served: FindServed = _no_served
         self.exit_ms = math.inf
 
     @property
@@ -305,6 +308,7 @@
             round(mean_run_ms(jobs), 1),
             job_admission.sum_work(waiting, self._policy, self._clock.now()),
             tuple({view.rack for view in usable if view.rack}),
+            self._policy.list_served(service, self._clock.now()),
         )
 
     def handle_report(self, sender: Peer, report: WorkerReport) -> None:
@@ -374,6 +378,8 @@
         objective_ms = measure(job.steps, job.queue, capacity)
         job.timing = Timing(now - age_ms, objective_ms, timeout_ms - RESULT_MARGIN_MS)
         backlog = self._describe_backlog(job.queue.service, workers, now)
+        self._policy.observe_arrival(job, now)
+        job.accepted_capacity = sum(view.capacity.cpu for view in workers)
         refusal = job_admission.check_admission(job, backlog, self._policy, now)
         return refusal or self._check_shutdown(job, now)
 
@@ -392,12 +398,15 @@
 
     def _describe_backlog(self, service: str, workers: list[WorkerView], now: float) -> Backlog:
         """Return the backlog of a service, as input for admission decisions."""
+        queued = self._sum_work(service, now)
+        capacity = sum(view.capacity.cpu for view in workers)
+        self._policy.observe_load(service, capacity, queued, self.find_served, now)
         return Backlog(
             self._jobs.values(),
             [job for job in self._pending.values() if job.queue.service == service],
             workers,
             self.fleet.expects_reports,
-            self._sum_work(service, now),
+            queued,
             self._wait_learner.factor,
             self.fleet.new_worker_count,
         )
@@ -466,13 +475,30 @@
         ahead = 0.0
         for rank, number in ranked:
             job = jobs[number]
-            if not job.may_have_started and rank.lateness != urgency.IN_TIME:
-                outlook = job_admission.predict_outlook(job, ahead, backlog)
+            if not job.may_have_started and self._policy.is_shed_checked(job, rank.lateness, now):
+                reserved_share = self._policy.reserved_share(job)
+                outlook = job_admission.predict_outlook(job, ahead, backlog, reserved_share)
                 if self._policy.is_shed(job, outlook, now):
+                    self._log_shed(job, rank, outlook, now)
                     self._give_up(job, "overload")
                     continue
             ahead += job.pending_work()
 
+    def _log_shed(self, job: DispatchJob, rank: Rank, outlook: Outlook, now: float) -> None:
+        """Log why an accepted job is refused after all."""
+        capacity = sum(view.capacity.cpu for view in self.fleet.usable_workers(job.queue.service))
+        self._counters.add("jobs_shed", queue=job.queue.name)
+        log_job(
+            "job shed",
+            job,
+            age_ms=round(now - job.timing.arrived_ms),
+            objective_ms=round(job.timing.objective_ms),
+            lateness=rank.lateness,
+            capacity=capacity,
+            accepted_capacity=job.accepted_capacity,
+            **{name: round(value, 1) for name, value in outlook._asdict().items()},
+        )
+
     def _handle_run_end(self, placed: PlacedRun, end: RunEnd) -> None:
         job, task = placed.job, placed.task
         step = job.steps[task.step]
@@ -592,5 +618,9 @@
     return end.how == RUN_LAPSED and end.reason in CRASH_REASONS
 
 
+def _no_served(_service: str) -> tuple[QueueShare, ...]:
+    return ()
+
+
 def _no_remote_capacity(_service: str) -> float:
     return 0.0
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -14,7 +14,7 @@
 from geraniumspool.fleet import WorkerView
 from geraniumspool.job_specs import JobOutcome, JobResult
 from geraniumspool.queued_work import LEVELS, NO_WORK, QueuedWork
-from geraniumspool.urgency import Outlook
+from geraniumspool.urgency import Outlook, Rank
 
 # Time within which about all workers are back after a power loss.
 POWER_LOSS_RECOVERY_MS = 250.0
@@ -64,8 +64,11 @@
     remaining_run_ms = job.remaining_run_ms()
     inputs = [("workers", len(backlog.workers)), ("left_ms", round(remaining_run_ms))]
     waiting = backlog.waiting
+    after: list[tuple[Rank, DispatchJob]] = []
+    ahead = 0.0
     if backlog.workers:
-        outlook = predict_outlook(job, _sum_ahead(job, waiting, policy, now), backlog)
+        ahead, after = _split_waiting(job, waiting, policy, now)
+        outlook = predict_outlook(job, ahead, backlog, policy.reserved_share(job))
     else:
         outlook = Outlook(False, 0.0, 0.0, 1.0, 1.0, POWER_LOSS_RECOVERY_MS)
     job.predicted_wait_ms = min(outlook.wait_ms, MAX_PREDICTED_WAIT_MS)
@@ -74,8 +77,20 @@
     inputs += [(name, round(value, 1)) for name, value in outlook._asdict().items()]
     inputs.append(("delay_ms", round(job.predicted_wait_ms)))
     inputs.append(("objective_ms", round(job.timing.objective_ms)))
-    retry_ms = urgency.choose_retry_delay(job.predicted_wait_ms)
+    displacement = None
+    if not is_refused and after:
+        spare = [_spare_capacity(backlog, level) for level in range(LEVELS)]
+        displacement = policy.find_displacement(job, ahead, after, spare, now)
+    wait_ms = job.predicted_wait_ms
+    if displacement is not None and displacement.exceeds_value:
+        is_refused = True
+        inputs += [(name, round(value)) for name, value in displacement._asdict().items()]
+        # Capacity suffices once the work that would be displaced is done as well.
+        wait_ms = max(wait_ms, _predict_drain_ms(backlog))
+    retry_ms = urgency.choose_retry_delay(wait_ms)
     if is_refused:
+        chances = urgency.predict_probabilities(job.timing, remaining_run_ms, outlook, now)
+        inputs += [(name, round(chance, 2)) for name, chance in chances._asdict().items()]
         return JobResult(JobOutcome.REFUSED, "overload", retry_ms, tuple(inputs))
     if remaining_run_ms > job.timing.timeout_ms:
         return JobResult(JobOutcome.REFUSED, "deadline", retry_ms, tuple(inputs))
@@ -96,11 +111,14 @@
     return QueuedWork(tuple(in_time), tuple(late))
 
 
-def predict_outlook(job: DispatchJob, ahead: float, backlog: Backlog) -> Outlook:
+def predict_outlook(
+    job: DispatchJob, ahead: float, backlog: Backlog, reserved_share: float = 0.0
+) -> Outlook:
     """Return the predicted queueing conditions of a job.
 
     :param ahead: queued work of this process that is served before the job, in thousandths
         of a core times ms
+    :param reserved_share: part of the capacity that more urgent arrivals leave to the job's queue
     """
     workers = backlog.workers
     queued = backlog.queued
@@ -109,7 +127,7 @@
     task_cpu = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
     capacity = _usable_capacity(backlog, task_cpu)
     free = sum(_round_to_tasks(view.free.cpu, task_cpu) for view in workers)
-    min_spare = urgency.MIN_SPARE * capacity
+    min_spare = max(urgency.MIN_SPARE, reserved_share) * capacity
     return Outlook(
         ahead == 0 and need <= free,
         ahead,
@@ -121,13 +139,35 @@
     )
 
 
-def _sum_ahead(
+def _split_waiting(
     job: DispatchJob, waiting: list[DispatchJob], policy: DispatchPolicy, now: float
-) -> float:
-    """Return the queued work of this process that is served before a job."""
+) -> tuple[float, list[tuple[Rank, DispatchJob]]]:
+    """Return the queued work that is served before a job, and the jobs after it with ranks."""
     own = policy.rank(job, now)
-    others = (other for other in waiting if other is not job)
-    return sum(other.pending_work() for other in others if policy.rank(other, now) <= own)
+    ahead = 0.0
+    after = []
+    for other in waiting:
+        if other is job:
+            continue
+        rank = policy.rank(other, now)
+        if rank <= own:
+            ahead += other.pending_work()
+        else:
+            after.append((rank, other))
+    return ahead, after
+
+
+def _spare_capacity(backlog: Backlog, level: int) -> float:
+    """Return the capacity that more urgent arrivals leave to a priority level."""
+    capacity = _usable_capacity(backlog, 0)
+    return max(urgency.MIN_SPARE * capacity, capacity - sum(backlog.queued.arriving[:level]))
+
+
+def _predict_drain_ms(backlog: Backlog) -> float:
+    """Return the predicted time in ms until the work that is queued now is done."""
+    queued = backlog.queued
+    work = sum(queued.in_time) + sum(queued.late)
+    return work / max(1.0, _usable_capacity(backlog, 0))
 
 
 def _usable_capacity(backlog: Backlog, task_cpu: int) -> float:
--- a/geraniumspool/job_placer.py
+++ b/geraniumspool/job_placer.py
@@ -121,6 +121,7 @@
             job.fence_rank,
         )
         self._next_number += 1
+        self._policy.observe_start(job, step.spec.need.cpu * step.expected_ms, now)
         placed = PlacedRun(job, task, view, place.run_ms)
         job.runs[order.number] = placed
         step.runs_by_worker[id(view)] = step.runs_by_worker.get(id(view), 0) + 1
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -41,6 +41,7 @@
 from geraniumspool.owner_choice import OwnerOption
 from geraniumspool.queues import Queue
 from geraniumspool.reliable_links import ReliableLinks
+from geraniumspool.room_shares import QueueShare
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
 
 _LOG = logging.getLogger(__name__)
@@ -199,6 +200,7 @@
         self._owner_seen_ms = clock.now()
         self._had_loads = False
         dispatcher.get_remote_capacity = self._find_capacity
+        dispatcher.find_served = self._find_served
 
     @property
     def has_workers(self) -> bool:
@@ -688,6 +690,11 @@
         loads = (view.loads.get(service) for view in self.peers.list_owners())
         return sum(load.room_cpu for load in loads if load)
 
+    def _find_served(self, service: str) -> list[QueueShare]:
+        """Return what the queues of a service got at other owners recently."""
+        loads = (view.loads.get(service) for view in self.peers.list_owners())
+        return [share for load in loads if load for share in load.served]
+
     def _log(self, message: str, job: RoutedJob, **fields: object) -> None:
         _LOG.info(message, extra={"fields": (("job", job.spec.job_id), *fields.items())})
 
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import os
 import re
 import subprocess
@@ -70,6 +71,22 @@
             with self.subTest(invalid=invalid), self.assertRaises(InvalidInput):
                 self.load(yaml.safe_dump(DISPATCHER | invalid))
 
+    def test_sharing_of_scarce_capacity_is_off_by_default_and_checked(self):
+        settings = self.load(yaml.safe_dump(DISPATCHER))
+        self.assertEqual((0.0, False), (settings.least_share, settings.value_order))
+        given = {"least_share": 0.25, "value_order": True}
+        settings = self.load(yaml.safe_dump(DISPATCHER | given))
+        self.assertEqual((0.25, True), (settings.least_share, settings.value_order))
+        for name, values in (
+            ("least_share", (-0.1, 1.1, math.nan, math.inf, "half", None, True)),
+            ("value_order", ("on", 1, None)),
+        ):
+            for value in values:
+                with self.subTest(name=name, value=value):
+                    with self.assertRaises(InvalidInput) as raised:
+                        self.load(yaml.safe_dump(DISPATCHER | {name: value}))
+                    self.assertEqual([name], [each.path for each in raised.exception.findings])
+
     def test_the_same_file_written_as_json(self):
         document = DISPATCHER | {"grace_s": 4}
         self.assertEqual(self.load(yaml.safe_dump(document)), self.load(json.dumps(document)))
