--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -107,6 +107,7 @@
         self.predicted_wait_ms = 0.0
         self.wait_factor = 1.0
         self.accepted_capacity = 0.0
+        self._work: float | None = None
         self.wait_recorded = False
         self.may_have_started = False
         self.finished = Event()
@@ -178,7 +179,11 @@
 
         :return: thousandths of a core times ms
         """
-        return sum(step.spec.count * step.spec.need.cpu * step.expected_ms for step in self.steps)
+        if self._work is None:
+            self._work = sum(
+                step.spec.count * step.spec.need.cpu * step.expected_ms for step in self.steps
+            )
+        return self._work
 
     def next_attempt(self, task: TaskId) -> int:
         """Return the attempt number for the next run of a task, counting from 1."""
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -25,7 +25,7 @@
 from geraniumspool.job_placer import JobPlacer
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
-from geraniumspool.queued_work import Arrivals, QueuedWork
+from geraniumspool.queued_work import Arrivals
 from geraniumspool.queues import Queue
 from geraniumspool.room_shares import QueueShare
 from geraniumspool.run_messages import (
@@ -398,26 +398,25 @@
 
     def _describe_backlog(self, service: str, workers: list[WorkerView], now: float) -> Backlog:
         """Return the backlog of a service, as input for admission decisions."""
-        queued = self._sum_work(service, now)
+        jobs = [job for job in self._pending.values() if job.queue.service == service]
+        ranked = job_admission.rank_jobs(jobs, self._policy, now)
+        queued = job_admission.sum_ranked_work(ranked)
+        arrivals = self._arrivals.get(service)
+        if arrivals:
+            queued = arrivals.add_to(queued, now)
         capacity = sum(view.capacity.cpu for view in workers)
         self._policy.observe_load(service, capacity, queued, self.find_served, now)
         return Backlog(
             self._jobs.values(),
-            [job for job in self._pending.values() if job.queue.service == service],
+            jobs,
             workers,
             self.fleet.expects_reports,
             queued,
             self._wait_learner.factor,
             self.fleet.new_worker_count,
+            ranked,
         )
 
-    def _sum_work(self, service: str, now: float) -> QueuedWork:
-        """Return the queued work of a service together with its arrival rates."""
-        jobs = [job for job in self._pending.values() if job.queue.service == service]
-        work = job_admission.sum_work(jobs, self._policy, now)
-        arrivals = self._arrivals.get(service)
-        return arrivals.add_to(work, now) if arrivals else work
-
     def _place(self) -> None:
         """Assign waiting tasks to workers, the most urgent job first."""
         self._claims.check_pause()
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Collection, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 from geraniumspool import packing, urgency
 from geraniumspool.dispatch_job import DispatchJob
@@ -30,6 +30,9 @@
 UNUSED_SHARE = 0.5
 
 
+RankedJob: TypeAlias = tuple[Rank, DispatchJob]
+
+
 class Backlog(NamedTuple):
     """Load of a dispatcher, as input for admission decisions.
 
@@ -40,6 +43,7 @@
     :param queued: queued work and arrival rates of this process, by priority level
     :param wait_factor: learnt ratio of actual to predicted waits
     :param new_worker_count: number of newly listed workers that may become usable soon
+    :param ranked: ``waiting`` with their ranks, in any order; None if they were not ranked
     """
 
     jobs: Collection[DispatchJob]
@@ -49,6 +53,7 @@
     queued: QueuedWork = NO_WORK
     wait_factor: float = 1.0
     new_worker_count: int = 0
+    ranked: list[RankedJob] | None = None
 
 
 def check_admission(
@@ -64,10 +69,13 @@
     remaining_run_ms = job.remaining_run_ms()
     inputs = [("workers", len(backlog.workers)), ("left_ms", round(remaining_run_ms))]
     waiting = backlog.waiting
-    after: list[tuple[Rank, DispatchJob]] = []
+    after: list[RankedJob] = []
     ahead = 0.0
     if backlog.workers:
-        ahead, after = _split_waiting(job, waiting, policy, now)
+        ranked = backlog.ranked
+        if ranked is None:
+            ranked = rank_jobs(waiting, policy, now)
+        ahead, after = _split_waiting(job, ranked, policy.rank(job, now))
         outlook = predict_outlook(job, ahead, backlog, policy.reserved_share(job))
     else:
         outlook = Outlook(False, 0.0, 0.0, 1.0, 1.0, POWER_LOSS_RECOVERY_MS)
@@ -102,12 +110,21 @@
     policy: DispatchPolicy,
     now: float,
 ) -> QueuedWork:
+    """Return the pending work of some jobs, by priority level."""
+    return sum_ranked_work(rank_jobs(jobs, policy, now))
+
+
+def rank_jobs(jobs: Iterable[DispatchJob], policy: DispatchPolicy, now: float) -> list[RankedJob]:
+    """Return jobs with their ranks, in the given order."""
+    return [(policy.rank(job, now), job) for job in jobs]
+
+
+def sum_ranked_work(ranked: Iterable[RankedJob]) -> QueuedWork:
     """Return the pending work of some jobs, by priority level."""
     in_time = [0.0] * LEVELS
     late = [0.0] * LEVELS
-    for job in jobs:
-        on_time = policy.rank(job, now).lateness == urgency.IN_TIME
-        (in_time if on_time else late)[job.level] += job.pending_work()
+    for rank, job in ranked:
+        (in_time if rank.lateness == urgency.IN_TIME else late)[job.level] += job.pending_work()
     return QueuedWork(tuple(in_time), tuple(late))
 
 
@@ -140,20 +157,22 @@
 
 
 def _split_waiting(
-    job: DispatchJob, waiting: list[DispatchJob], policy: DispatchPolicy, now: float
-) -> tuple[float, list[tuple[Rank, DispatchJob]]]:
-    """Return the queued work that is served before a job, and the jobs after it with ranks."""
-    own = policy.rank(job, now)
+    job: DispatchJob, ranked: list[RankedJob], own: Rank
+) -> tuple[float, list[RankedJob]]:
+    """Return the queued work that is served before a job, and the jobs after it.
+
+    :param own: the job's rank
+    """
     ahead = 0.0
     after = []
-    for other in waiting:
+    for pair in ranked:
+        rank, other = pair
         if other is job:
             continue
-        rank = policy.rank(other, now)
         if rank <= own:
             ahead += other.pending_work()
         else:
-            after.append((rank, other))
+            after.append(pair)
     return ahead, after
 
 
