--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -32,6 +32,10 @@
     :param log_level: lowest level that is logged
     :param remote_data_factor: how many times as long a task takes away from the rack of its data,
         None for ``DEFAULT_REMOTE_DATA_FACTOR`` of :mod:`geraniumspool.data_locality`
+    :param least_share: part of the capacity that is reserved for the queues of a service by
+        their weights while capacity is scarce, 0 for none
+    :param value_order: whether, while capacity is scarce, jobs are refused by the value that they
+        bring and displace
     """
 
     name: str
@@ -49,6 +53,8 @@
     remote_data_factor: Annotated[float, msgspec.Meta(ge=1, le=MAX_REMOTE_DATA_FACTOR)] | None = (
         None
     )
+    least_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    value_order: bool = False
 
     @property
     def capacity(self) -> float:
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -14,6 +14,7 @@
 from geraniumspool.contracts import Change, Clock, Messenger, Snapshot, Store
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import DispatcherSettings
+from geraniumspool.dispatch_policy import SharingSettings, make_policy
 from geraniumspool.dispatcher import Dispatcher
 from geraniumspool.dispatcher_peers import DispatcherPeers
 from geraniumspool.evacuations import Evacuations
@@ -99,6 +100,7 @@
             settings.domain,
             self.evacuations,
             self.claims,
+            make_policy(SharingSettings(settings.least_share, settings.value_order), metrics),
             remote_data_factor=settings.remote_data_factor,
         )
         self.dispatcher.fleet.links = messenger
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -18,7 +18,7 @@
 from geraniumspool.departures import ActiveRun, find_runs_to_move
 from geraniumspool.dispatch_job import DispatchJob, PlacedRun, log_job, make_steps
 from geraniumspool.dispatch_job import compute_objective_ms as measure
-from geraniumspool.dispatch_policy import DispatchPolicy, UsefulnessPolicy
+from geraniumspool.dispatch_policy import DispatchPolicy, FindServed, UsefulnessPolicy
 from geraniumspool.evacuations import Evacuations
 from geraniumspool.fleet import Fleet, OpenRun, WorkerView
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, Backlog, mean_run_ms
@@ -27,8 +27,9 @@
 from geraniumspool.job_placer import JobPlacer
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
-from geraniumspool.queued_work import Arrivals, QueuedWork
+from geraniumspool.queued_work import Arrivals
 from geraniumspool.queues import Queue
+from geraniumspool.room_shares import QueueShare
 from geraniumspool.run_messages import (
     FENCED,
     RUN_DONE,
@@ -39,7 +40,7 @@
     RunEnd,
     WorkerReport,
 )
-from geraniumspool.urgency import Timing
+from geraniumspool.urgency import Outlook, Rank, Timing
 
 _LOG = logging.getLogger(__name__)
 
@@ -84,6 +85,7 @@
     :ivar remote_data: factor by which tasks take longer away from their data
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
+    :ivar find_served: returns what other dispatchers report that the queues of a service got
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         claims.fences.find_silent_since = self.fleet.find_silent_since
         claims.fences.is_connection_closed = self.fleet.is_worker_connection_closed
         self.get_remote_capacity: Callable[[str], float] = _no_remote_capacity
+        self.find_served: FindServed = _no_served
         self.exit_ms = math.inf
 
     @property
@@ -314,6 +317,7 @@
             round(mean_run_ms(jobs), 1),
             job_admission.sum_work(waiting, self._policy, self._clock.now()),
             tuple({view.rack for view in usable if view.rack}),
+            self._policy.list_served(service, self._clock.now()),
         )
 
     def handle_report(self, sender: Peer, report: WorkerReport) -> None:
@@ -432,6 +436,8 @@
         objective_ms = measure(job.steps, job.queue, capacity)
         job.timing = Timing(now - age_ms, objective_ms, timeout_ms - RESULT_MARGIN_MS)
         backlog = self._describe_backlog(job.queue.service, workers, now)
+        self._policy.observe_arrival(job, now)
+        job.accepted_capacity = sum(view.capacity.cpu for view in workers)
         refusal = job_admission.check_admission(job, backlog, self._policy, now)
         return refusal or self._check_shutdown(job, now)
 
@@ -450,23 +456,25 @@
 
     def _describe_backlog(self, service: str, workers: list[WorkerView], now: float) -> Backlog:
         """Return the backlog of a service, as input for admission decisions."""
+        jobs = [job for job in self._pending.values() if job.queue.service == service]
+        ranked = job_admission.rank_jobs(jobs, self._policy, now)
+        queued = job_admission.sum_ranked_work(ranked)
+        arrivals = self._arrivals.get(service)
+        if arrivals:
+            queued = arrivals.add_to(queued, now)
+        capacity = sum(view.capacity.cpu for view in workers)
+        self._policy.observe_load(service, capacity, queued, self.find_served, now)
         return Backlog(
             self._jobs.values(),
-            [job for job in self._pending.values() if job.queue.service == service],
+            jobs,
             workers,
             self.fleet.expects_reports,
-            self._sum_work(service, now),
+            queued,
             self._wait_learner.factor,
             self.fleet.new_worker_count,
+            ranked,
         )
 
-    def _sum_work(self, service: str, now: float) -> QueuedWork:
-        """Return the queued work of a service together with its arrival rates."""
-        jobs = [job for job in self._pending.values() if job.queue.service == service]
-        work = job_admission.sum_work(jobs, self._policy, now)
-        arrivals = self._arrivals.get(service)
-        return arrivals.add_to(work, now) if arrivals else work
-
     def _place(self) -> None:
         """Assign waiting tasks to workers, the most urgent job first."""
         self._claims.check_pause()
@@ -524,13 +532,30 @@
         ahead = 0.0
         for rank, number in ranked:
             job = jobs[number]
-            if not job.may_have_started and rank.lateness != urgency.IN_TIME:
-                outlook = job_admission.predict_outlook(job, ahead, backlog)
+            if not job.may_have_started and self._policy.is_shed_checked(job, rank.lateness, now):
+                reserved_share = self._policy.reserved_share(job)
+                outlook = job_admission.predict_outlook(job, ahead, backlog, reserved_share)
                 if self._policy.is_shed(job, outlook, now):
+                    self._log_shed(job, rank, outlook, now)
                     self._give_up(job, "overload")
                     continue
             ahead += job.pending_work()
 
+    def _log_shed(self, job: DispatchJob, rank: Rank, outlook: Outlook, now: float) -> None:
+        """Log why an accepted job is refused after all."""
+        capacity = sum(view.capacity.cpu for view in self.fleet.usable_workers(job.queue.service))
+        self._counters.add("jobs_shed", queue=job.queue.name)
+        log_job(
+            "job shed",
+            job,
+            age_ms=round(now - job.timing.arrived_ms),
+            objective_ms=round(job.timing.objective_ms),
+            lateness=rank.lateness,
+            capacity=capacity,
+            accepted_capacity=job.accepted_capacity,
+            **{name: round(value, 1) for name, value in outlook._asdict().items()},
+        )
+
     def _handle_run_end(self, placed: PlacedRun, end: RunEnd) -> None:
         job, task = placed.job, placed.task
         step = job.steps[task.step]
@@ -663,5 +688,9 @@
     return end.how == RUN_LAPSED and end.reason in CRASH_REASONS
 
 
+def _no_served(_service: str) -> tuple[QueueShare, ...]:
+    return ()
+
+
 def _no_remote_capacity(_service: str) -> float:
     return 0.0
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Collection, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 from geraniumspool import packing, urgency
 from geraniumspool.dispatch_job import DispatchJob
@@ -14,7 +14,7 @@
 from geraniumspool.fleet import WorkerView
 from geraniumspool.job_specs import JobOutcome, JobResult
 from geraniumspool.queued_work import LEVELS, NO_WORK, QueuedWork
-from geraniumspool.urgency import Outlook
+from geraniumspool.urgency import Outlook, Rank
 
 # Time within which about all workers are back after a power loss.
 POWER_LOSS_RECOVERY_MS = 250.0
@@ -30,6 +30,9 @@
 UNUSED_SHARE = 0.5
 
 
+RankedJob: TypeAlias = tuple[Rank, DispatchJob]
+
+
 class Backlog(NamedTuple):
     """Load of a dispatcher, as input for admission decisions.
 
@@ -40,6 +43,7 @@
     :param queued: queued work and arrival rates of this process, by priority level
     :param wait_factor: learnt ratio of actual to predicted waits
     :param new_worker_count: number of newly listed workers that may become usable soon
+    :param ranked: ``waiting`` with their ranks, in any order; None if they were not ranked
     """
 
     jobs: Collection[DispatchJob]
@@ -49,6 +53,7 @@
     queued: QueuedWork = NO_WORK
     wait_factor: float = 1.0
     new_worker_count: int = 0
+    ranked: list[RankedJob] | None = None
 
 
 def check_admission(
@@ -64,8 +69,14 @@
     remaining_run_ms = job.remaining_run_ms()
     inputs = [("workers", len(backlog.workers)), ("left_ms", round(remaining_run_ms))]
     waiting = backlog.waiting
+    after: list[RankedJob] = []
+    ahead = 0.0
     if backlog.workers:
-        outlook = predict_outlook(job, _sum_ahead(job, waiting, policy, now), backlog)
+        ranked = backlog.ranked
+        if ranked is None:
+            ranked = rank_jobs(waiting, policy, now)
+        ahead, after = _split_waiting(job, ranked, policy.rank(job, now))
+        outlook = predict_outlook(job, ahead, backlog, policy.reserved_share(job))
     else:
         outlook = Outlook(False, 0.0, 0.0, 1.0, 1.0, POWER_LOSS_RECOVERY_MS)
     job.predicted_wait_ms = min(outlook.wait_ms, MAX_PREDICTED_WAIT_MS)
@@ -74,8 +85,20 @@
     inputs += [(name, round(value, 1)) for name, value in outlook._asdict().items()]
     inputs.append(("delay_ms", round(job.predicted_wait_ms)))
     inputs.append(("objective_ms", round(job.timing.objective_ms)))
-    retry_ms = urgency.choose_retry_delay(job.predicted_wait_ms)
+    displacement = None
+    if not is_refused and after:
+        spare = [_spare_capacity(backlog, level) for level in range(LEVELS)]
+        displacement = policy.find_displacement(job, ahead, after, spare, now)
+    wait_ms = job.predicted_wait_ms
+    if displacement is not None and displacement.exceeds_value:
+        is_refused = True
+        inputs += [(name, round(value)) for name, value in displacement._asdict().items()]
+        # Capacity suffices once the work that would be displaced is done as well.
+        wait_ms = max(wait_ms, _predict_drain_ms(backlog))
+    retry_ms = urgency.choose_retry_delay(wait_ms)
     if is_refused:
+        chances = urgency.predict_probabilities(job.timing, remaining_run_ms, outlook, now)
+        inputs += [(name, round(chance, 2)) for name, chance in chances._asdict().items()]
         return JobResult(JobOutcome.REFUSED, "overload", retry_ms, tuple(inputs))
     if remaining_run_ms > job.timing.timeout_ms:
         return JobResult(JobOutcome.REFUSED, "deadline", retry_ms, tuple(inputs))
@@ -87,20 +110,32 @@
     policy: DispatchPolicy,
     now: float,
 ) -> QueuedWork:
+    """Return the pending work of some jobs, by priority level."""
+    return sum_ranked_work(rank_jobs(jobs, policy, now))
+
+
+def rank_jobs(jobs: Iterable[DispatchJob], policy: DispatchPolicy, now: float) -> list[RankedJob]:
+    """Return jobs with their ranks, in the given order."""
+    return [(policy.rank(job, now), job) for job in jobs]
+
+
+def sum_ranked_work(ranked: Iterable[RankedJob]) -> QueuedWork:
     """Return the pending work of some jobs, by priority level."""
     in_time = [0.0] * LEVELS
     late = [0.0] * LEVELS
-    for job in jobs:
-        on_time = policy.rank(job, now).lateness == urgency.IN_TIME
-        (in_time if on_time else late)[job.level] += job.pending_work()
+    for rank, job in ranked:
+        (in_time if rank.lateness == urgency.IN_TIME else late)[job.level] += job.pending_work()
     return QueuedWork(tuple(in_time), tuple(late))
 
 
-def predict_outlook(job: DispatchJob, ahead: float, backlog: Backlog) -> Outlook:
+def predict_outlook(
+    job: DispatchJob, ahead: float, backlog: Backlog, reserved_share: float = 0.0
+) -> Outlook:
     """Return the predicted queueing conditions of a job.
 
     :param ahead: queued work of this process that is served before the job, in thousandths
         of a core times ms
+    :param reserved_share: part of the capacity that more urgent arrivals leave to the job's queue
     """
     workers = backlog.workers
     queued = backlog.queued
@@ -109,7 +144,7 @@
     task_cpu = max((step.spec.need.cpu for step in job.ready_steps()), default=0)
     capacity = _usable_capacity(backlog, task_cpu)
     free = sum(_round_to_tasks(view.free.cpu, task_cpu) for view in workers)
-    min_spare = urgency.MIN_SPARE * capacity
+    min_spare = max(urgency.MIN_SPARE, reserved_share) * capacity
     return Outlook(
         ahead == 0 and need <= free,
         ahead,
@@ -121,13 +156,37 @@
     )
 
 
-def _sum_ahead(
-    job: DispatchJob, waiting: list[DispatchJob], policy: DispatchPolicy, now: float
-) -> float:
-    """Return the queued work of this process that is served before a job."""
-    own = policy.rank(job, now)
-    others = (other for other in waiting if other is not job)
-    return sum(other.pending_work() for other in others if policy.rank(other, now) <= own)
+def _split_waiting(
+    job: DispatchJob, ranked: list[RankedJob], own: Rank
+) -> tuple[float, list[RankedJob]]:
+    """Return the queued work that is served before a job, and the jobs after it.
+
+    :param own: the job's rank
+    """
+    ahead = 0.0
+    after = []
+    for pair in ranked:
+        rank, other = pair
+        if other is job:
+            continue
+        if rank <= own:
+            ahead += other.pending_work()
+        else:
+            after.append(pair)
+    return ahead, after
+
+
+def _spare_capacity(backlog: Backlog, level: int) -> float:
+    """Return the capacity that more urgent arrivals leave to a priority level."""
+    capacity = _usable_capacity(backlog, 0)
+    return max(urgency.MIN_SPARE * capacity, capacity - sum(backlog.queued.arriving[:level]))
+
+
+def _predict_drain_ms(backlog: Backlog) -> float:
+    """Return the predicted time in ms until the work that is queued now is done."""
+    queued = backlog.queued
+    work = sum(queued.in_time) + sum(queued.late)
+    return work / max(1.0, _usable_capacity(backlog, 0))
 
 
 def _usable_capacity(backlog: Backlog, task_cpu: int) -> float:
