Tests: simulated dispatchers and executors announce the version of this build

Processes of tests/dispatch_world had the incarnations 1, 2 and so on, which stand for builds of the base version. Messages to them were cut to their base form, so that a field that is added to a message never arrived in a test. They now have incarnations that announce the current version.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -37,6 +37,7 @@
 )
 from geraniumspool.rooms import Resources
 from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
+from geraniumspool.wire_versions import make_incarnation
 
 QUEUE = Queue("scan", "h.example", "/scan/", "fitting", 0, 2, 1.6, 60.0)
 WORKER_RESOURCES = Resources(10_000, 10_000)
@@ -92,6 +93,7 @@
 class SimulatedWorker:
     """An executor with its minion, messenger and green threads.
 
+    :ivar number: number of its process, which distinguishes its incarnations
     :ivar is_cut_off: whether it can't reach the store
     """
 
@@ -108,10 +110,11 @@
         self.world = world
         self.name = name
         self.domain = domain
+        self.number = incarnation
         self.is_cut_off = False
         self.minion = minion or MemoryMinion(world.clock, f"i-{name}", resources)
         self.counters = MemoryCounters()
-        me = Peer(f"tcp://{name}", incarnation)
+        me = Peer(f"tcp://{name}", make_incarnation(incarnation))
         self.messenger = MemoryMessenger(world.network, me, self.counters)
         self.guard = EvacuationGuard(
             world.clock,
@@ -173,7 +176,7 @@
         self.world = world
         self.is_cut_off = is_cut_off
         self.counters = MemoryCounters()
-        me = Peer(f"tcp://{name}", incarnation)
+        me = Peer(f"tcp://{name}", make_incarnation(incarnation))
         self.messenger = MemoryMessenger(world.network, me, self.counters)
         policy = world.policy() if world.policy else None
         self.evacuations = Evacuations(world.clock, self.counters)
--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -378,13 +378,13 @@
         worker = self.pick_worker()
         worker.kill()
         index = self.world.workers.index(worker)
-        incarnation = worker.messenger.local_peer.incarnation + 1
+        number = worker.number + 1
         self.world.workers[index] = SimulatedWorker(
             self.world,
             worker.name,
-            incarnation,
+            number,
             worker.minion,
-            fence=incarnation * 100_000,
+            fence=number * 100_000,
             domain=worker.domain,
         )
         self.note(f"executor of {worker.name} replaced")
