Forwarded jobs of an entry dispatcher: a module of their own

job_router is the longest module of the dispatcher, and returned jobs add to it. ForwardedJob and RoutedJob move to routed_jobs without a change; imports in two tests follow.

--- a/geraniumspool/platform/ingress.py
+++ b/geraniumspool/platform/ingress.py
@@ -10,11 +10,12 @@
 
 from geraniumspool.connection import CONNECTION_KEY, NO_CONNECTION
 from geraniumspool.contracts import Counters
-from geraniumspool.job_router import JobRouter, RoutedJob
+from geraniumspool.job_router import JobRouter
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec, StepSpec
 from geraniumspool.queues import Queue, QueueConfiguration
 from geraniumspool.reply import Reply, reply_json, reply_problem
 from geraniumspool.rooms import Resources
+from geraniumspool.routed_jobs import RoutedJob
 from geraniumspool.routes import Request, Route
 from geraniumspool.units import MS_PER_SECOND
 from geraniumspool.web import WebApplication
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -14,11 +14,11 @@
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.job_claims import JobClaims
 from geraniumspool.job_messages import ServiceLoad
-from geraniumspool.job_router import ForwardedJob
 from geraniumspool.job_specs import JobOutcome, JobResult
 from geraniumspool.messages import Peer
 from geraniumspool.owner_choice import OwnerOption
 from geraniumspool.registrations import DISPATCHER_PREFIX, WORKER_PREFIX, WorkerRecord
+from geraniumspool.routed_jobs import ForwardedJob
 from tests.dispatch_world import QUEUE, Caller, DispatchWorld, SimulatedWorker, make_spec
 
 STEP_MS = 5
--- a/tests/test_joined_callers.py
+++ b/tests/test_joined_callers.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from geraniumspool.job_router import ForwardedJob
 from geraniumspool.job_specs import JobOutcome
+from geraniumspool.routed_jobs import ForwardedJob
 from tests.dispatch_world import DispatchWorld, make_spec
 
 STEP_MS = 5
