--- a/geraniumspool/job_messages.py
+++ b/geraniumspool/job_messages.py
@@ -43,6 +43,8 @@
     :param age_ms: time since the job arrived at the entry dispatcher
     :param wait_ms: how long the caller waits for the answer, counted from the job's arrival
     :param echo_ms: the owner's clock as it last reported it
+    :param may_return: whether the owner may give the job back with the code ``returned``; false for
+        a job that was returned once, and from builds that do not know the code
     """
 
     number: int
@@ -52,6 +54,7 @@
     age_ms: float
     wait_ms: float
     echo_ms: float
+    may_return: bool = False
 
 
 class ForwardedEnd(NamedTuple):
@@ -86,6 +89,7 @@
     :param loads: capacity and load of the sender's workers, one entry for each service
     :param evacuations: evacuated domains as the sender knows them
     :param unlisted: addresses of workers that the sender uses and does not find in the store
+    :param busy_share: part of its processor share that the sender uses, -1 if unknown
     """
 
     now_ms: float
@@ -96,3 +100,4 @@
     loads: tuple[ServiceLoad, ...]
     evacuations: EvacuationNews = EvacuationNews()
     unlisted: tuple[str, ...] = ()
+    busy_share: float = -1.0
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -568,7 +568,7 @@
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
 # How many fields the types that have grown since the base version had in it.
-_BASE_LENGTHS: dict[type, int] = {}
+_BASE_LENGTHS: dict[type, int] = {ForwardJob: 7, DispatcherReport: 8}
 _KIND_BY_TYPE = {message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)}
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
