Owners: a dispatcher that uses most of its processor share gets fewer jobs

A dispatcher whose share is used up answers late, and was chosen by the load of its workers alone. With the setting uses_busy_share, each dispatcher measures its processor time over 2 s, reports it as a part of its share, and the cost of an owner above 0.7 of its share grows with the excess, to 50 ms at the whole share. That figure is chosen above the cost of another domain, not measured. An impossible share of another process counts as unknown and is logged once.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -29,6 +29,8 @@
     :param log_level: lowest level that is logged
     :param returns_jobs: whether waiting jobs are returned to the dispatchers of their callers while
         another dispatcher has free capacity
+    :param uses_busy_share: whether the used part of the processor share is measured and reported,
+        and busy dispatchers are chosen for fewer jobs
     """
 
     name: str
@@ -44,6 +46,7 @@
     advertised_inbox: str = ""
     log_level: str = "info"
     returns_jobs: bool = False
+    uses_busy_share: bool = False
 
     @property
     def capacity(self) -> float:
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -23,6 +23,7 @@
 from geraniumspool.leased_key import LeasedKey
 from geraniumspool.messages import Message, Peer, WrongIncarnation
 from geraniumspool.operator_keys import OperatorKeys, list_evacuated
+from geraniumspool.processor_usage import ProcessorMeter
 from geraniumspool.queues import QueueConfiguration, QueueTable
 from geraniumspool.registrations import (
     DISPATCHER_PREFIX,
@@ -108,6 +109,9 @@
         )
         self.router.links = messenger
         self.router.returns_jobs = settings.returns_jobs
+        if settings.uses_busy_share:
+            meter = ProcessorMeter(clock, settings.capacity)
+            self.router.measure_busy_share = meter.measure
         self._member_key = LeasedKey(
             store,
             clock,
--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -14,6 +14,8 @@
 from geraniumspool.groups import GROUP_WORKERS, Owner, WorkerLocation, assign_workers
 from geraniumspool.job_messages import DispatcherReport, ServiceLoad
 from geraniumspool.messages import ANY_INCARNATION, Peer
+from geraniumspool.owner_choice import BUSY_LIMIT
+from geraniumspool.processor_usage import UNKNOWN_SHARE, is_valid_share
 from geraniumspool.registrations import DispatcherRecord, MemberDirectory
 
 _LOG = logging.getLogger(__name__)
@@ -24,6 +26,9 @@
 # Limit for a dispatcher that has closed the connection, as when its process has exited. If only
 # the connection was reset, nng reconnects after 100 ms.
 CLOSED_SILENT_MS = 200.0
+# A busy dispatcher counts as no longer busy below BUSY_LIMIT less this, so that a share near the
+# limit does not change what is believed with each report.
+BUSY_MARGIN = 0.05
 # Limit for dispatchers in another domain or without workers, which report less often.
 IDLE_SILENT_MS = 1_000.0
 
@@ -46,6 +51,9 @@
     :ivar loads: load of its workers by service, from its last report
     :ivar unregistered: addresses of the workers that it uses and does not find in the store, from
         its last report
+    :ivar busy_share: part of its processor share that it uses, from its last report; negative if
+        unknown
+    :ivar is_busy: whether it is believed to use more of its processor share than ``BUSY_LIMIT``
     :ivar sent_work: work forwarded to it since that report by service, in thousandths of a core
         times milliseconds
     """
@@ -68,6 +76,9 @@
         self.was_alive = True
         self.loads: dict[str, ServiceLoad] = {}
         self.unregistered: tuple[str, ...] = ()
+        self.busy_share = UNKNOWN_SHARE
+        self.is_busy = False
+        self._has_invalid_share = False
         self.sent_work: dict[str, float] = {}
 
     @property
@@ -114,6 +125,28 @@
         self.loads = {load.service: load for load in report.loads}
         self.unregistered = report.unlisted
         self.sent_work.clear()
+        self.busy_share = self._read_busy_share(report.busy_share)
+
+    def _read_busy_share(self, share: float) -> float:
+        """Return a reported share, unknown if it is impossible."""
+        if is_valid_share(share):
+            return share
+        if not self._has_invalid_share:
+            self._has_invalid_share = True
+            fields = (("peer", self.peer.address), ("busy_share", str(share)))
+            _LOG.warning("invalid busy share ignored", extra={"fields": fields})
+        return UNKNOWN_SHARE
+
+    def update_busy(self) -> bool:
+        """Update whether it is busy from its last report; return whether that has changed."""
+        limit = BUSY_LIMIT - BUSY_MARGIN if self.is_busy else BUSY_LIMIT
+        if self.is_busy == (self.busy_share > limit):
+            return False
+        self.is_busy = not self.is_busy
+        message = "peer busy" if self.is_busy else "peer no longer busy"
+        fields = (("peer", self.peer.address), ("busy_share", round(self.busy_share, 3)))
+        _LOG.info(message, extra={"fields": fields})
+        return True
 
     def set_incarnation(self, peer: Peer, now: float) -> None:
         """Replace it by another incarnation, of which nothing is known but its address."""
@@ -122,6 +155,7 @@
         self.known_since_ms = now
         self.is_leaving = False
         self.loads = {}
+        self.busy_share = UNKNOWN_SHARE
         self.sent_work.clear()
 
 
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -38,6 +38,7 @@
 from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec
 from geraniumspool.messages import Message, Peer
 from geraniumspool.owner_choice import OwnerOption
+from geraniumspool.processor_usage import UNKNOWN_SHARE
 from geraniumspool.queues import Queue
 from geraniumspool.reliable_links import ReliableLinks
 from geraniumspool.routed_jobs import ForwardedJob, RoutedJob
@@ -110,6 +111,8 @@
     :ivar links: connections to the other dispatchers
     :ivar returns_jobs: whether waiting jobs are returned to the dispatchers of their callers while
         another dispatcher has free capacity, and other owners may do so with jobs of this one
+    :ivar measure_busy_share: returns the part of its processor share that this process uses; None
+        if it is not reported, and the shares of others are ignored
     """
 
     def __init__(
@@ -154,6 +157,8 @@
         self._own_loads: tuple[ServiceLoad, ...] = ()
         self.returns_jobs = False
         self._return_chooser = ReturnChooser()
+        self.measure_busy_share: Callable[[], float] | None = None
+        self._own_busy_share = UNKNOWN_SHARE
         dispatcher.get_remote_capacity = self._find_capacity
 
     @property
@@ -353,6 +358,8 @@
         was_leaving, was_alive = view.is_leaving, view.was_alive
         is_lease_urgent = max(view.silent_ms(now), now - report.echo_ms) > LEASE_URGENT_MS
         view.apply_report(report, now)
+        if self.measure_busy_share and view.update_busy():
+            self._counters.add("busy_peers", busy=str(view.is_busy).lower())
         self.forwarded.reconcile(sender, report)
         if is_lease_urgent and self._shares_jobs(sender):
             self._report_soon(sender)
@@ -372,6 +379,8 @@
             self._clock.sleep(TICK_MS)
             now = self._clock.now()
             self._update_groups()
+            if self.measure_busy_share:
+                self._own_busy_share = self.measure_busy_share()
             self._send_reports(now)
             self._return_jobs(now)
             self._place_held(now)
@@ -390,15 +399,21 @@
         :param tried: addresses of dispatchers that are left out, and ``THIS_PROCESS``
         """
         options = [
-            OwnerOption(view, view.record.domain, load, view.sent_work.get(service, 0.0))
+            self._describe_owner(view, load)
             for view in self.peers.list_owners()
             if (load := view.loads.get(service)) and view.peer.address not in tried
         ]
         if not self.peers.is_leaving and THIS_PROCESS not in tried:
             own = self._dispatcher.describe_load(service)
-            options.append(OwnerOption(None, self._domain, own))
+            options.append(OwnerOption(None, self._domain, own, busy_share=self._own_busy_share))
         return options
 
+    def _describe_owner(self, view: PeerView, load: ServiceLoad) -> OwnerOption:
+        """Return another dispatcher as an option, with its load of a service."""
+        busy_share = view.busy_share if self.measure_busy_share else UNKNOWN_SHARE
+        sent_work = view.sent_work.get(load.service, 0.0)
+        return OwnerOption(view, view.record.domain, load, sent_work, busy_share)
+
     def _follow_claim(self, job: ForwardedJob, result: JobResult) -> None:
         """Send a job to the dispatcher that holds its claim, to join the job there."""
         job.holder_redirects += 1
@@ -521,9 +536,7 @@
             reports = [
                 OwnerReport(
                     view.peer.address,
-                    OwnerOption(
-                        view, view.record.domain, other, view.sent_work.get(load.service, 0.0)
-                    ),
+                    self._describe_owner(view, other),
                     view.last_message_ms,
                 )
                 for view in self.peers.list_owners()
@@ -688,7 +701,15 @@
             leaving = self.peers.is_leaving
             highest = max(numbers, default=0)
             report = DispatcherReport(
-                now, view.clock_ms, leaving, numbers, highest, loads, evacuation_news, unlisted
+                now,
+                view.clock_ms,
+                leaving,
+                numbers,
+                highest,
+                loads,
+                evacuation_news,
+                unlisted,
+                self._own_busy_share,
             )
             self._send(view.peer, report)
 
--- a/geraniumspool/owner_choice.py
+++ b/geraniumspool/owner_choice.py
@@ -25,6 +25,12 @@
 # Run time saved near the data: away from it, jobs take at least twice as long, which makes this
 # difference for a typical job.
 REMOTE_DATA_PENALTY_MS = 100.0
+# A dispatcher that uses more than this part of its processor share answers late: what it receives
+# waits for what it is working on.
+BUSY_LIMIT = 0.7
+# Predicted wait at a dispatcher that uses its whole processor share. Chosen above
+# CROSS_DOMAIN_PENALTY_MS, so that jobs go to another domain before that; not measured.
+BUSY_WAIT_MS = 50.0
 # Upper bound of predicted waits.
 MAX_PREDICTED_WAIT_MS = 60_000.0
 
@@ -36,12 +42,14 @@
     :param domain: failure domain of the dispatcher
     :param load: load of its workers in its last report
     :param sent_work: work forwarded to it since that report, in thousandths of a core times ms
+    :param busy_share: part of its processor share that it uses, negative if unknown
     """
 
     owner: object
     domain: str
     load: ServiceLoad
     sent_work: float = 0.0
+    busy_share: float = -1.0
 
 
 class AssignmentRequest(NamedTuple):
@@ -98,9 +106,14 @@
     return min(MAX_PREDICTED_WAIT_MS, work / load.room_cpu)
 
 
+def predict_busy_wait_ms(busy_share: float) -> float:
+    """Return the predicted wait in ms for the processor of a dispatcher."""
+    return BUSY_WAIT_MS * max(0.0, busy_share - BUSY_LIMIT) / (1 - BUSY_LIMIT)
+
+
 def estimate_cost(option: OwnerOption, request: AssignmentRequest, domain: str) -> float:
     """Return the predicted wait in ms plus penalties for distance."""
-    cost = predict_wait_ms(option, request)
+    cost = predict_wait_ms(option, request) + predict_busy_wait_ms(option.busy_share)
     if option.owner is not None:
         cost += FORWARD_ROUND_TRIP_MS
     if option.domain != domain:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -72,7 +72,7 @@
 
     def test_decisions_that_are_off_by_default(self):
         """A setting that is misread as true would change the decisions of a deployment."""
-        for name in ("returns_jobs",):
+        for name in ("returns_jobs", "uses_busy_share"):
             with self.subTest(name=name):
                 self.assertIs(False, getattr(self.load(json.dumps(DISPATCHER)), name))
                 settings = self.load(json.dumps(DISPATCHER | {name: True}))
