--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -36,6 +36,10 @@
         their weights while capacity is scarce, 0 for none
     :param value_order: whether, while capacity is scarce, jobs are refused by the value that they
         bring and displace
+    :param returns_jobs: whether waiting jobs are returned to the dispatchers of their callers while
+        another dispatcher has free capacity
+    :param uses_busy_share: whether the used part of the processor share is measured and reported,
+        and busy dispatchers are chosen for fewer jobs
     """
 
     name: str
@@ -55,6 +59,8 @@
     )
     least_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     value_order: bool = False
+    returns_jobs: bool = False
+    uses_busy_share: bool = False
 
     @property
     def capacity(self) -> float:
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -176,6 +176,7 @@
         self.world = world
         self.is_cut_off = is_cut_off
         self.counters = MemoryCounters()
+        # Without an announced version, the fields that messages have gained would be left out.
         me = Peer(f"tcp://{name}", make_incarnation(incarnation))
         self.messenger = MemoryMessenger(world.network, me, self.counters)
         policy = world.policy() if world.policy else None
@@ -218,6 +219,7 @@
             self.claims,
         )
         self.router.links = self.messenger
+        self.router.returns_jobs = world.returns_jobs
         self.read_operators()
         handlers = {
             WorkerReport: self.dispatcher.handle_report,
@@ -363,9 +365,11 @@
         capacities=(),
         domains=("north",),
         evacuation_ms=EVACUATION_MS,
+        returns_jobs=False,
     ):
         self.operators = OperatorList()
         self.evacuation_ms = evacuation_ms
+        self.returns_jobs = returns_jobs
         self.domains = domains
         self.policy = policy
         self.group_workers = group_workers
