Stops of many runs wait before their call, not within its time limit

Cause: in a trial with 96 runs stopped at once, stops that waited for one of three connections ran into the 120 ms of their call without having been sent, and began to wait anew: 191 calls for 96 runs under a profile.

Change: at most 8 stops are in progress; the others wait before the call and are dropped if their run ends meanwhile. There are as many connections. No second stop is sent while all 8 are in use; this replaces the limit of 8 unanswered ones.

--- a/geraniumspool/platform/minion.py
+++ b/geraniumspool/platform/minion.py
@@ -19,6 +19,7 @@
 )
 from geraniumspool.endpoint import Endpoint
 from geraniumspool.errors import Fenced, MinionDown, MinionReplaced, MinionSilent
+from geraniumspool.run_stops import MAX_STOP_CALLS
 
 # Timeout of a start or stop. A call on the same host takes 1 to 2 ms, ten times as long on a
 # slow host. A task whose start is lost is sent to another worker after this; the shortest
@@ -29,8 +30,9 @@
 # Connection limits per minion. Calls are short compared with the pauses between them, so that
 # a few connections suffice and stay in use; more would be closed as idle and opened again.
 START_CONNECTIONS = 3
-# Stops do not wait for starts, each of which may take 120 ms if it is not answered.
-STOP_CONNECTIONS = 3
+# Stops do not wait for starts, each of which may take 120 ms if it is not answered. There are as
+# many connections as stop calls in progress, so that no call waits within its time limit.
+STOP_CONNECTIONS = MAX_STOP_CALLS
 # One for the poll that waits for ended runs, one for polls about the outcome of a start or stop.
 POLL_CONNECTIONS = 2
 # Most finished runs in one answer to a poll; more follow once these are acknowledged.
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet.semaphore import Semaphore
 
 from geraniumspool.contracts import Clock, RunKey
 from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
@@ -19,9 +20,10 @@
 # If a stop call has no answer after this time, a second one is sent beside it. A call takes 20 ms
 # on a slow host and counts as lost after 120 ms, and a stop must reach its run within 50 ms.
 STOP_HEDGE_MS = 25.0
-# No second call is sent while more stops than this have no answer. Most of them then wait for a
-# connection and are not lost, and second calls would only lengthen the queue.
-MAX_HEDGED_STOPS = 8
+# Largest number of stop calls in progress. Further stops wait here, where a run that ends meanwhile
+# needs none, and not at the client, where the wait would count against the time limit of the call.
+# One call in twenty is lost and blocks its place for 120 ms, so that fewer would delay the others.
+MAX_STOP_CALLS = 8
 # Number of stop calls for an orphaned run without an answer, after which the run is stopped again
 # only if a poll still lists it. The minion's lease is over by then.
 MAX_ORPHAN_STOPS = 8
@@ -56,7 +58,7 @@
         self._table = table
         self._ends = ends
         self._end_life = end_life
-        self._calls = 0
+        self._slots = Semaphore(MAX_STOP_CALLS)
 
     def stop(self, run: Run, reason: str) -> None:
         """Stop a run, or refuse it if its start was not sent; repeated calls have no effect."""
@@ -126,10 +128,14 @@
         )
 
     def _hedge(self, incarnation: IncarnationState | None, run: Run) -> None:
-        """Send a second stop if the first has no answer yet, as its call may have been lost."""
+        """Send a second stop if the first has no answer yet, as its call may have been lost.
+
+        While all calls are in use, most stops are not lost but wait, and second ones would only
+        lengthen the queue.
+        """
         if not self._needs_stop(incarnation, run):
             return
-        if self._calls > MAX_HEDGED_STOPS:
+        if self._slots.locked():
             self._clock.after(STOP_HEDGE_MS, lambda: self._hedge(incarnation, run))
             return
         eventlet.spawn_n(self._stop_until_answered, incarnation, run)
@@ -146,9 +152,12 @@
     def _stop_until_answered(self, incarnation: IncarnationState | None, run: Run) -> None:
         session = self._session
         while self._needs_stop(incarnation, run):
-            fence = session.fencing_token
             try:
-                self._send_stop(incarnation, run.key, fence)
+                with self._slots:
+                    if not self._needs_stop(incarnation, run):
+                        return
+                    fence = session.fencing_token
+                    session.control.stop(incarnation.report, run.key, fence)
             except MinionSilent:
                 self._clock.sleep(STOP_RETRY_MS)
                 continue
@@ -165,13 +174,6 @@
                 self._settle_unconfirmed(incarnation, run)
             return
 
-    def _send_stop(self, incarnation: IncarnationState, key: RunKey, fence: int) -> None:
-        self._calls += 1
-        try:
-            self._session.control.stop(incarnation.report, key, fence)
-        finally:
-            self._calls -= 1
-
     def _settle_unconfirmed(self, incarnation: IncarnationState, run: Run) -> None:
         """Finish or keep a run that was stopped before its start was confirmed."""
         sent_ms = self._clock.now()
@@ -200,7 +202,8 @@
                 break
             fence = session.fencing_token
             try:
-                self._send_stop(incarnation, key, fence)
+                with self._slots:
+                    session.control.stop(incarnation.report, key, fence)
                 break
             except MinionReplaced:
                 # The next poll finds the other incarnation.
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -23,8 +23,8 @@
 from geraniumspool.platform.minion import START_CONNECTIONS, HttpMinionControl
 from geraniumspool.rooms import Resources
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
-from geraniumspool.run_messages import RUN_REFUSED, RenewRuns, StartRuns, StopRuns
-from geraniumspool.run_stops import STOP_RETRY_MS
+from geraniumspool.run_messages import RUN_DONE, RUN_REFUSED, RenewRuns, StartRuns, StopRuns
+from geraniumspool.run_stops import MAX_STOP_CALLS, STOP_RETRY_MS
 from tests.platform_standin import MinionStandin
 from tests.small import serve
 from tests.test_executor import DISPATCHER, OTHER_DISPATCHER, ExecutorCase, make_order
@@ -133,15 +133,37 @@
         self.advance(500)
         self.assertEqual([1] * RUNS, [len(calls) for calls in self.minion.stop_calls_ms.values()])
 
-    def test_stops_that_wait_for_a_connection_are_not_repeated(self):
-        # Second calls for all runs of a dead dispatcher would only lengthen the queue.
+    def make_stops_slow(self, slow_ms):
+        """Let each stop call take a time, and record how many are in progress."""
+        answer, self.in_progress = self.minion.stop, [0]
+
+        def stop(*call):
+            self.in_progress.append(self.in_progress[-1] + 1)
+            self.clock.sleep(slow_ms)
+            self.in_progress.append(self.in_progress[-1] - 1)
+            answer(*call)
+
+        self.minion.stop = stop
+
+    def test_stops_that_wait_for_others_are_not_repeated(self):
+        # Waiting stops ran into the time limit of their call before they were sent, and began to
+        # wait anew. Second calls for all runs of a dead dispatcher would only lengthen the queue.
         self.start_many()
         self.advance(100)
-        answer = self.minion.stop
-        self.minion.stop = lambda *call: (answer(*call), self.clock.sleep(60.0))[0]
+        self.make_stops_slow(60.0)
         self.executor.handle_stop(DISPATCHER, StopRuns(tuple(range(1, RUNS + 1))))
         self.advance(500)
         self.assertEqual([1] * RUNS, [len(calls) for calls in self.minion.stop_calls_ms.values()])
+        self.assertEqual(MAX_STOP_CALLS, max(self.in_progress))
+
+    def test_run_that_ends_while_its_stop_waits_needs_none(self):
+        self.start_many(run_ms=200)
+        self.advance(100)
+        self.make_stops_slow(150.0)
+        self.executor.handle_stop(DISPATCHER, StopRuns(tuple(range(1, RUNS + 1))))
+        self.advance(600)
+        self.assertEqual([RUN_DONE] * RUNS, [self.outcome(n) for n in range(1, RUNS + 1)])
+        self.assertEqual(MAX_STOP_CALLS, len(self.minion.stop_calls_ms))
 
     def test_unanswering_minion_gets_a_bounded_number_of_stops(self):
         self.start_many(1)
