--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -20,6 +20,7 @@
     MemoryMinion,
     ScriptedFault,
 )
+from geraniumspool.minion_watch import ORPHAN_POLL_INTERVAL_MS
 from geraniumspool.platform.minion import START_CONNECTIONS, HttpMinionControl
 from geraniumspool.rooms import Resources
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
@@ -224,6 +225,21 @@
         latest_ms = 2 * (UNANSWERED_MS + STOP_RETRY_MS) + STEP_MS
         self.assertLessEqual(self.minion.stop_calls_ms[key][0] - listed_ms, latest_ms)
 
+    def test_start_of_an_earlier_process_that_is_carried_out_late(self):
+        # The dispatcher's stop goes to the new process, which has never had the order.
+        for late_ms in (5.0, 40.0, 300.0, 3_000.0):
+            with self.subTest(late_ms=late_ms):
+                self.setUp()
+                self.inject("start", CallFault.LATE, late_ms=late_ms)
+                self.start_many()
+                self.clock.advance(1)
+                self.executor = self.make_executor(fence=9)
+                self.executor.handle_stop(DISPATCHER, StopRuns(tuple(range(1, RUNS + 1))))
+                self.advance(2 * BOUND_MS + ORPHAN_POLL_INTERVAL_MS)
+                while self.clock.now() < self.executor._started_ms + WATCHED_MS:
+                    self.assertEqual(set(), self.minion.running)
+                    self.clock.advance(STEP_MS)
+
 
 class GoneDispatcherTest(CancelCase):
     """Runs whose dispatcher has died, was replaced, or no longer lists them."""
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -212,6 +212,26 @@
                 starts = [self.world.start_count(f"{job_id}.0.0.{task}") for task in range(3)]
                 self.assertEqual([1, 1, 1], starts)
 
+    def test_workers_of_unknown_services_or_with_the_minion_of_another(self):
+        own = self.world.workers[0].minion.incarnation
+        rows = (
+            ("unknown service", own._replace(instance="i-x", service="nobody-knows")),
+            ("minion of another worker", own),
+        )
+        for number, (name, life) in enumerate(rows):
+            with self.subTest(name):
+                value = encode_record(WorkerRecord("north", life))
+                for dispatcher in self.world.dispatchers:
+                    now = self.clock.now()
+                    dispatcher.peers.directory.apply_change(WORKER_PREFIX + STRANGER, value, now)
+                    dispatcher.router.update_members()
+                    dispatcher.handle_key_written(STRANGER)
+                caller = self.dispatcher.submit(make_spec(f"k{number}", 3, 8_000, 50))
+                self.advance(300)
+                self.assertEqual(JobOutcome.SUCCEEDED, caller.outcome)
+                starts = [self.world.start_count(f"k{number}.0.0.{task}") for task in range(3)]
+                self.assertEqual([1, 1, 1], starts)
+
 
 class DamagedStoreStandin(StoreStandin):
     """A store with one value that is not Base64."""
