--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -280,7 +280,12 @@
             "room": {"cpu": 16000},
         }
         passed = []
-        self.executor.handle_minion_report = lambda _report, departure: passed.append(departure)
+
+        def handle_report(_report, departure, is_stored):
+            self.assertFalse(is_stored)
+            passed.append(departure)
+
+        self.executor.handle_minion_report = handle_report
         with self.assertLogs("geraniumspool.platform.reports", "WARNING") as logs:
             for given, _expected in known:
                 fields = {"remaining_ms": given}
