Run times by queue, apart from the speed of workers

Cause: the ratio of actual to declared run times is a mean over about thirty ended runs, whose workers' speed counts in it as well as in their pace. With 3% of runs that take seven times as long and workers of speed 0.7 and 1.7, predicted waits jump, and jobs are refused late.

Run times are divided by the relative pace of the worker, averaged over about a hundred runs, and recorded from stragglers before they end. Their 90th percentile predicts the rest of overdue runs on a worker that departs. What is learnt from runs moves out of dispatcher into run_learner.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -30,6 +30,8 @@
     :param advertised_inbox: address of the inbox for other processes, where it differs from the one
         that the process listens on, as behind address translation; empty if it does not
     :param log_level: lowest level that is logged
+    :param run_times_by_queue: whether run times are learnt apart from the speed of workers,
+        with their tail and from runs in progress
     :param remote_data_factor: how many times as long a task takes away from the rack of its data,
         None for ``DEFAULT_REMOTE_DATA_FACTOR`` of :mod:`geraniumspool.data_locality`
     """
@@ -46,6 +48,7 @@
     grace_s: float = 6.0
     advertised_inbox: str = ""
     log_level: str = "info"
+    run_times_by_queue: bool = False
     remote_data_factor: Annotated[float, msgspec.Meta(ge=1, le=MAX_REMOTE_DATA_FACTOR)] | None = (
         None
     )
--- a/geraniumspool/departures.py
+++ b/geraniumspool/departures.py
@@ -23,14 +23,14 @@
     :param number: run number
     :param age_ms: time since it was sent
     :param run_ms: run time that was predicted when it was placed
-    :param straggler_left_ms: remaining time that the executor predicts by the progress of a
-        straggler, None if the run is not listed as one
+    :param known_left_ms: remaining time that the executor predicts by the progress of a straggler,
+        or that follows from the tail of its queue's run times; None if neither is known
     """
 
     number: int
     age_ms: float
     run_ms: float
-    straggler_left_ms: float | None = None
+    known_left_ms: float | None = None
 
 
 class RunMove(NamedTuple):
@@ -51,8 +51,8 @@
 
 def predict_remaining(run: ActiveRun) -> float:
     """Return the predicted time in ms until a run ends."""
-    if run.straggler_left_ms is not None:
-        return run.straggler_left_ms
+    if run.known_left_ms is not None:
+        return run.known_left_ms
     if run.age_ms >= run.run_ms:
         return OVERDUE_SHARE * run.run_ms
     return run.run_ms - run.age_ms
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -100,6 +100,7 @@
             self.evacuations,
             self.claims,
             remote_data_factor=settings.remote_data_factor,
+            run_times_by_queue=settings.run_times_by_queue,
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -14,7 +14,6 @@
 from geraniumspool import job_admission, packing, urgency
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.crash_blame import CrashBlame
-from geraniumspool.data_locality import RemoteDataFactor
 from geraniumspool.departures import ActiveRun, find_runs_to_move
 from geraniumspool.dispatch_job import DispatchJob, PlacedRun, log_job, make_steps
 from geraniumspool.dispatch_job import compute_objective_ms as measure
@@ -29,6 +28,7 @@
 from geraniumspool.messages import Message, Peer
 from geraniumspool.queued_work import Arrivals, QueuedWork
 from geraniumspool.queues import Queue
+from geraniumspool.run_learner import RunLearner
 from geraniumspool.run_messages import (
     FENCED,
     RUN_DONE,
@@ -55,11 +55,6 @@
 # message to a full worker.
 SHUTDOWN_FACTOR = 2.0
 SHUTDOWN_MARGIN_MS = 100.0
-# Weight of a new sample in the moving average of actual to declared run times: the average
-# covers about the last thirty successful tasks of a queue.
-RUN_TIME_WEIGHT = 0.03
-MIN_RUN_TIME_RATIO = 0.2
-MAX_RUN_TIME_RATIO = 5.0
 # A scheduling pass stops after this many jobs could not be placed completely.
 MAX_PLACEMENT_FAILURES = 6
 
@@ -81,6 +76,7 @@
     """Queue, schedule and track the jobs accepted by this process.
 
     :ivar exit_ms: clock time in ms at which the process will exit, infinite if unknown
+    :ivar learner: what is learnt from the run times of tasks
     :ivar remote_data: factor by which tasks take longer away from their data
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
@@ -96,6 +92,7 @@
         claims: JobClaims,
         policy: DispatchPolicy | None = None,
         remote_data_factor: float | None = None,
+        run_times_by_queue: bool = False,
     ):
         """Create a dispatcher without jobs or workers.
 
@@ -107,6 +104,8 @@
             :class:`UsefulnessPolicy`
         :param remote_data_factor: how many times as long a task takes away from the rack of its
             data; None for the default
+        :param run_times_by_queue: whether run times are learnt apart from the speed of workers,
+            with their tail and from runs in progress
         """
         self._policy = policy or UsefulnessPolicy()
         self._clock = clock
@@ -117,11 +116,13 @@
         # Jobs with tasks that are ready to be placed, so that a scheduling pass doesn't
         # iterate over all jobs.
         self._pending: dict[str, DispatchJob] = {}
-        self._run_time_ratios: dict[str, float] = {}
         self._arrivals: dict[str, Arrivals] = {}
         self._wait_learner = urgency.WaitLearner()
         self._blame = CrashBlame()
-        self.remote_data = RemoteDataFactor(remote_data_factor)
+        self.learner = RunLearner(
+            clock, counters, self.fleet, remote_data_factor, run_times_by_queue
+        )
+        self.remote_data = self.learner.remote_data
         self._placer = JobPlacer(
             clock, self.fleet, self._policy, self._blame, domain, self.remote_data
         )
@@ -180,7 +181,7 @@
             job.waiters += 1
             job.lease_expiries.append(lease_expiry)
             return job
-        job = DispatchJob(spec, queue, make_steps(spec, self._run_time_ratios.get(queue.name, 1.0)))
+        job = DispatchJob(spec, queue, make_steps(spec, self.learner.run_time_ratio(queue.name)))
         refusal = self._check_admission(job, timeout_ms or DEFAULT_TIMEOUT_MS, age_ms)
         if refusal is not None:
             self._counters.add("dispatch_jobs", queue=queue.name, outcome=refusal.code)
@@ -325,6 +326,7 @@
         self._handle_crash([placed for placed, end in ended if _is_crash(end)])
         for placed, end in ended:
             self._handle_run_end(placed, end)
+        self.learner.record_stragglers(view, report)
         self._move_departing_runs(view, report)
         self.schedule()
 
@@ -336,10 +338,11 @@
         if not view.runs or math.isinf(view.departs_ms):
             return
         now = self._clock.now()
-        straggler_left_ms = {run.number: run.left_ms for run in report.stragglers}
+        known_left_ms = self.learner.predict_overdue(view, now)
+        known_left_ms.update((run.number, run.left_ms) for run in report.stragglers)
         runs = [
             ActiveRun(
-                run.number, now - run.sent_ms, run.owner.run_ms, straggler_left_ms.get(run.number)
+                run.number, now - run.sent_ms, run.owner.run_ms, known_left_ms.get(run.number)
             )
             for run in view.runs.values()
             if run.number <= view.highest_number
@@ -437,7 +440,7 @@
 
     def refuse_if_exiting(self, spec: JobSpec, queue: Queue) -> JobResult | None:
         """Return a refusal if the process may exit before a job ends, else None."""
-        steps = make_steps(spec, self._run_time_ratios.get(queue.name, 1.0))
+        steps = make_steps(spec, self.learner.run_time_ratio(queue.name))
         return self._check_shutdown(DispatchJob(spec, queue, steps), self._clock.now())
 
     def _check_shutdown(self, job: DispatchJob, now: float) -> JobResult | None:
@@ -535,6 +538,7 @@
         job, task = placed.job, placed.task
         step = job.steps[task.step]
         job.runs.pop(end.number, None)
+        is_counted = self.learner.remove_run(end.number)
         step.runs_by_worker[id(placed.worker)] = step.runs_by_worker.get(id(placed.worker), 1) - 1
         if job.has_ended:
             self._handle_late_run_end(job)
@@ -542,7 +546,7 @@
         if end.how in (RUN_DONE, RUN_FAILED):
             self._blame.acquit(job.task_name(task))
         if end.how == RUN_DONE:
-            self._learn_run_time(placed, end.ran_ms)
+            self.learner.record_end(placed, end.ran_ms, is_counted)
             step.unfinished -= 1
             if all(other.unfinished == 0 for other in job.steps):
                 self._end(job, JobResult(JobOutcome.SUCCEEDED))
@@ -590,28 +594,6 @@
         for run in runs:
             self._handle_run_end(run.owner, RunEnd(run.number, RUN_LAPSED, reason=reason))
 
-    def _learn_run_time(self, placed: PlacedRun, ran_ms: float) -> None:
-        """Update the queue's ratio of actual to declared run times."""
-        job, spec = placed.job, placed.job.steps[placed.task.step].spec
-        declared = spec.declared_ms
-        if declared <= 0 or ran_ms <= 0:
-            return
-        if spec.rack and self.remote_data.is_set:
-            ran_ms = self._learn_remote_data(placed, ran_ms)
-        ratio = self._run_time_ratios.get(job.queue.name, 1.0)
-        seen = min(MAX_RUN_TIME_RATIO, max(MIN_RUN_TIME_RATIO, ran_ms / declared))
-        self._run_time_ratios[job.queue.name] = ratio + RUN_TIME_WEIGHT * (seen - ratio)
-
-    def _learn_remote_data(self, placed: PlacedRun, ran_ms: float) -> float:
-        """Correct the factor of remote data; return the run time without it."""
-        is_remote = packing.is_remote(placed.worker, placed.job.steps[placed.task.step].spec)
-        data = self.remote_data
-        if data.record(placed.job.queue.name, is_remote, placed.run_ms, ran_ms):
-            self._counters.add("remote_factor_changes")
-            fields = (("factor", round(data.value, 3)), ("samples", data.samples))
-            _LOG.info("remote data factor corrected", extra={"fields": fields})
-        return ran_ms / data.value if is_remote else ran_ms
-
     def _expire(self) -> None:
         """End jobs whose caller times out, or that can no longer start early enough."""
         now = self._clock.now()
--- a/tests/test_data_locality.py
+++ b/tests/test_data_locality.py
@@ -41,6 +41,12 @@
     return factor.value
 
 
+def use_settings(dispatcher, remote_data_factor=None, run_times_by_queue=False):
+    """Give a simulated dispatcher settings before it has run anything."""
+    dispatcher.remote_data.__init__(remote_data_factor)
+    dispatcher.learner.is_by_queue = run_times_by_queue
+
+
 class FactorTest(unittest.TestCase):
     """Correction of the factor by observed run times."""
 
@@ -146,7 +152,7 @@
             worker.executor.handle_minion_report(minion.incarnation)
         simulated = SimulatedDispatcher(world, "h0")
         dispatcher = simulated.dispatcher
-        dispatcher.remote_data.__init__(setting)
+        use_settings(dispatcher, setting)
         simulated.router.update_members()
         world.clock.advance(200)
         callers = []
