--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -103,6 +103,7 @@
             self.claims,
             make_policy(SharingSettings(settings.least_share, settings.value_order), metrics),
             remote_data_factor=settings.remote_data_factor,
+            run_times_by_queue=settings.run_times_by_queue,
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
