Claims: a new executor refuses orders of claims that are older than its process

An executor that is replaced loses its fences. A dispatcher whose claim was granted before could then run a job there that another one, partitioned from the arbiters, runs by a fence on another executor. A younger executor refuses the order as fenced unless it names a fence that this executor holds; the dispatcher then fences the job as after any foreign fence. An order that states no age is accepted as before.

The age is counted back from the arrival of the executor's clock value that the message echoes, so that delay makes no claim younger, and a claim that was granted after that arrival is never refused. The first grant counts: claims are granted again when a new executor is heard. Refused orders are logged with the claim's age, the job's fence and the age of the process.

--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -91,6 +91,7 @@
     :ivar ended_ms: clock time in ms at which the result was set
     :ivar is_claimed: whether this dispatcher holds the exclusive claim to run the job
     :ivar fence_rank: rank of the fence that the job was claimed by, 0 if arbiters granted it
+    :ivar claim_granted_ms: clock time in ms at which the claim was first granted
     """
 
     def __init__(self, spec: JobSpec, queue: Queue, steps: list[Step]):
@@ -114,6 +115,7 @@
         self.ended_ms = 0.0
         self.is_claimed = False
         self.fence_rank = 0
+        self.claim_granted_ms = math.inf
 
     @property
     def claim_id(self) -> str:
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -210,6 +210,7 @@
         """
         job.is_claimed = True
         job.fence_rank = fence_rank
+        job.claim_granted_ms = self._claims.find_first_grant_ms(job)
         self.schedule()
 
     def _on_claim_uncertain(self, job: DispatchJob) -> None:
--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 
 from geraniumspool import run_progress
@@ -150,7 +151,7 @@
         dispatcher = self._renew_lease(peer, message.echo_ms)
         now = self._clock.now()
         for order in message.orders:
-            self._handle_order(dispatcher, order, now)
+            self._handle_order(dispatcher, order, message.echo_ms, now)
         self._starts.start_queued()
         self._refuse_overdue(now)
         if now - message.echo_ms > STALE_ECHO_MS:
@@ -249,30 +250,36 @@
         over = self._started_ms + lease_ms * (1 + CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_MS
         return self._clock.now() > over
 
-    def _handle_order(self, dispatcher: KnownDispatcher, order: RunOrder, now: float) -> None:
+    def _handle_order(
+        self, dispatcher: KnownDispatcher, order: RunOrder, echo_ms: float, now: float
+    ) -> None:
         if order.number <= dispatcher.highest_number:
             return
         dispatcher.highest_number = order.number
-        refusal = self._refuse_reason(dispatcher, order, now)
+        refusal = self._refuse_reason(dispatcher, order, echo_ms, now)
         if refusal:
             self._counters.add("runs_refused", reason=refusal)
             end = RunEnd(order.number, RUN_REFUSED, reason=refusal)
             dispatcher.record_end(end)
-            _LOG.info(
-                "run refused",
-                extra={
-                    "fields": (
-                        ("task", order.task),
-                        ("reason", refusal),
-                        ("dispatcher", dispatcher.peer.address),
-                    )
-                },
+            fields = (
+                ("task", order.task),
+                ("reason", refusal),
+                ("dispatcher", dispatcher.peer.address),
             )
+            if refusal == FENCED:
+                fields += (
+                    ("order_rank", order.fence_rank),
+                    ("claim_age_ms", round(order.claim_age_ms)),
+                    *self.job_fences.describe(order.task),
+                )
+            _LOG.info("run refused", extra={"fields": fields})
             self._reporter.schedule_end_report(dispatcher)
             return
         self._table.add(Run(dispatcher.peer, order, now))
 
-    def _refuse_reason(self, dispatcher: KnownDispatcher, order: RunOrder, now: float) -> str:
+    def _refuse_reason(
+        self, dispatcher: KnownDispatcher, order: RunOrder, echo_ms: float, now: float
+    ) -> str:
         if dispatcher.lease_until_ms <= now:
             return "lease_over"
         if self._guard.refusal_reason:
@@ -283,7 +290,8 @@
             return "limit_passed"
         if not self._session.incarnation.report.resources.fits(order.need):
             return "too_large"
-        if self.job_fences.excludes(dispatcher.peer, order.task, order.fence_rank):
+        granted_ms = _earliest_grant_ms(order, echo_ms)
+        if self.job_fences.excludes(dispatcher.peer, order.task, order.fence_rank, granted_ms):
             return FENCED
         other = self._table.find_task(order.task)
         if other is not None:
@@ -355,3 +363,14 @@
             )
         for run in active:
             self._stops.stop(run, "dispatcher_silent")
+
+
+def _earliest_grant_ms(order: RunOrder, echo_ms: float) -> float:
+    """Return the earliest time at which the claim of an order may have been granted.
+
+    The dispatcher counts the claim's age back from when it received the echoed clock value, which
+    is later than this process sent it. Infinite if the dispatcher does not know the age.
+    """
+    if order.claim_age_ms > 0:
+        return echo_ms - order.claim_age_ms * (1 + CLOCK_DRIFT)
+    return math.inf
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -221,6 +221,13 @@
         self.fences.rank += 1
         self._request_again(claim)
 
+    def find_first_grant_ms(self, job: Claimant) -> float:
+        """Return when a job's claim was first granted; infinite if it is not granted."""
+        claim = self._open.get(job.claim_id)
+        if claim is None or claim.first_granted_ms is None:
+            return math.inf
+        return claim.first_granted_ms
+
     def handle_claim_jobs(self, sender: Peer, message: ClaimJobs) -> None:
         """Answer another dispatcher's claims as an arbiter."""
         self._note_incarnation(sender)
@@ -457,6 +464,7 @@
         self._counters.add("job_claims", outcome="lost")
         claim.discard_answers(self._clock.now())
         claim.is_contested = False
+        claim.first_granted_ms = None
         self._undecided.pop(claim.number, None)
         self.on_held_elsewhere(claim.job, holder)
 
@@ -468,6 +476,8 @@
     def _grant(self, claim: OpenClaim, how: str) -> None:
         now = self._clock.now()
         claim.is_granted = True
+        if claim.first_granted_ms is None:
+            claim.first_granted_ms = now
         self._undecided.pop(claim.number, None)
         took_ms = now - claim.began_ms
         self._counters.add("job_claims", outcome=how)
--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 
 import eventlet
@@ -71,21 +72,39 @@
         self._table = table
         self._stops = stops
         self._have_earlier_runs_ended = are_earlier_runs_over
+        # Fences that were set before are not known to this process.
+        self._started_ms = clock.now()
         self._fences: dict[str, _Fence] = {}
         self._unanswered: dict[Peer, FenceJobs] = {}
 
-    def excludes(self, dispatcher: Peer, task: str, rank: int) -> bool:
+    def excludes(
+        self, dispatcher: Peer, task: str, rank: int, claim_granted_ms: float = math.inf
+    ) -> bool:
         """Return whether a dispatcher must not run a task here.
 
         A dispatcher that relies on a fence which this process does not have is refused as well:
-        an earlier process of this executor may have set it, or it has expired.
+        an earlier process of this executor may have set it, or it has expired. So is one whose
+        claim was granted before this process started, and that relies on no fence: after the grant,
+        an earlier process may have set a fence for another dispatcher.
 
         :param rank: rank of the fence that the dispatcher's claim relies on, 0 for none
+        :param claim_granted_ms: earliest time at which its claim may have been granted, infinite if
+            that is not known
         """
         fence = self._fences.get(job_id_of(task))
+        is_older = claim_granted_ms < self._started_ms
         if fence is None or self._clock.now() >= fence.until_ms:
-            return rank > 0
-        return fence.holder != dispatcher or fence.rank < rank
+            return rank > 0 or is_older
+        return fence.holder != dispatcher or fence.rank < rank or (rank == 0 and is_older)
+
+    def describe(self, task: str) -> tuple[tuple[str, object], ...]:
+        """Return a job's fence and the age of this process, as fields of a log line."""
+        fence = self._fences.get(job_id_of(task))
+        return (
+            ("fence_holder", fence.holder.address if fence else ""),
+            ("fence_rank", fence.rank if fence else 0),
+            ("executor_age_ms", round(self._clock.now() - self._started_ms)),
+        )
 
     def handle_fence_jobs(self, dispatcher: Peer, message: FenceJobs) -> None:
         """Set the requested fences, stop other dispatchers' runs, and answer once these ended."""
--- a/geraniumspool/job_placer.py
+++ b/geraniumspool/job_placer.py
@@ -119,6 +119,8 @@
             WORKER_QUEUE_MS,
             job.timing.arrived_ms + job.timing.timeout_ms - now,
             job.fence_rank,
+            # Orders are sent in the same pass, with the clock value of the latest report.
+            max(0.0, view.last_message_ms - job.claim_granted_ms),
         )
         self._next_number += 1
         placed = PlacedRun(job, task, view, place.run_ms)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -33,7 +33,7 @@
 from geraniumspool.errors import MalformedMessage, UnknownKind
 from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
 from geraniumspool.message_growth import skip_unknown_elements, trim_elements
-from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport
+from geraniumspool.run_messages import RenewRuns, RunOrder, StartRuns, StopRuns, WorkerReport
 from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_EXTENSIBLE, VERSION_STAMPED
 
 # As the receiver of a message: any run of the process at the address may handle it.
@@ -568,7 +568,7 @@
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
 # How many fields the types that have grown since the base version had in it.
-_BASE_LENGTHS: dict[type, int] = {JobsFenced: 3}
+_BASE_LENGTHS: dict[type, int] = {JobsFenced: 3, RunOrder: 10}
 _KIND_BY_TYPE = {message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)}
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -32,6 +32,8 @@
     :ivar resent_job: the same job, sent again while the runs of ``job`` are being stopped
     :ivar arbiters: addresses of the dispatchers that decide on it
     :ivar began_ms: when the arbiters were first asked under the current number
+    :ivar first_granted_ms: when it was first granted, None if it was not or was lost since; a claim
+        that is granted again keeps it
     :ivar is_granted: whether the job may run, by a quorum of arbiters or by a fence
     :ivar is_fenced: whether it was granted since all executors have set a fence
     :ivar is_contested: whether an executor has refused runs because of another dispatcher's fence
@@ -61,6 +63,7 @@
         self.arbiters = arbiters
         self.resent_job: Claimant | None = None
         self.began_ms = now
+        self.first_granted_ms: float | None = None
         self.is_granted = False
         self.is_fenced = False
         self.is_contested = False
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -48,6 +48,8 @@
     :param limit_ms: time left until the caller stops waiting
     :param fence_rank: rank of the job fence that the executor must hold for this dispatcher, 0 if
         none is needed
+    :param claim_age_ms: how long before the arrival of the echoed clock value the claim on the job
+        was first granted; 0 if it was granted later, or if the dispatcher does not say
     """
 
     number: int
@@ -60,6 +62,7 @@
     patience_ms: float
     limit_ms: float
     fence_rank: int = 0
+    claim_age_ms: float = 0.0
 
 
 class StartRuns(NamedTuple):
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -19,6 +19,7 @@
 from geraniumspool.messages import Peer
 from geraniumspool.owner_choice import OwnerOption
 from geraniumspool.registrations import DISPATCHER_PREFIX, WORKER_PREFIX, WorkerRecord
+from geraniumspool.run_messages import FENCED
 from tests.dispatch_world import QUEUE, Caller, DispatchWorld, SimulatedWorker, make_spec
 
 STEP_MS = 5
@@ -252,6 +253,37 @@
         self.run_for_each_job(scenario)
 
 
+class RestartedExecutorsTest(ClaimGapCase):
+    """All executors are replaced at once while a job with a granted claim waits."""
+
+    def test_older_jobs_get_a_fence_at_the_new_executors(self):
+        def scenario(name):
+            for index in range(3):
+                blocker = make_spec(f"full{index}", 2, 5_000, run_ms=5_000, declared_ms=500)
+                self.place(index, blocker)
+            self.advance(START_MS)
+            request = self.place(0, make_spec(name, count=2, cpu=6_000, run_ms=300))
+            self.advance(200)
+            for index, worker in enumerate(self.world.workers):
+                self.all_dispatchers[index].dispatcher.cancel(f"full{index}")
+                worker.kill()
+                self.world.workers[index] = SimulatedWorker(
+                    self.world, worker.name, 2, worker.minion, fence=100
+                )
+            self.advance(2_500)
+            self.assertEqual(set(), self.ran_twice)
+            self.assertIs(request.outcome, JobOutcome.SUCCEEDED)
+            self.assertEqual(
+                2, self.world.start_count(f"{name}.0.0.0") + self.world.start_count(f"{name}.0.0.1")
+            )
+            refused = sum(
+                worker.counters.get("runs_refused", reason=FENCED) for worker in self.world.workers
+            )
+            self.assertGreater(refused, 0)
+
+        self.run_for_each_job(scenario)
+
+
 class LateMessageTest(ClaimGapCase):
     """A message of a former incarnation of a dispatcher."""
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from geraniumspool.claim_messages import FenceJobs, JobsFenced
 from geraniumspool.clock import ManualClock
 from geraniumspool.contracts import RunKey, StartOutcome
 from geraniumspool.counters import MemoryCounters
@@ -14,8 +15,14 @@
 from geraniumspool.minion_watch import POLL_RETRY_MS, POLL_WAIT_MS
 from geraniumspool.platform.minion import POLL_TIMEOUT_MS
 from geraniumspool.rooms import Resources
-from geraniumspool.run_leases import DISPATCHER_LEASE_MS, LONGEST_LEASE_MS, MINION_LEASE_MS
+from geraniumspool.run_leases import (
+    CLOCK_DRIFT,
+    DISPATCHER_LEASE_MS,
+    LONGEST_LEASE_MS,
+    MINION_LEASE_MS,
+)
 from geraniumspool.run_messages import (
+    FENCED,
     RUN_DONE,
     RUN_FAILED,
     RUN_LAPSED,
@@ -107,6 +114,71 @@
         return ends[-1].how if ends else None
 
 
+class ClaimAgeTest(ExecutorCase):
+    """Orders of jobs whose claims are older than the executor process.
+
+    Its former process may have set a fence for another dispatcher after such a grant.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.clock.advance(10_000)
+        self.started_ms = self.clock.now()
+        self.executor = self.make_executor(2)
+        self.clock.advance(400)
+
+    def start_with_echo(self, echo_age_ms, order):
+        echo_ms = self.started_ms + echo_age_ms
+        self.executor.handle_start(DISPATCHER, StartRuns(echo_ms, (order,)))
+        self.clock.advance(20)
+
+    def take_report(self, peer, report):
+        if not isinstance(report, JobsFenced):
+            return super().take_report(peer, report)
+        return True
+
+    def fence(self, rank, dispatcher=DISPATCHER):
+        self.executor.job_fences.handle_fence_jobs(dispatcher, FenceJobs(("j",), rank))
+
+    def test_an_order_whose_claim_is_older_than_the_process_is_refused(self):
+        with self.assertLogs("geraniumspool.executor", "INFO") as logs:
+            self.start_with_echo(300, make_order(1, claim_age_ms=310.0))
+        self.assertEqual(FENCED, self.ends[DISPATCHER, 1][0].reason)
+        self.assertEqual(RUN_REFUSED, self.outcome(1))
+        fields = dict(logs.records[-1].fields)
+        self.assertEqual((310, 450), (fields["claim_age_ms"], fields["executor_age_ms"]))
+
+    def test_an_order_whose_claim_is_younger_than_the_process_is_accepted(self):
+        self.start_with_echo(300, make_order(1, claim_age_ms=290.0))
+        self.assertEqual({"j.0.0.0"}, self.minion.running)
+
+    def test_a_delayed_order_does_not_make_its_claim_younger(self):
+        """The age is counted back from the echoed clock value, not from the arrival."""
+        self.start_with_echo(100, make_order(1, claim_age_ms=110.0))
+        self.assertEqual(RUN_REFUSED, self.outcome(1))
+
+    def test_the_difference_in_rate_between_two_clocks_counts_against_the_claim(self):
+        self.start_with_echo(300, make_order(1, claim_age_ms=300.0 / (1 + CLOCK_DRIFT) + 1.0))
+        self.assertEqual(RUN_REFUSED, self.outcome(1))
+
+    def test_an_order_of_an_earlier_build_which_states_no_age_is_accepted(self):
+        self.start_with_echo(300, make_order(1))
+        self.assertEqual({"j.0.0.0"}, self.minion.running)
+
+    def test_an_older_claim_with_a_fence_that_this_process_holds_is_accepted(self):
+        self.fence(5)
+        for number, rank, is_running in ((1, 0, False), (2, 6, False), (3, 5, True)):
+            with self.subTest(rank=rank):
+                order = make_order(number, claim_age_ms=5_000.0, fence_rank=rank)
+                self.start_with_echo(300, order)
+                self.assertEqual(is_running, bool(self.minion.running))
+
+    def test_an_older_claim_with_a_fence_of_another_dispatcher_is_refused(self):
+        self.fence(5, OTHER_DISPATCHER)
+        self.start_with_echo(300, make_order(1, claim_age_ms=5_000.0, fence_rank=5))
+        self.assertEqual(RUN_REFUSED, self.outcome(1))
+
+
 class RunsTest(ExecutorCase):
     """Start and end of runs, capacity, limits and ejection."""
 
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -1,11 +1,13 @@
 """Tests of a dispatcher's claims on its jobs."""
 
+import math
 import unittest
 from typing import NamedTuple
 
 import eventlet
 
 from geraniumspool.claim_messages import (
+    Claim,
     ClaimJobs,
     ClaimVerdict,
     ClaimVerdicts,
@@ -125,6 +127,33 @@
             self.assertTrue(claim.has_replaced_fence)
             claim.discard_answers(self.clock.now())
 
+    def test_a_claim_that_is_granted_again_keeps_the_time_of_its_first_grant(self):
+        """An executor that started between the two grants may have lost a fence of another."""
+        job = Job("j")
+        self.assertEqual(math.inf, self.claims.find_first_grant_ms(job))
+        self.claims.claim(job)
+        self.advance()
+        self.answer_grant(ONE, OTHER)
+        first_ms = self.claims.find_first_grant_ms(job)
+        self.assertEqual(self.clock.now(), first_ms)
+        self.clock.advance(100)
+        resent = Job("j", 2)
+        self.claims.claim(resent)
+        self.claims.release(job)
+        self.claims.renew_grants("executor_new")
+        eventlet.sleep(0)
+        self.answer_grant(ONE, OTHER)
+        self.assertEqual((resent, 0), self.granted[-1])
+        self.assertEqual(first_ms, self.claims.find_first_grant_ms(resent))
+
+    def test_a_claim_that_was_lost_has_no_time_of_its_first_grant(self):
+        job = Job("j")
+        self.claims.claim(job)
+        self.advance()
+        self.answer_grant(ONE, OTHER)
+        self.claims.handle_claim_jobs(ONE, ClaimJobs((Claim(1, "j", 1_000.0, 9),), (), 1))
+        self.assertEqual(math.inf, self.claims.find_first_grant_ms(job))
+
     def test_granted_claims_are_requested_again_after_a_pause_of_the_process(self):
         job = Job("j")
         self.claims.claim(job)
@@ -215,6 +244,24 @@
 class StartOrderTest(unittest.TestCase):
     """Orders to executors to start runs of jobs whose claims were granted by a fence."""
 
+    def test_a_start_order_states_the_age_of_the_first_grant_of_its_claim(self):
+        world = DispatchWorld(1, 1)
+        self.addCleanup(world.close)
+        world.clock.advance(100)
+        for number in range(2):
+            world.dispatchers[0].submit(make_spec(f"j{number}", cpu=10_000, run_ms=500))
+            world.clock.advance(20)
+        world.clock.advance(700)
+        first, second = [
+            order.claim_age_ms
+            for _, _, message in world.network.sent
+            if isinstance(message, StartRuns)
+            for order in message.orders
+        ]
+        # The second job is claimed at once, and placed when the first one has ended.
+        self.assertEqual(0.0, first)
+        self.assertTrue(460.0 <= second <= 500.0, second)
+
     def test_a_start_order_names_the_rank_of_the_fence_that_it_relies_on(self):
         world = DispatchWorld(2, 2, group_workers=1)
         self.addCleanup(world.close)
