Claims: an announced exit counts after the next incarnation has started

Whether a former member had announced its exit was looked up by its current incarnation when former members were to be forgotten. After a clean restart that is the next one, so each dispatcher of a rolling restart was kept for 15 s, and silent executors were waited for. The incarnation that left the list is now kept with the former members, and its announcement counts before and after it leaves the list.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -9,7 +9,7 @@
 
 import logging
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from zlib import crc32
 
 from geraniumspool.claim_messages import Claim, ClaimJobs, ClaimVerdict, OpenClaims
@@ -89,13 +89,25 @@
 
 
 class _FormerMembers:
-    """Members that were in force until ``ended_ms``; ``lost`` are the addresses that then left."""
+    """Members that were in force until ``ended_ms``.
 
-    __slots__ = ("ended_ms", "lost", "members")
+    :ivar lost: addresses that left the list then, in order
+    :ivar unannounced: those of them whose process has not announced its exit, each with its last
+        known incarnation, None if it was never heard
+    """
+
+    __slots__ = ("ended_ms", "lost", "members", "unannounced")
 
-    def __init__(self, members: Mapping[str, str], lost: frozenset[str], ended_ms: float):
+    def __init__(
+        self,
+        members: Mapping[str, str],
+        lost: Iterable[str],
+        unannounced: dict[str, Peer | None],
+        ended_ms: float,
+    ):
         self.members = members
-        self.lost = lost
+        self.lost = tuple(sorted(lost))
+        self.unannounced = unannounced
         self.ended_ms = ended_ms
 
 
@@ -135,8 +147,9 @@
         """
         # The first members are assumed to have also granted the claims of the former incarnation.
         if self._members and self._members != members:
-            lost = frozenset(self._members.keys() - members.keys())
-            former = _FormerMembers(self._members, lost, self._clock.now())
+            lost = self._members.keys() - members.keys()
+            unannounced = self._find_unannounced(lost)
+            former = _FormerMembers(self._members, lost, unannounced, self._clock.now())
             self._former_members.append(former)
         self._members = members
 
@@ -148,10 +161,10 @@
             if now - former.ended_ms < self._find_retention_ms(former):
                 kept.append(former)
             elif former.lost:
-                forgotten |= former.lost
+                forgotten.update(former.lost)
                 fields = (
-                    ("members", ",".join(sorted(former.lost))),
-                    ("unannounced", len(self._find_unannounced(former))),
+                    ("members", ",".join(former.lost)),
+                    ("unannounced", len(former.unannounced)),
                     ("kept_ms", round(now - former.ended_ms)),
                 )
                 _LOG.info("former members forgotten", extra={"fields": fields})
@@ -161,7 +174,7 @@
     @property
     def keeps_unannounced(self) -> bool:
         """Whether a former member that did not announce its exit may still run jobs."""
-        return any(self._find_unannounced(former) for former in self._former_members)
+        return any(former.unannounced for former in self._former_members)
 
     def _find_retention_ms(self, former: _FormerMembers) -> float:
         """Return for how long former members are kept.
@@ -169,18 +182,19 @@
         Members that are still listed repeat their claims to new arbiters. One that has left without
         announcing its exit may only be partitioned: executors may still run its jobs.
         """
-        if not self._find_unannounced(former):
+        if not former.unannounced:
             return RUNS_OVER_MS
         return self._longest_claim_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
 
-    def _find_unannounced(self, former: _FormerMembers) -> list[str]:
-        """Return the addresses that have left without announcing the exit of their process."""
-        return [address for address in former.lost if not self._has_announced_exit(address)]
-
-    def _has_announced_exit(self, address: str) -> bool:
-        """Return whether the last known incarnation of a dispatcher has announced its exit."""
-        member = self._dispatchers.get(address)
-        return member is not None and self._clean_exits.get(address) == member.peer
+    def _find_unannounced(self, addresses: Iterable[str]) -> dict[str, Peer | None]:
+        """Return the last known incarnations of dispatchers that have not announced their exit."""
+        unannounced = {}
+        for address in addresses:
+            member = self._dispatchers.get(address)
+            peer = member.peer if member is not None else None
+            if peer is None or self._clean_exits.get(address) != peer:
+                unannounced[address] = peer
+        return unannounced
 
     @property
     def is_settled(self) -> bool:
@@ -198,6 +212,9 @@
         """Note that a dispatcher exits with no run left, and release its claims."""
         self.note_incarnation(peer)
         self._clean_exits[peer.address] = peer
+        for former in self._former_members:
+            if former.unannounced.get(peer.address) == peer:
+                del former.unannounced[peer.address]
         for number in list(self._open_claims.get(peer, ())):
             self.release(peer, number)
 
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -1,5 +1,6 @@
 """Tests of which claims an arbiter grants, and when it knows every earlier claim."""
 
+import itertools
 import unittest
 
 from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims
@@ -204,10 +205,10 @@
 
     def lose_members(self, members=members, lost=lost, announced=()):
         """Have members leave after all have sent their open claims."""
-        for in_force in (members | lost, members):
-            self.table.set_members(in_force)
+        self.table.set_members(members | lost)
         for address in members | lost:
             self.table.apply_open_claims(Peer(address, 1), OpenClaims((), 0, LONG_AGO_MS, True, ()))
+        self.table.set_members(members)
         for address in announced:
             self.table.note_clean_exit(Peer(address, 1))
 
@@ -233,10 +234,31 @@
                 self.assertTrue(self.is_sure_after(20))
 
     def test_an_announced_exit_of_an_earlier_incarnation_does_not_count(self):
-        self.lose_members(announced=self.lost)
+        self.table.set_members(self.members | self.lost)
         for address in self.lost:
+            self.table.note_clean_exit(Peer(address, 1))
             self.table.note_incarnation(Peer(address, 2))
+        self.table.set_members(self.members)
+        for address in self.members:
+            self.table.apply_open_claims(Peer(address, 1), OpenClaims((), 0, LONG_AGO_MS, True, ()))
         self.assertFalse(self.is_sure_after(self.longest_ms - 10))
+        self.assertTrue(self.is_sure_after(20))
+
+    def test_an_announced_exit_counts_after_the_next_incarnation_has_started(self):
+        """After a clean restart, two incarnations are heard before the former one is forgotten."""
+        self.lose_members(announced=self.lost)
+        for address, incarnation in itertools.product(self.lost, (2, 3)):
+            self.table.note_incarnation(Peer(address, incarnation))
+        self.assertFalse(self.table.keeps_unannounced)
+        self.assertFalse(self.is_sure_after(RUNS_OVER_MS - 10))
+        self.assertTrue(self.is_sure_after(20))
+
+    def test_an_exit_that_is_announced_before_leaving_the_list_counts(self):
+        self.table.set_members(self.members | self.lost)
+        for address in self.lost:
+            self.table.note_clean_exit(Peer(address, 1))
+        self.table.set_members(self.members)
+        self.assertFalse(self.table.keeps_unannounced)
 
     def test_members_are_kept_for_as_long_as_the_longest_claim_may_last(self):
         self.lose_members()
