--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -93,6 +93,7 @@
     :ivar is_claimed: whether this dispatcher holds the exclusive claim to run the job
     :ivar fence_rank: rank of the fence that the job was claimed by, 0 if arbiters granted it
     :ivar may_return: whether it may be returned to the dispatcher of its caller
+    :ivar claim_granted_ms: clock time in ms at which the claim was first granted
     """
 
     def __init__(self, spec: JobSpec, queue: Queue, steps: list[Step]):
@@ -119,6 +120,7 @@
         self.is_claimed = False
         self.fence_rank = 0
         self.may_return = False
+        self.claim_granted_ms = math.inf
 
     @property
     def claim_id(self) -> str:
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -40,7 +40,14 @@
 )
 from geraniumspool.message_growth import skip_unknown_elements, trim_elements
 from geraniumspool.queues import Queue
-from geraniumspool.run_messages import RenewRuns, StartRuns, StopRuns, WorkerReport, WorkerState
+from geraniumspool.run_messages import (
+    RenewRuns,
+    RunOrder,
+    StartRuns,
+    StopRuns,
+    WorkerReport,
+    WorkerState,
+)
 from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_EXTENSIBLE, VERSION_STAMPED
 
 # As the receiver of a message: any run of the process at the address may handle it.
@@ -580,6 +587,7 @@
     ForwardJob: 7,
     JobsFenced: 3,
     Queue: 10,
+    RunOrder: 10,
     ServiceLoad: 6,
     WorkerState: 10,
 }
