--- a/benchmarks/pattern_play.py
+++ b/benchmarks/pattern_play.py
@@ -19,6 +19,7 @@
 )
 from geraniumspool.clock import MS_PER_SECOND
 from geraniumspool.dispatch_policy import DispatchPolicy
+from geraniumspool.groups import GROUP_WORKERS
 from geraniumspool.job_specs import JobOutcome
 from geraniumspool.queues import Queue
 from geraniumspool.rooms import Resources
@@ -142,12 +143,14 @@
         seed: int = 1,
         workers: int = WORKERS,
         dispatchers: int = DISPATCHERS,
+        group_workers: int = GROUP_WORKERS,
     ):
         """Start idle workers and dispatchers.
 
         :param seed: determines arrivals and random choices
         :param workers: number of workers
         :param dispatchers: number of dispatchers
+        :param group_workers: least number of workers of one dispatcher
         """
         worker_resources = _list_rooms(workers)
         random.seed(seed)
@@ -158,6 +161,7 @@
             dispatchers,
             policy=policy,
             worker_resources=worker_resources,
+            group_workers=group_workers,
             domains=DOMAINS if evacuates else DOMAINS[:1],
         )
         for number, worker in enumerate(self.world.workers):
@@ -169,6 +173,11 @@
         self._held_jobs: dict[str, list[_SentJob]] = {}
         self._random = random.Random(seed)
 
+    @property
+    def pattern(self) -> Pattern:
+        """Return the load pattern that is simulated."""
+        return self._pattern
+
     @property
     def sent_jobs(self) -> list[_SentJob]:
         """Return all jobs that were sent so far, in the order of their arrival."""
--- a/benchmarks/scarcity.py
+++ b/benchmarks/scarcity.py
@@ -91,6 +91,11 @@
     gap_s: float
 
 
+def find_pattern(name: str) -> Pattern:
+    """Return a pattern by its name."""
+    return next(pattern for pattern in SCARCITY_PATTERNS if pattern.name == name)
+
+
 def simulate(run: tuple[str, str, int]) -> ScarcityRow:
     """Simulate one pattern under one policy.
 
@@ -98,7 +103,7 @@
     """
     name, policy, seed = run
     logging.disable(logging.CRITICAL)
-    pattern = next(pattern for pattern in SCARCITY_PATTERNS if pattern.name == name)
+    pattern = find_pattern(name)
     played = PatternSimulation(pattern, POLICIES[policy], seed, WORKERS, DISPATCHERS)
     played.run()
     return measure(played)
@@ -128,7 +133,8 @@
         sum(j.outcome not in (JobOutcome.SUCCEEDED, JobOutcome.REFUSED) for j in jobs) / len(jobs),
         min(len(in_time[queue]) / max(1, len(by_queue[queue])) for queue in QUEUES),
         min(served.values()) / max(1.0, sum(served.values())),
-        max(_find_longest_gap(kind) for kind in in_time.values()) / MS_PER_SECOND,
+        max(_find_longest_gap(kind, played.pattern.length_ms) for kind in in_time.values())
+        / MS_PER_SECOND,
     )
 
 
@@ -136,9 +142,9 @@
     return sum(sent.arrival.job.work for sent in jobs)
 
 
-def _find_longest_gap(jobs: list) -> float:
+def _find_longest_gap(jobs: list, length_ms: float) -> float:
     """Return the longest time in ms between the arrivals of two jobs that were in time."""
-    times = [WARM_UP_MS, *sorted(sent.arrival.at_ms for sent in jobs), LENGTH_MS]
+    times = [WARM_UP_MS, *sorted(sent.arrival.at_ms for sent in jobs), length_ms]
     return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
 
 
