Dispatcher: expected workers count as capacity; later retries after shedding

Cause: with no worker reported yet, after a power loss, any queued work counted as a shortage, so that `value_order` refused jobs for workers that are back a moment later.

Change: workers expected back count as capacity, and without any known worker capacity is not scarce. With `value_order`, Retry-After of a job that is shed is its predicted wait; otherwise it stays as it was.

--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -55,6 +55,9 @@
         :param lateness: lateness of the job's rank
         """
 
+    def predict_retry_ms(self, outlook: Outlook) -> float:
+        """Return the time in ms after which the caller of a job that is shed may come back."""
+
     def find_displacement(
         self,
         job: DispatchJob,
@@ -128,6 +131,10 @@
         """Return whether a job can no longer be in time."""
         return lateness != urgency.IN_TIME
 
+    def predict_retry_ms(self, outlook: Outlook) -> float:
+        """Return the shortest time: the job has waited for about as long as capacity was short."""
+        return urgency.MIN_RETRY_MS
+
     def find_displacement(
         self,
         job: DispatchJob,
@@ -261,6 +268,12 @@
         in_time = _predict(job, outlook, now).in_time
         return in_time < room_shares.MIN_KEPT_ON_TIME_PROBABILITY
 
+    def predict_retry_ms(self, outlook: Outlook) -> float:
+        """Return the predicted wait: jobs are shed early, while the shortage goes on."""
+        if not self._settings.value_order:
+            return super().predict_retry_ms(outlook)
+        return max(urgency.MIN_RETRY_MS, outlook.wait_ms)
+
     def find_displacement(
         self,
         job: DispatchJob,
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -379,7 +379,9 @@
         job.timing = Timing(now - age_ms, objective_ms, timeout_ms - RESULT_MARGIN_MS)
         backlog = self._describe_backlog(job.queue.service, workers, now)
         self._policy.observe_arrival(job, now)
-        job.accepted_capacity = sum(view.capacity.cpu for view in workers)
+        job.accepted_capacity = job_admission.expected_capacity(
+            workers, self.fleet.new_worker_count
+        )
         refusal = job_admission.check_admission(job, backlog, self._policy, now)
         return refusal or self._check_shutdown(job, now)
 
@@ -404,7 +406,7 @@
         arrivals = self._arrivals.get(service)
         if arrivals:
             queued = arrivals.add_to(queued, now)
-        capacity = sum(view.capacity.cpu for view in workers)
+        capacity = job_admission.expected_capacity(workers, self.fleet.new_worker_count)
         self._policy.observe_load(service, capacity, queued, self.find_served, now)
         return Backlog(
             self._jobs.values(),
@@ -479,13 +481,14 @@
                 outlook = job_admission.predict_outlook(job, ahead, backlog, reserved_share)
                 if self._policy.is_shed(job, outlook, now):
                     self._log_shed(job, rank, outlook, now)
-                    self._give_up(job, "overload")
+                    self._give_up(job, "overload", self._policy.predict_retry_ms(outlook))
                     continue
             ahead += job.pending_work()
 
     def _log_shed(self, job: DispatchJob, rank: Rank, outlook: Outlook, now: float) -> None:
         """Log why an accepted job is refused after all."""
-        capacity = sum(view.capacity.cpu for view in self.fleet.usable_workers(job.queue.service))
+        workers = self.fleet.usable_workers(job.queue.service)
+        capacity = job_admission.expected_capacity(workers, self.fleet.new_worker_count)
         self._counters.add("jobs_shed", queue=job.queue.name)
         log_job(
             "job shed",
@@ -493,8 +496,8 @@
             age_ms=round(now - job.timing.arrived_ms),
             objective_ms=round(job.timing.objective_ms),
             lateness=rank.lateness,
-            capacity=capacity,
-            accepted_capacity=job.accepted_capacity,
+            capacity=round(capacity),
+            accepted_capacity=round(job.accepted_capacity),
             **{name: round(value, 1) for name, value in outlook._asdict().items()},
         )
 
@@ -577,13 +580,16 @@
             ):
                 self._give_up(job, "too_late")
 
-    def _give_up(self, job: DispatchJob, code: str) -> None:
-        """End an unfinished job; refuse it with a retry delay if none of its tasks ran."""
+    def _give_up(self, job: DispatchJob, code: str, retry_ms: float = urgency.MIN_RETRY_MS) -> None:
+        """End an unfinished job; refuse it with a retry delay if none of its tasks ran.
+
+        :param retry_ms: time after which capacity may suffice
+        """
         self._learn_wait(job, self._clock.now())
         if job.may_have_started:
             self._end(job, JobResult(JobOutcome.UNFINISHED, code))
             return
-        retry = urgency.choose_retry_delay(urgency.MIN_RETRY_MS)
+        retry = urgency.choose_retry_delay(retry_ms)
         self._end(job, JobResult(JobOutcome.REFUSED, code, retry))
 
     def _end(self, job: DispatchJob, result: JobResult) -> None:
--- a/geraniumspool/job_admission.py
+++ b/geraniumspool/job_admission.py
@@ -189,6 +189,13 @@
     return work / max(1.0, _usable_capacity(backlog, 0))
 
 
+def expected_capacity(workers: Collection[WorkerView], new_worker_count: float) -> float:
+    """Return the CPU of some workers and those expected back soon, in thousandths of a core."""
+    if not workers:
+        return 0.0
+    return sum(view.capacity.cpu for view in workers) * (1 + new_worker_count / len(workers))
+
+
 def _usable_capacity(backlog: Backlog, task_cpu: int) -> float:
     """Return the CPU that tasks of a size can use, in thousandths of a core.
 
--- a/geraniumspool/room_shares.py
+++ b/geraniumspool/room_shares.py
@@ -77,12 +77,14 @@
 def is_scarce(was_scarce: bool, queued_work: float, capacity: float) -> bool:
     """Return whether the queued work exceeds the capacity for longer than a moment.
 
+    Without known workers it is not: they may report any moment, as after a power loss.
+
     :param was_scarce: the previous result
     :param queued_work: work of all queued jobs, in thousandths of a core times ms
     :param capacity: CPU of the workers in thousandths of a core
     """
     limit_ms = AMPLE_QUEUE_MS if was_scarce else SCARCE_QUEUE_MS
-    return queued_work > limit_ms * capacity
+    return capacity > 0 and queued_work > limit_ms * capacity
 
 
 def measure_displacement(
