Patterns: faults take the workers of one group; storms with returned jobs

Faults of patterns with groups hit all groups alike, so that no group lost more capacity than the others. They now take the workers of the first group first; two patterns, most of a group slow and most of a group crashed, show it. Storms run with returned jobs as well.

Two tests named dispatchers by incarnation 1 and 7; simulated dispatchers announce a version in it by now, so they ask the dispatcher, and make the incarnation that the new process has.

--- a/benchmarks/pattern_loads.py
+++ b/benchmarks/pattern_loads.py
@@ -210,12 +210,19 @@
         has_groups=True,
     ),
     Pattern("a burst at one dispatcher", 0.7, (BURST,), focus_share=0.9, has_groups=True),
-    # Declared run times hold only for the other groups: one group fills up while jobs wait there.
+    # A quarter of the workers is three quarters of one group: jobs that wait there have been
+    # forwarded by reports of full capacity.
     Pattern(
-        "slow minions in a burst at one dispatcher",
+        "most of a group slow",
         0.6,
-        (Burst(FAULT_AT_MS, FAULT_MS, 1.5),),
-        (Fault(FaultKind.SLOW, 0.25),),
+        faults=(Fault(FaultKind.SLOW, 0.25),),
+        focus_share=0.7,
+        has_groups=True,
+    ),
+    Pattern(
+        "most of a group crashes",
+        0.6,
+        faults=(Fault(FaultKind.CRASH, 0.25),),
         focus_share=0.7,
         has_groups=True,
     ),
--- a/benchmarks/pattern_play.py
+++ b/benchmarks/pattern_play.py
@@ -260,6 +260,9 @@
         if fault.kind is FaultKind.EVACUATE:
             return [worker for worker in self.world.workers if worker.domain == DOMAINS[-1]][:1]
         parts = self.world.dispatchers if fault.kind is FaultKind.FREEZE else self.world.workers
+        if self._pattern.has_groups and fault.kind is not FaultKind.FREEZE:
+            # The workers of one group before those of the next one.
+            parts = sorted(parts, key=lambda worker: DOMAINS.index(worker.domain))
         return parts[: max(1, round(fault.share * len(parts)))]
 
     def _set_fault(self, victim, kind: FaultKind, begins: bool) -> None:
--- a/geraniumspool/job_returns.py
+++ b/geraniumspool/job_returns.py
@@ -117,7 +117,8 @@
         :param draw: returns a random number from 0 to 1
         """
         self._draw = draw
-        self._allowances: dict[tuple[str, str], Allowance] = {}
+        # By service and address of the dispatcher that reported the capacity.
+        self._allowances: dict[str, dict[str, Allowance]] = {}
 
     def choose(
         self,
@@ -140,7 +141,8 @@
         chosen: list[JobReturn] = []
         if not free:
             return chosen
-        ahead = misses = 0.0
+        ahead = 0.0
+        misses = 0
         for job in queue:
             wait_ms = _predict_wait_ms(job, own, ahead)
             if not job.is_returnable or wait_ms <= job.slack_ms:
@@ -163,19 +165,22 @@
         waiting = [_sum_waiting(report.option.load) for report in reports]
         own_waiting = _sum_waiting(own)
         share = own_waiting / (own_waiting + sum(waiting)) if own_waiting else 0.0
+        known = self._allowances.get(own.service, {})
+        # Only those of present reports are kept: dispatchers come and go.
+        current = self._allowances[own.service] = {}
         for report in reports:
-            key = (report.address, own.service)
-            known = self._allowances.get(key)
-            if known is None or known.reported_ms != report.reported_ms:
+            allowance = known.get(report.address)
+            if allowance is None or allowance.reported_ms != report.reported_ms:
                 cpu = share * max(0.0, report.option.load.free_cpu)
-                self._allowances[key] = Allowance(report.reported_ms, cpu)
+                allowance = Allowance(report.reported_ms, cpu)
+            current[report.address] = allowance
 
     def _has_free_capacity(self, report: OwnerReport, service: str, now: float) -> bool:
         is_recent = now - report.reported_ms <= MAX_REPORT_AGE_MS
         return is_recent and self._left_cpu(report, service) > 0
 
     def _left_cpu(self, report: OwnerReport, service: str) -> float:
-        return self._allowances[report.address, service].left_cpu
+        return self._allowances[service][report.address].left_cpu
 
     def _find_owner(
         self,
@@ -199,7 +204,7 @@
         if best is None:
             return None
         cost_ms, report = best
-        if not self._allowances[report.address, service].take(job.request.cpu, self._draw):
+        if not self._allowances[service][report.address].take(job.request.cpu, self._draw):
             return None
         return JobReturn(
             job.key,
--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -113,6 +113,7 @@
         evacuates=False,
         returns_early=False,
         leaves=False,
+        returns_jobs=False,
     ):
         self.keeps_names = keeps_names
         self.is_rough = is_rough
@@ -130,6 +131,7 @@
             group_workers=4 if seed % 2 else 2,
             domains=DOMAINS if evacuates else DOMAINS[:1],
             evacuation_ms=EVACUATION_MS,
+            returns_jobs=returns_jobs,
         )
         self.evacuated_ms = {}
         self.cut_ms = {}
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -432,7 +432,8 @@
         late = SimulatedWorker(self.world, "w9")
         self.world.workers.append(late)
         self.clock.advance(50)
-        late.executor.handle_renewal(Peer(self.dispatcher.address, 1), RenewRuns(self.clock.now()))
+        sender = self.dispatcher.messenger.local_peer
+        late.executor.handle_renewal(sender, RenewRuns(self.clock.now()))
         self.advance(100)
         self.assertEqual(4, len(self.dispatcher.dispatcher.fleet.owned_workers("fitting")))
 
--- a/tests/test_job_returns.py
+++ b/tests/test_job_returns.py
@@ -1,6 +1,9 @@
 """Tests of the choice of waiting jobs that an owner returns, and of the jobs on their way."""
 
 import unittest
+from unittest import mock
+
+from eventlet import hubs
 
 from geraniumspool.dispatcher_peers import PEER_SILENT_MS
 from geraniumspool.fleet import RUNS_LOST_AFTER_MS
@@ -18,12 +21,15 @@
 from geraniumspool.queued_work import QueuedWork
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
 from tests.dispatch_world import QUEUE, DispatchWorld, SimulatedDispatcher, make_spec
+from tests.test_dispatch_storm import Storm
 
 NOW = 10_000.0
 TOTAL_CPU = 100_000.0
 TASK = "j.0.0.0"
 # Long enough for a report of the freed capacity, a tick of the owner, and the way of the job.
 RETURN_MS = 500
+# With even seeds two of the three dispatchers own workers.
+STORM_SEEDS = (2, 4, 6, 8)
 
 
 def make_load(free_cpu=0.0, waiting=0.0, racks=()):
@@ -409,5 +415,26 @@
             self.assertEqual(1, self.world.start_count(f"j{number}.0.0.0"))
 
 
+class ReturnStormTest(unittest.TestCase):
+    """Random faults while jobs are returned: no task runs twice, and every job ends."""
+
+    def test_storms_with_returned_jobs(self):
+        returned = 0.0
+        for seed in STORM_SEEDS:
+            for returns_early in (False, True):
+                with self.subTest(seed=seed, returns_early=returns_early):
+                    storm = Storm(
+                        seed, keeps_names=True, returns_early=returns_early, returns_jobs=True
+                    )
+                    with mock.patch.object(hubs.get_hub(), "squelch_timer_exception", storm.fail):
+                        storm.run()
+                    self.assertEqual([], storm.violations, storm.actions)
+                    returned += sum(
+                        dispatcher.counters.get("jobs_returned")
+                        for dispatcher in storm.world.dispatchers
+                    )
+        self.assertGreater(returned, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -9,6 +9,7 @@
 from geraniumspool.job_specs import JobOutcome, JobResult
 from geraniumspool.messages import Peer
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
+from geraniumspool.wire_versions import make_incarnation
 from tests.dispatch_world import DispatchWorld, SimulatedDispatcher, make_spec
 
 TASK = "j.0.0.0"
@@ -124,7 +125,7 @@
         request = self.entry.submit(make_spec("j", run_ms=900), timeout_ms=9_000.0)
         self.advance(10)
         self.owner.kill()
-        self.entry.router.handle_wrong_incarnation(Peer(self.owner.address, 7))
+        self.entry.router.handle_wrong_incarnation(Peer(self.owner.address, make_incarnation(7)))
         self.world.dispatchers[0] = SimulatedDispatcher(self.world, "h0", 7, capacity=2.0)
         self.advance(RUNS_LOST_AFTER_MS - 100)
         self.assertEqual(1, self.world.start_count(TASK))
