Owner choice: an owner without usable workers has the longest wait

A returned job was never answered: the predicted wait at an owner whose workers are all silent or draining divided by its capacity of 0, and the exception ended the handling of the return.

--- a/tests/test_owner_choice.py
+++ b/tests/test_owner_choice.py
@@ -7,6 +7,7 @@
 from geraniumspool.job_messages import ServiceLoad
 from geraniumspool.owner_choice import (
     CROSS_DOMAIN_PENALTY_MS,
+    MAX_PREDICTED_WAIT_MS,
     AssignmentRequest,
     OwnerOption,
     choose_owner,
@@ -36,6 +37,12 @@
     def test_free_capacity_means_no_wait(self):
         self.assertEqual(0.0, predict_wait_ms(make_option("a", 20_000.0), JOB))
 
+    def test_an_owner_without_usable_workers_has_the_longest_wait(self):
+        """All its workers may be silent or draining; a division by its capacity raised."""
+        option = make_option("a", 0.0)
+        empty = option._replace(load=option.load._replace(room_cpu=0.0))
+        self.assertEqual(MAX_PREDICTED_WAIT_MS, predict_wait_ms(empty, JOB))
+
     def test_more_work_or_less_free_capacity_means_a_longer_wait(self):
         rows = [
             make_option("a", 10_000.0),
