Returned jobs: an entry dispatcher without workers does not fail; less work for each waiting job

The predicted wait divided by the capacity of an owner, which is 0 for an entry dispatcher that owns no worker and compares itself with the others: a job returned to it was answered only at its deadline. Storms with returned jobs printed it. The wait there is the longest now. Jobs are described for the choice of an owner only if they are late.

--- a/geraniumspool/job_returns.py
+++ b/geraniumspool/job_returns.py
@@ -27,7 +27,9 @@
     """A job that waits at this dispatcher.
 
     :param key: object by which the caller identifies the job
-    :param request: properties that decide which dispatcher it may be assigned to
+    :param describe: returns the properties that decide which dispatcher it may be assigned to;
+        called for late jobs only
+    :param cpu: CPU that its first tasks need, in thousandths of a core
     :param work: its pending work in thousandths of a core times ms
     :param spare_cpu: capacity here that more urgent arrivals leave, in thousandths of a core
     :param slack_ms: time until its latest start within its objective
@@ -37,7 +39,8 @@
     """
 
     key: object
-    request: AssignmentRequest
+    describe: Callable[[], AssignmentRequest]
+    cpu: float
     work: float
     spare_cpu: float
     slack_ms: float
@@ -193,18 +196,19 @@
     ) -> JobReturn | None:
         """Return what speaks for returning a job; None if no dispatcher serves it better."""
         best: tuple[float, OwnerReport] | None = None
+        request = job.describe()
         for report in free:
             if not self._left_cpu(report, service):
                 continue
-            if owner_choice.predict_wait_ms(report.option, job.request) > 0:
+            if owner_choice.predict_wait_ms(report.option, request) > 0:
                 continue
-            cost_ms = owner_choice.estimate_cost(report.option, job.request, domain)
+            cost_ms = owner_choice.estimate_cost(report.option, request, domain)
             if cost_ms < min(wait_ms, job.useful_slack_ms) and (best is None or cost_ms < best[0]):
                 best = cost_ms, report
         if best is None:
             return None
         cost_ms, report = best
-        if not self._allowances[service][report.address].take(job.request.cpu, self._draw):
+        if not self._allowances[service][report.address].take(job.cpu, self._draw):
             return None
         return JobReturn(
             job.key,
@@ -222,7 +226,7 @@
 
     :param ahead: work that is served before it, in thousandths of a core times ms
     """
-    missing_cpu = max(0.0, job.request.cpu - max(0.0, own.free_cpu))
+    missing_cpu = max(0.0, job.cpu - max(0.0, own.free_cpu))
     if not missing_cpu and not ahead:
         return 0.0
     if job.spare_cpu <= 0:
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -6,6 +6,7 @@
 it may have started has ended, so that no task runs twice at the same time.
 """
 
+import functools
 import logging
 import math
 from collections.abc import Callable, Iterator
@@ -39,6 +40,7 @@
 from geraniumspool.messages import Message, Peer
 from geraniumspool.owner_choice import OwnerOption
 from geraniumspool.processor_usage import UNKNOWN_SHARE
+from geraniumspool.queued_work import LEVELS
 from geraniumspool.queues import Queue
 from geraniumspool.reliable_links import ReliableLinks
 from geraniumspool.routed_jobs import ForwardedJob, RoutedJob
@@ -552,19 +554,26 @@
         :param load: load of the workers of this process
         """
         arriving = self._dispatcher.list_arriving(load.service)
+        least_cpu = urgency.MIN_SPARE * load.room_cpu
+        spare_cpu = [
+            max(least_cpu, load.room_cpu - sum(arriving[:level])) for level in range(LEVELS)
+        ]
         for job in self._dispatcher.list_waiting(load.service):
             run_ms = job.remaining_run_ms()
-            has_label = any(step.label for step in job.spec.steps)
             yield QueuedJob(
                 job,
-                owner_choice.describe_job(job.spec, job.queue),
+                functools.partial(owner_choice.describe_job, job.spec, job.queue),
+                job.ready_cpu(),
                 job.pending_work(),
-                max(urgency.MIN_SPARE * load.room_cpu, load.room_cpu - sum(arriving[: job.level])),
+                spare_cpu[job.level],
                 job.timing.latest_start(run_ms) - now,
                 job.timing.latest_useful_start(run_ms) - now,
                 # Reports do not say which labels the workers have. Of several callers' dispatchers,
                 # each would forward the job to another owner.
-                job.may_return and not job.may_have_started and job.waiters == 1 and not has_label,
+                job.may_return
+                and not job.may_have_started
+                and job.waiters == 1
+                and not any(step.label for step in job.spec.steps),
             )
 
     def _return_job(self, found: JobReturn) -> None:
--- a/geraniumspool/owner_choice.py
+++ b/geraniumspool/owner_choice.py
@@ -95,6 +95,8 @@
 def predict_wait_ms(option: OwnerOption, request: AssignmentRequest) -> float:
     """Return the predicted wait in ms until all first tasks of a job have started there."""
     load = option.load
+    if load.room_cpu <= 0:
+        return MAX_PREDICTED_WAIT_MS
     queued = load.queued
     levels = range(request.level + 1)
     ahead = sum(queued.in_time[level] + queued.late[level] for level in levels)
--- a/tests/test_job_returns.py
+++ b/tests/test_job_returns.py
@@ -50,7 +50,9 @@
     """Return a waiting job; without others ahead it waits for 40 ms per 10 cores."""
     request = AssignmentRequest(0, cpu, frozenset(racks))
     useful_ms = slack_ms + 1_000.0
-    return QueuedJob(key, request, cpu * run_ms, TOTAL_CPU, slack_ms, useful_ms, is_returnable)
+    return QueuedJob(
+        key, lambda: request, cpu, cpu * run_ms, TOTAL_CPU, slack_ms, useful_ms, is_returnable
+    )
 
 
 class ChoiceTest(unittest.TestCase):
@@ -247,6 +249,24 @@
         self.assertEqual(1.0, self.owner.counters.get("jobs_returned"))
         self.assertEqual(1, self.world.start_count(TASK))
 
+    def test_an_entry_dispatcher_without_workers_forwards_a_returned_job(self):
+        """It has no capacity itself, and must not fail when it compares itself with the owners."""
+        self.world.dispatchers.append(SimulatedDispatcher(self.world, "h3", capacity=0.1))
+        for dispatcher in self.world.dispatchers:
+            dispatcher.router.update_members()
+        self.advance(400)
+        first = self.entry
+        self.entry = self.world.dispatchers[3]
+        self.assertFalse(self.entry.dispatcher.fleet.has_owned)
+        self.block(first, 5_000)
+        self.block(self.third, 200)
+        self.block(self.owner, 3_000)
+        caller = self.forward()
+        self.advance(400 + RETURN_MS)
+        self.assertEqual(1.0, self.owner.counters.get("jobs_returned"))
+        self.assertEqual(1.0, self.entry.counters.get("returned_jobs_routed", to="owner"))
+        self.assertEqual(JobOutcome.SUCCEEDED, caller.outcome)
+
     def test_a_job_is_returned_once(self):
         """Two full owners would otherwise pass a job to and fro."""
         caller = self.make_waiting_job(run_ms=300)
--- a/tests/test_owner_choice.py
+++ b/tests/test_owner_choice.py
@@ -6,11 +6,15 @@
 
 from geraniumspool.job_messages import ServiceLoad
 from geraniumspool.owner_choice import (
+    BUSY_LIMIT,
+    BUSY_WAIT_MS,
     CROSS_DOMAIN_PENALTY_MS,
+    MAX_PREDICTED_WAIT_MS,
     AssignmentRequest,
     OwnerOption,
     choose_owner,
     describe_job,
+    estimate_cost,
     predict_wait_ms,
 )
 from geraniumspool.queued_work import QueuedWork
@@ -47,6 +51,11 @@
         self.assertEqual(sorted(waits), waits)
         self.assertEqual(4, len(set(waits)))
 
+    def test_a_dispatcher_without_workers_has_the_longest_wait(self):
+        """An entry dispatcher often owns none, and compares itself with the others."""
+        none = OwnerOption(None, "north", ServiceLoad("fitting", 0.0, 0.0, 400.0))
+        self.assertEqual(MAX_PREDICTED_WAIT_MS, predict_wait_ms(none, JOB))
+
     def test_less_urgent_work_does_not_lengthen_the_wait(self):
         waits = [
             predict_wait_ms(make_option("a", 0.0, in_time=(0.0, 0.0, work, work)), JOB)
@@ -83,6 +92,25 @@
                 near = make_option("near", 20_000.0, in_time=(work, 0.0, 0.0, 0.0))
                 self.assertEqual(expected, choose_owner([near, far], JOB, "north").owner)
 
+    def test_a_free_group_elsewhere_goes_before_the_full_one_of_the_own_domain(self):
+        """A crest in one domain would otherwise wait there while the others are free."""
+        far = make_option("far", TOTAL_CPU, "south")
+        for owner in ("near", None):
+            with self.subTest(owner=owner):
+                near = make_option(owner, 0.0)
+                self.assertEqual("far", choose_owner([near, far], JOB, "north").owner)
+
+    def test_the_wait_at_a_busy_dispatcher_grows_with_the_excess(self):
+        """Below the limit, and where the share is unknown, the choice is as without shares."""
+        costs = [
+            estimate_cost(make_option("a", TOTAL_CPU, busy_share=share), JOB, "north")
+            for share in (-1.0, 0.0, BUSY_LIMIT, 0.8, 0.9, 1.0, 1.3)
+        ]
+        self.assertEqual(costs[0], costs[1])
+        self.assertEqual(costs[0], costs[2])
+        self.assertEqual(sorted(set(costs[2:])), costs[2:])
+        self.assertAlmostEqual(BUSY_WAIT_MS, costs[5] - costs[0])
+
     def test_dispatchers_with_the_same_reports_do_not_all_choose_the_same_owner(self):
         options = [make_option(f"o{n}", 50_000.0 + n) for n in range(8)]
         chosen = Counter(choose_owner(options, JOB, "north").owner for _ in range(400))
