Soak: departures of minions, and the settings that share capacity and demand

Seeds from 6,000 on have three times the load, dispatchers with all settings of the new parts, and minions that drain for less time than some runs need. A short run of seed 6000 is part of the tests.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -32,6 +32,7 @@
 from benchmarks.soak_deployment import Layout, SoakDeployment
 from benchmarks.soak_faults import (
     CRASHES,
+    DEPARTURES,
     EARLY_CALLERS,
     EVACUATIONS,
     FAULTS,
@@ -53,9 +54,11 @@
 MAX_PAUSES_S = (0.4, 0.8, 1.2)
 DOMAINS = ("north", "south")
 # Later seeds draw more kinds of faults; earlier ones draw the same as before, so that they repeat.
+SHARING_FIRST_SEED = 6_000
 SILENCES_FIRST_SEED = 5_000
 EARLY_CALLERS_FIRST_SEED = 4_000
 FAULTS_BY_FIRST_SEED = (
+    (SHARING_FIRST_SEED, DEPARTURES),
     (SILENCES_FIRST_SEED, SILENCES),
     (EARLY_CALLERS_FIRST_SEED, EARLY_CALLERS),
     (3_000, EVACUATIONS),
@@ -63,6 +66,17 @@
     (1_000, MORE_FAULTS),
     (0, FAULTS),
 )
+# Settings with which capacity and demand are shared, and so many times the load that makes them
+# take effect.
+SHARING_SETTINGS = (
+    ("least_share", 0.2),
+    ("value_order", True),
+    ("returns_jobs", True),
+    ("uses_busy_share", True),
+    ("run_times_by_queue", True),
+    ("remote_data_factor", 2.0),
+)
+SHARING_LOAD = 3.0
 
 
 class Soak:
@@ -92,7 +106,10 @@
             DOMAINS if "evacuate" in self._kinds else DOMAINS[:1],
             seed >= SILENCES_FIRST_SEED,
             self._has_early_callers,
+            dispatcher_settings=SHARING_SETTINGS if seed >= SHARING_FIRST_SEED else (),
         )
+        is_sharing = seed >= SHARING_FIRST_SEED
+        self._jobs_per_s = JOBS_PER_S * (SHARING_LOAD if is_sharing else 1.0)
         self._deployment = SoakDeployment(layout, seed, folder, self.checker)
 
     def run(self) -> None:
@@ -122,7 +139,7 @@
         while time.monotonic() < end:
             callers.spawn_n(self._call, f"{self._random.getrandbits(64):016x}", number)
             number += 1
-            eventlet.sleep(self._random.expovariate(JOBS_PER_S))
+            eventlet.sleep(self._random.expovariate(self._jobs_per_s))
         running_faults.wait()
         callers.waitall()
 
--- a/benchmarks/soak_deployment.py
+++ b/benchmarks/soak_deployment.py
@@ -42,6 +42,7 @@
     :param has_link_proxies: whether the processes reach each other through proxies
     :param has_early_callers: whether callers repeat requests early, and minions take time to stop
     :param evacuation_s: setting ``evacuation_ms`` of the executors in seconds, None for its default
+    :param dispatcher_settings: further settings of the dispatchers
     :param builds: builds of the programs, assigned in turn to the processes of each role
     """
 
@@ -52,6 +53,7 @@
     has_early_callers: bool = True
     evacuation_s: float | None = EVACUATION_S
     builds: tuple[Build, ...] = (CURRENT_BUILD,)
+    dispatcher_settings: tuple[tuple[str, object], ...] = ()
 
 
 class SoakDeployment:
@@ -164,6 +166,7 @@
         callers, ready = self._addresses.reserve(), self._addresses.reserve()
         settings = self._common_settings(f"dispatcher-{number}", self._choose_domain(number))
         settings |= {"callers_listen": callers, "ready_listen": ready}
+        settings |= dict(self._layout.dispatcher_settings)
         process = self._start_process("dispatcher", settings, number)
         self.dispatchers.append(process)
         self.endpoints.append(DispatcherEndpoint(callers, process))
@@ -200,12 +203,15 @@
             body = {
                 "service": "fitting",
                 "addr": address,
-                "state": "ready",
+                "state": "ready" if minion.departs_s is None else "draining",
                 "room": {"cpu": WORKER_ROOM.cpu, "mem_mb": WORKER_ROOM.memory_mb},
                 "labels": ["a", "r1"],
                 "seq": life.sequence,
                 "born": life.started_unix_ms,
             }
+            if minion.departs_s is not None:
+                left_s = max(0.0, minion.departs_s - time.monotonic())
+                body["remaining_ms"] = round(left_s * MS_PER_SECOND)
             url = f"http://{listen}/instances/{minion.incarnation.instance}/heartbeat"
             # If the executor is down, a later heartbeat reaches it.
             with contextlib.suppress(urllib3.exceptions.HTTPError):
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -38,12 +38,15 @@
     "silence_minion_connections",
     "silence_all",
 )
+DEPARTURES = (*SILENCES, "depart", "depart", "depart")
 MIN_PAUSE_S = 0.2
 # Longest time between two kills if several processes are killed, in the order of their list.
 MAX_KILL_INTERVAL_S = 0.02
 # Number and interval of silences in a series.
 SILENCES_IN_SERIES = 3
 SILENCE_INTERVAL_S = (0.2, 2.5)
+# Least and greatest time that a draining minion has left.
+DEPARTURE_S = (0.1, 1.5)
 # Least and greatest number of pauses of a process that is paused repeatedly.
 PAUSE_COUNTS = (3, 12)
 
@@ -162,8 +165,20 @@
 
     def _do_restart_minion(self) -> None:
         """Crash a minion and start it again under the same name."""
+        self._restart_minion(self._random.randrange(len(self._deployment.minion_proxies)))
+
+    def _do_depart(self) -> None:
+        """Drain a minion for less time than some runs need, and start it again afterwards."""
+        index = self._random.randrange(len(self._deployment.minion_proxies))
+        minion = self._deployment.checker.minions[index]
+        left_s = self._random.uniform(*DEPARTURE_S)
+        minion.departs_s = time.monotonic() + left_s
+        eventlet.sleep(left_s)
+        minion.departs_s = None
+        self._restart_minion(index)
+
+    def _restart_minion(self, index: int) -> None:
         proxies = self._deployment.minion_proxies
-        index = self._random.randrange(len(proxies))
         proxies[index].reset()
         proxies[index].is_stalled = True
         self._deployment.checker.minions[index].restart()
--- a/benchmarks/soak_witness.py
+++ b/benchmarks/soak_witness.py
@@ -126,6 +126,7 @@
 class CheckedMinion(MemoryMinion):
     """In-memory minion that reports its runs to the checker.
 
+    :ivar departs_s: monotonic time at which it shuts down, None unless it drains
     :ivar stop_limit_ms: longest time that stopping a run takes, which is drawn for each; None
         for the default time
     """
@@ -136,6 +137,7 @@
         super().__init__(clock, name, WORKER_ROOM, seed)
         self.name = name
         self.domain = domain
+        self.departs_s: float | None = None
         self.stop_limit_ms: float | None = None
         self._stop_random = random.Random(f"{seed}/{name}")
         self._checker = checker
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 LOAD_DURATION_S = 5.0
 SEED = 1_000
 EARLY_CALLERS_SEED = 4_000
+SHARING_SEED = 6_000
 
 
 class ShortSoakTest(unittest.TestCase):
@@ -27,6 +28,9 @@
     def test_no_guarantee_is_violated_with_callers_that_retry_at_once(self):
         self.play(EARLY_CALLERS_SEED)
 
+    def test_no_guarantee_is_violated_while_capacity_and_demand_are_shared(self):
+        self.play(SHARING_SEED)
+
 
 if __name__ == "__main__":
     unittest.main()
