Scarce capacity: a job that ends after its caller's timeout is not on time

Cause: the probability to be on time counted to the objective only, also where the caller's timeout ends before it, as for jobs that need most of the workers.

Change: while capacity is scarce, decisions by value count to the earlier of both. A test follows a refusal on arrival and one after a loss of capacity by their log lines.

--- a/geraniumspool/dispatch_policy.py
+++ b/geraniumspool/dispatch_policy.py
@@ -16,7 +16,7 @@
 from geraniumspool.packing import Candidate, PlacementRequest, WorkerChoice
 from geraniumspool.queued_work import LEVELS, QueuedWork
 from geraniumspool.room_shares import Displacement, QueuedJob, QueueShare, ServedWork
-from geraniumspool.urgency import Outlook, Probabilities, Rank
+from geraniumspool.urgency import Outlook, Rank
 
 _LOG = logging.getLogger(__name__)
 
@@ -246,7 +246,7 @@
             return super().is_refused(job, outlook, others, now)
         if super().is_refused(job, outlook, others, now):
             return True
-        in_time = _predict(job, outlook, now).in_time
+        in_time = _on_time_probability(job, outlook, now)
         return state.in_time_work > 0 and in_time < room_shares.MIN_ON_TIME_PROBABILITY
 
     def is_shed_checked(self, job: DispatchJob, lateness: int, now: float) -> bool:
@@ -265,7 +265,7 @@
             return True
         if state is None or not (self._settings.value_order and state.is_scarce):
             return False
-        in_time = _predict(job, outlook, now).in_time
+        in_time = _on_time_probability(job, outlook, now)
         return in_time < room_shares.MIN_KEPT_ON_TIME_PROBABILITY
 
     def predict_retry_ms(self, outlook: Outlook) -> float:
@@ -291,8 +291,8 @@
         work = job.pending_work()
         ranked = sorted(after, key=lambda pair: pair[0])
         queued = [
-            QueuedJob(other.level, other.pending_work(), rank.latest_start_ms - now, other.work())
-            for rank, other in ranked
+            QueuedJob(other.level, other.pending_work(), _slack_ms(other, now), other.work())
+            for _rank, other in ranked
         ]
         return room_shares.measure_displacement(work, job.work(), ahead, queued, spare)
 
@@ -408,10 +408,19 @@
     return UsefulnessPolicy()
 
 
-def _predict(job: DispatchJob, outlook: Outlook, now: float) -> Probabilities:
-    return urgency.predict_probabilities(job.timing, job.remaining_run_ms(), outlook, now)
+def _slack_ms(job: DispatchJob, now: float) -> float:
+    """Return the time in ms until a job has to start to be on time, and before its timeout."""
+    remaining_run_ms = job.remaining_run_ms()
+    timing = job.timing
+    latest_ms = timing.latest_start(remaining_run_ms)
+    return min(latest_ms, timing.latest_useful_start(remaining_run_ms)) - now
+
+
+def _on_time_probability(job: DispatchJob, outlook: Outlook, now: float) -> float:
+    """Return the probability that a job is in time and its caller has not timed out."""
+    return urgency.predict_probability(job.timing, _slack_ms(job, now), outlook.wait_ms)
 
 
 def _useful_probability(job: DispatchJob, outlook: Outlook, now: float) -> float:
     """Return the probability that a job's result is useful, in time or late."""
-    return _predict(job, outlook, now).useful
+    return urgency.predict_probabilities(job.timing, job.remaining_run_ms(), outlook, now).useful
--- a/tests/test_room_shares.py
+++ b/tests/test_room_shares.py
@@ -140,6 +140,15 @@
         policy.observe_load(SERVICE, 0.8 * CAPACITY, queued, no_reports, NOW)
         self.assertTrue(policy.is_shed_checked(job, 1, NOW + quarter_ms + 1))
 
+    def test_a_job_that_ends_after_its_callers_timeout_is_not_on_time(self):
+        waiting = [make_job(f"w{n}", cpu=5_000, run_ms=400) for n in range(2)]
+        policy = make_scarcity_policy(value_order=True, waiting=waiting)
+        roomy = QUEUE._replace(objective_ms=3_000.0)
+        patient = make_job("j", roomy, wait_ms=4_000.0, cpu=5_000, run_ms=400)
+        hasty = make_job("k", roomy, wait_ms=1_000.0, cpu=5_000, run_ms=400)
+        self.assertIsNone(check(policy, patient, waiting))
+        self.assertEqual("overload", check(policy, hasty, waiting).code)
+
     def test_callers_of_shed_jobs_come_back_when_capacity_suffices(self):
         """Shed jobs are refused early, so that after the shortest time it is still short."""
         outlook = Outlook(False, 8_000_000.0, 0.0, 10_000.0, 1.0, 100.0)
--- a/tests/test_scarce_capacity.py
+++ b/tests/test_scarce_capacity.py
@@ -6,6 +6,8 @@
 import math
 import unittest
 
+import eventlet
+
 from benchmarks.pattern_loads import PATTERNS, Pattern
 from benchmarks.pattern_play import PatternSimulation
 from benchmarks.pattern_policies import (
@@ -129,6 +131,42 @@
         self.assertAlmostEqual(100_000, got[0].work, delta=2_000)
 
 
+class TraceTest(unittest.TestCase):
+    """Log lines and counters that tell why a job was refused."""
+
+    def test_refusals_on_arrival_and_after_a_loss_of_capacity_name_their_inputs(self):
+        world = DispatchWorld(
+            1,
+            1,
+            lambda: ScarcityPolicy(SharingSettings(value_order=True), MemoryCounters()),
+        )
+        self.addCleanup(world.close)
+        # The objective of a job that needs all workers at once is 1,660 ms.
+        queue = QUEUE._replace(objective_factor=0.4)
+        running = make_spec("running", count=2, cpu=5_000, run_ms=300)
+        world.dispatcher.submit_locally(running, queue)
+        world.clock.advance(5)
+        spec = make_spec("waiting", count=2, cpu=5_000, run_ms=1_000)
+        waiting = world.dispatcher.submit_locally(spec, queue)
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            world.dispatcher.submit(spec._replace(job_id="refused"), queue)
+            # Half of the capacity is lost.
+            minion = world.workers[0].minion
+            minion.resize(minion.incarnation.resources._replace(cpu=5_000))
+            eventlet.spawn_n(world.workers[0].executor.handle_minion_report, minion.incarnation)
+            world.clock.advance(200)
+        lines = {record.getMessage(): dict(record.fields) for record in logs.records}
+        refused, shed = lines["job refused"], lines["job shed"]
+        self.assertEqual(("refused", "overload"), (refused["job"], refused["reason"]))
+        self.assertLess(refused["in_time"], 0.5)
+        self.assertEqual(10_000_000, lines["capacity scarce"]["queued"])
+        self.assertEqual("waiting", shed["job"])
+        self.assertEqual((5_000, 10_000), (shed["capacity"], shed["accepted_capacity"]))
+        self.assertEqual(1, world.dispatcher.counters.get("jobs_shed", queue=QUEUE.name))
+        self.assertEqual("overload", waiting.result.code)
+        self.assertGreater(waiting.result.retry_after_ms, 1_000)
+
+
 class SeveralOwnersTest(unittest.TestCase):
     """Owners decide for their own workers alone."""
 
