Setting keep_fast_workers: fast workers go to jobs that are on time only there

Cause: short urgent tasks went to the workers on which they end first and filled the fast ones. Jobs whose run time at usual speed exceeds their caller's timeout were refused, although a fast worker would have served them.

Change: where it is set, tasks avoid fast workers if they are on time on slow ones, and jobs that are late at usual speed are accepted and ordered by the pace of the fastest worker.

--- a/geraniumspool/daemon_settings.py
+++ b/geraniumspool/daemon_settings.py
@@ -32,6 +32,7 @@
     :param log_level: lowest level that is logged
     :param run_times_by_queue: whether run times are learnt apart from the speed of workers,
         with their tail and from runs in progress
+    :param keep_fast_workers: whether tasks that are on time on slow workers avoid fast ones
     :param remote_data_factor: how many times as long a task takes away from the rack of its data,
         None for ``DEFAULT_REMOTE_DATA_FACTOR`` of :mod:`geraniumspool.data_locality`
     """
@@ -49,6 +50,7 @@
     advertised_inbox: str = ""
     log_level: str = "info"
     run_times_by_queue: bool = False
+    keep_fast_workers: bool = False
     remote_data_factor: Annotated[float, msgspec.Meta(ge=1, le=MAX_REMOTE_DATA_FACTOR)] | None = (
         None
     )
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -101,6 +101,7 @@
             self.claims,
             remote_data_factor=settings.remote_data_factor,
             run_times_by_queue=settings.run_times_by_queue,
+            keeps_fast_workers=settings.keep_fast_workers,
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
--- a/geraniumspool/dispatch_job.py
+++ b/geraniumspool/dispatch_job.py
@@ -90,6 +90,8 @@
         the lease of the caller's dispatcher on the job expires
     :ivar ended_ms: clock time in ms at which the result was set
     :ivar is_claimed: whether this dispatcher holds the exclusive claim to run the job
+    :ivar pace: ratio of actual to expected run times on the workers that the job needs; under 1 if
+        it is on time on fast workers only
     :ivar fence_rank: rank of the fence that the job was claimed by, 0 if arbiters granted it
     """
 
@@ -114,6 +116,7 @@
         self.ended_ms = 0.0
         self.is_claimed = False
         self.fence_rank = 0
+        self.pace = 1.0
 
     @property
     def claim_id(self) -> str:
@@ -147,7 +150,7 @@
 
     def remaining_run_ms(self) -> float:
         """Return the expected time of the longest chain of steps from a ready step on, in ms."""
-        return max((step.chain_ms for step in self.ready_steps()), default=0.0)
+        return self.pace * max((step.chain_ms for step in self.ready_steps()), default=0.0)
 
     def ready_cpu(self) -> int:
         """Return the CPU that the tasks of all ready steps need, in thousandths of a core."""
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -93,6 +93,7 @@
         policy: DispatchPolicy | None = None,
         remote_data_factor: float | None = None,
         run_times_by_queue: bool = False,
+        keeps_fast_workers: bool = False,
     ):
         """Create a dispatcher without jobs or workers.
 
@@ -106,6 +107,7 @@
             data; None for the default
         :param run_times_by_queue: whether run times are learnt apart from the speed of workers,
             with their tail and from runs in progress
+        :param keeps_fast_workers: whether tasks that are on time on slow workers avoid fast ones
         """
         self._policy = policy or UsefulnessPolicy()
         self._clock = clock
@@ -124,7 +126,13 @@
         )
         self.remote_data = self.learner.remote_data
         self._placer = JobPlacer(
-            clock, self.fleet, self._policy, self._blame, domain, self.remote_data
+            clock,
+            self.fleet,
+            self._policy,
+            self._blame,
+            domain,
+            self.remote_data,
+            keeps_fast_workers,
         )
         self._is_placing = False
         self._claims = claims
@@ -198,6 +206,8 @@
         self._pending[spec.job_id] = job
         arrivals = self._arrivals.setdefault(queue.service, Arrivals(self._clock.now()))
         arrivals.note(job.level, job.pending_work(), self._clock.now())
+        if job.pace < 1:
+            self._counters.add("jobs_need_fast_workers", queue=queue.name)
         job.waiters = 1
         job.lease_expiries.append(lease_expiry)
         log_job(
@@ -208,6 +218,7 @@
             objective_ms=round(job.timing.objective_ms),
             wait_ms=round(job.timing.timeout_ms),
             delay_ms=round(job.predicted_wait_ms),
+            pace=round(job.pace, 3),
             version=version,
         )
         self._claims.claim(job)
@@ -434,6 +445,9 @@
         )
         objective_ms = measure(job.steps, job.queue, capacity)
         job.timing = Timing(now - age_ms, objective_ms, timeout_ms - RESULT_MARGIN_MS)
+        if self._placer.keeps_fast_workers:
+            on_time_ms = min(objective_ms, job.timing.timeout_ms) - age_ms
+            job.pace = packing.find_needed_pace(job.remaining_run_ms(), on_time_ms, workers)
         backlog = self._describe_backlog(job.queue.service, workers, now)
         refusal = job_admission.check_admission(job, backlog, self._policy, now)
         return refusal or self._check_shutdown(job, now)
--- a/geraniumspool/job_placer.py
+++ b/geraniumspool/job_placer.py
@@ -20,7 +20,10 @@
 
 
 class JobPlacer:
-    """Send runs of a job's tasks to workers, with ascending run numbers."""
+    """Send runs of a job's tasks to workers, with ascending run numbers.
+
+    :ivar keeps_fast_workers: whether tasks that are on time on slow workers avoid fast ones
+    """
 
     def __init__(
         self,
@@ -30,14 +33,17 @@
         blame: CrashBlame,
         domain: str,
         remote_data: RemoteDataFactor,
+        keeps_fast_workers: bool = False,
     ):
         """Create a placer that has sent no run.
 
         :param blame: tasks suspected of crashing minions
         :param domain: failure domain of this process
         :param remote_data: factor by which tasks take longer away from their data
+        :param keeps_fast_workers: whether tasks that are on time on slow workers avoid fast ones
         """
         self._remote_data = remote_data
+        self.keeps_fast_workers = keeps_fast_workers
         self._clock = clock
         self._fleet = fleet
         self._policy = policy
@@ -88,6 +94,7 @@
             step.runs_by_worker,
             self._clock.now(),
             self._remote_data.value,
+            self._find_on_time(job, step),
         )
         for _ in range(len(step.pending)):
             task = TaskId(number, step.pending[0])
@@ -150,3 +157,14 @@
         if self._remote_data.is_set and packing.is_remote(view, step.spec):
             return step.expected_ms * self._remote_data.value
         return step.expected_ms
+
+    def _find_on_time(self, job: DispatchJob, step: Step) -> float:
+        """Return the time in ms within which a task must end for its job to be on time.
+
+        Later steps have to follow within the objective.
+        """
+        if not self.keeps_fast_workers:
+            return 0.0
+        timing = job.timing
+        on_time_ms = timing.arrived_ms + min(timing.objective_ms, timing.timeout_ms)
+        return on_time_ms - self._clock.now() - (step.chain_ms - step.expected_ms)
--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -26,6 +26,15 @@
 # CONFLICT_MS.
 CONFLICT_SHARE = 0.15
 CONFLICT_MS = 15.0
+# A task counts as on time on a worker if it is predicted to take at most this share of the time
+# that is left: predictions are off by some tens of per cent.
+ON_TIME_SHARE = 0.95
+# A fast worker is scored as slower by this, times what its pace is under 1, for a task that is on
+# time elsewhere. It is left for tasks that are on time only there.
+FAST_WORKER_PENALTY = 1.5
+# A worker on which a task is late is scored as slower by this factor, which puts it behind all on
+# which the task is on time.
+LATE_WORKER_FACTOR = 5.0
 
 
 class Candidate(Protocol):
@@ -58,6 +67,8 @@
     :param runs_by_worker: number of open runs of the step by worker, keyed by the worker's ``id``
     :param now: clock time in ms
     :param remote_factor: factor by which a task takes longer outside the rack of its data
+    :param on_time_ms: time left until its job is late; on workers where it ends by then, speed does
+        not count and fast ones are avoided. 0 if speed always counts
     """
 
     step: StepSpec
@@ -67,6 +78,7 @@
     runs_by_worker: dict[int, int]
     now: float = 0.0
     remote_factor: float = DEFAULT_REMOTE_DATA_FACTOR
+    on_time_ms: float = 0.0
 
 
 class WorkerChoice(NamedTuple):
@@ -102,6 +114,18 @@
     return not step.label or step.label in worker.labels
 
 
+def find_needed_pace(run_ms: float, on_time_ms: float, workers: Iterable[Candidate]) -> float:
+    """Return the pace of the workers that a job needs to be on time, at most 1.
+
+    :param run_ms: its expected run time on workers of usual speed
+    :param on_time_ms: time left until it is late
+    """
+    if run_ms <= ON_TIME_SHARE * on_time_ms:
+        return 1.0
+    paces = (worker.pace for worker in workers if worker.pace > 0)
+    return min(1.0, min(paces, default=1.0))
+
+
 def choose_worker(workers: Iterable[Candidate], request: PlacementRequest) -> WorkerChoice | None:
     """Return the best worker with free capacity for one task, or None.
 
@@ -110,6 +134,7 @@
     """
     step = request.step
     now = request.now + DEPARTURE_MARGIN_MS
+    on_time_ms = ON_TIME_SHARE * request.on_time_ms
     best = None
     best_score = -math.inf
     for worker in workers:
@@ -118,7 +143,13 @@
         run_ms = predict_run_ms(worker, step, request.expected_ms, request.remote_factor)
         if run_ms > request.max_run_ms or now + run_ms > worker.departs_ms:
             continue
-        score = -_placement_cost(worker, step, run_ms, request.domain)
+        cost_ms = run_ms
+        if on_time_ms > 0:
+            if run_ms <= on_time_ms:
+                cost_ms = _cost_on_time(worker, run_ms)
+            else:
+                cost_ms *= LATE_WORKER_FACTOR
+        score = -_placement_cost(worker, step, cost_ms, request.domain)
         if score > best_score:
             best, best_score = WorkerChoice(worker, run_ms), score
     return best
@@ -130,6 +161,12 @@
     return not step.per_worker or taken.get(id(worker), 0) < step.per_worker
 
 
+def _cost_on_time(worker: Candidate, run_ms: float) -> float:
+    """Return a run time in ms by which workers compare on which a task is on time."""
+    pace = worker.pace
+    return run_ms / pace * (1 + FAST_WORKER_PENALTY * max(0.0, 1 - pace)) if pace > 0 else run_ms
+
+
 def _placement_cost(worker: Candidate, step: StepSpec, run_ms: float, domain: str) -> float:
     """Return the cost of a placement in ms; the least is the best."""
     used_share = 1 - worker.free.cpu / max(1, worker.capacity.cpu)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -78,3 +78,56 @@
         queued = FakeWorker("queued", free=Resources(2_500, 1_000))
         self.assertIsNone(choose([queued]))
         self.assertIsNone(choose([queued, busy]))
+
+
+class FastWorkersTest(unittest.TestCase):
+    """Fast workers, which are left for tasks that are on time only there.
+
+    Urgent short tasks otherwise fill them first, and long tasks, which take too long on the other
+    workers, find no capacity.
+    """
+
+    def choose(self, expected_ms, on_time_ms, workers=None, within_ms=2_000.0):
+        workers = workers or [FakeWorker("fast", pace=0.6), FakeWorker("slow", pace=1.4)]
+        step = StepSpec(1, Resources(1_000, 10))
+        request = PlacementRequest(
+            step, expected_ms, within_ms, "north", {}, 0.0, on_time_ms=on_time_ms
+        )
+        return {packing.choose_worker(workers, request).worker.name for _ in range(50)}
+
+    def test_a_task_that_is_on_time_anywhere_takes_a_slow_worker(self):
+        self.assertEqual({"slow"}, self.choose(100.0, 200.0))
+
+    def test_a_task_that_is_on_time_only_there_takes_a_fast_worker(self):
+        self.assertEqual({"fast"}, self.choose(100.0, 130.0))
+
+    def test_a_late_task_takes_the_fastest_worker(self):
+        for on_time_ms in (50.0, 0.0, -20.0):
+            with self.subTest(on_time_ms=on_time_ms):
+                self.assertEqual({"fast"}, self.choose(100.0, on_time_ms))
+
+    def test_a_fast_worker_is_used_once_the_slow_ones_are_full(self):
+        full = FakeWorker("slow", pace=1.4, free=Resources(500, 1_000))
+        self.assertEqual({"fast"}, self.choose(100.0, 200.0, [FakeWorker("fast", pace=0.6), full]))
+
+    def test_a_job_needs_fast_workers_if_it_is_late_on_usual_ones(self):
+        workers = [FakeWorker(pace=pace) for pace in (1.4, 0.6, 0.0)]
+        rows = [
+            (100.0, 200.0, workers, 1.0),
+            (100.0, 90.0, workers, 0.6),
+            (100.0, -10.0, workers, 0.6),
+            (100.0, 90.0, [FakeWorker(pace=1.4)], 1.0),
+            (100.0, 90.0, [], 1.0),
+        ]
+        for run_ms, on_time_ms, candidates, expected in rows:
+            with self.subTest(run_ms=run_ms, on_time_ms=on_time_ms):
+                pace = packing.find_needed_pace(run_ms, on_time_ms, candidates)
+                self.assertEqual(expected, pace)
+
+    def test_workers_of_equal_speed_share_tasks(self):
+        workers = [FakeWorker("a"), FakeWorker("b")]
+        self.assertEqual({"a", "b"}, self.choose(100.0, 200.0, workers))
+
+
+if __name__ == "__main__":
+    unittest.main()
