--- a/geraniumspool/packing.py
+++ b/geraniumspool/packing.py
@@ -103,7 +103,8 @@
 
     :param remote_factor: as in :class:`PlacementRequest`
     """
-    locality_factor = remote_factor if is_remote(worker, step) else 1.0
+    # As in is_remote, without the call: this runs for every worker of each choice.
+    locality_factor = remote_factor if step.rack and step.rack != worker.rack else 1.0
     return expected_ms * worker.pace * locality_factor
 
 
