--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -104,6 +104,7 @@
             make_policy(SharingSettings(settings.least_share, settings.value_order), metrics),
             remote_data_factor=settings.remote_data_factor,
             run_times_by_queue=settings.run_times_by_queue,
+            keeps_fast_workers=settings.keep_fast_workers,
         )
         self.dispatcher.fleet.links = messenger
         self.router = JobRouter(
