--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from geraniumspool.clock import ManualClock
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import DispatcherSettings
 from geraniumspool.dispatch_entry import DispatcherProcess
@@ -13,6 +14,7 @@
 from geraniumspool.memory_store import MemoryStore
 from geraniumspool.messages import Peer
 from geraniumspool.operator_keys import OperatorKeys
+from geraniumspool.processor_usage import UNKNOWN_SHARE
 from geraniumspool.queued_work import NO_WORK
 from geraniumspool.registrations import WORKER_PREFIX
 from geraniumspool.rooms import Resources
@@ -298,10 +300,10 @@
         self._on_drain()
 
 
-def make_draining_entry(clock, dispatcher, on_drain):
-    """Return a dispatcher process around a simulated dispatcher, ready to be drained.
+def make_entry(clock, **settings):
+    """Return a dispatcher process in memory.
 
-    :param on_drain: called while its listener closes
+    :param settings: settings besides those that every process needs
     """
     settings = DispatcherSettings(
         name="n",
@@ -310,16 +312,36 @@
         store="s",
         callers_listen="c",
         ready_listen="r",
-        grace_s=4.0,
+        **settings,
     )
     messenger = MemoryMessenger(MemoryNetwork(clock), Peer("tcp://n", 1), MemoryCounters())
     store = MemoryStore(clock)
-    entry = DispatcherProcess(settings, clock, MemoryCounters(), messenger, store, KEYS, bytes)
+    return DispatcherProcess(settings, clock, MemoryCounters(), messenger, store, KEYS, bytes)
+
+
+def make_draining_entry(clock, dispatcher, on_drain):
+    """Return a dispatcher process around a simulated dispatcher, ready to be drained.
+
+    :param on_drain: called while its listener closes
+    """
+    entry = make_entry(clock, grace_s=4.0)
     entry.dispatcher = dispatcher
     entry.set_servers(ClosingListener(on_drain), [])
     return entry
 
 
+class SettingsTest(unittest.TestCase):
+    """Settings that reach the components of the process."""
+
+    def test_sharing_of_demand_is_off_unless_set(self):
+        """A setting that is not handed on would leave the decision off everywhere."""
+        router = make_entry(ManualClock()).router
+        self.assertEqual((False, None), (router.returns_jobs, router.measure_busy_share))
+        router = make_entry(ManualClock(), returns_jobs=True, uses_busy_share=True).router
+        self.assertTrue(router.returns_jobs)
+        self.assertEqual(UNKNOWN_SHARE, router.measure_busy_share())
+
+
 class FaultsTest(DispatchCase):
     """Faults, during which no task may run twice at the same time."""
 
