Memory network: the end of a process is not seen across a partition

Tests said more than a network does: once a process had ended, every other one saw its connection as closed, also one that was cut off from it. Fences are complete without an executor whose connection is closed, so a dispatcher learnt from it across a cut that an executor had ended.

A connection is now closed for those that the process reached when it ended; for the others once they reach its host again.

--- a/geraniumspool/memory_link.py
+++ b/geraniumspool/memory_link.py
@@ -45,6 +45,7 @@
         self.duplicate_delay_ms = 50.0
         self.partitioned: set[tuple[str, str]] = set()
         self.silent_links: set[tuple[str, str]] = set()
+        self._unseen_ends: set[tuple[str, str]] = set()
         self.held_messages: dict[str, list] = {}
         self.dropped_kinds: set[str] = set()
         self.duplicated_kinds: set[str] = set()
@@ -53,12 +54,17 @@
 
     def attach(self, messenger: "MemoryMessenger") -> None:
         """Deliver messages for a messenger's address to this messenger."""
-        self._inboxes[messenger.local_peer.address] = messenger
+        address = messenger.local_peer.address
+        self._inboxes[address] = messenger
+        self._unseen_ends = {link for link in self._unseen_ends if link[1] != address}
 
     def detach(self, messenger: "MemoryMessenger") -> None:
         """Stop delivery to a messenger, as if its process had died."""
-        if self._inboxes.get(messenger.local_peer.address) is messenger:
-            del self._inboxes[messenger.local_peer.address]
+        address = messenger.local_peer.address
+        if self._inboxes.get(address) is messenger:
+            del self._inboxes[address]
+            peers = self._inboxes.keys()
+            self._unseen_ends |= {(peer, address) for peer in peers if self._is_cut(peer, address)}
 
     def partition(self, one: str, other: str) -> None:
         """Drop all messages between two addresses, in both directions."""
@@ -86,9 +92,21 @@
         for data in self.held_messages.pop(address, []):
             self._deliver(address, data)
 
-    def is_detached(self, address: str) -> bool:
-        """Return whether no messenger is attached to an address."""
-        return address not in self._inboxes
+    def is_connection_closed(self, observer: str, address: str) -> bool:
+        """Return whether a process sees that the process at an address has ended.
+
+        The end closes the connections of the processes that it reaches then. To the others they
+        stay open until messages pass again, which the host of the ended process rejects.
+        """
+        if address in self._inboxes:
+            return False
+        link = (observer, address)
+        if link in self._unseen_ends and not self._is_cut(observer, address):
+            self._unseen_ends.discard(link)
+        return link not in self._unseen_ends
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        return self.is_lost(one, other) or self.is_lost(other, one)
 
     def transmit(self, sender: Peer, receiver: Peer, message: Message, data: bytes) -> None:
         """Schedule the delivery of one message, subject to the injected faults.
@@ -173,8 +191,8 @@
         eventlet.spawn_n(self._inbound.receive, delivery)
 
     def is_connection_closed(self, peer: Peer) -> bool:
-        """Return whether no process is attached at the peer's address."""
-        return self._network.is_detached(peer.address)
+        """Return whether the end of the peer's process has closed the connection."""
+        return self._network.is_connection_closed(self.local_peer.address, peer.address)
 
     def _replace_connection(self, peer: Peer, _reason: ReopenReason) -> None:
         self.reopened += 1
