--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,10 @@
 SEEDS ?= 5
 FIRST ?= 1
 
-.PHONY: setup demo test lint measure slopes explore soak silences patterns upgrades
+COUNT ?= 100
+KIND ?= plain
+
+.PHONY: setup demo test lint measure slopes explore soak silences patterns upgrades cuts
 
 setup: $(STAMP)
 
@@ -40,6 +43,9 @@
 soak: setup
 	$(PYTHON) -W ignore -m benchmarks.soak $(FIRST) $(SEEDS)
 
+cuts: setup
+	$(PYTHON) -W ignore -m benchmarks.cuts $(KIND) $(FIRST) $(COUNT)
+
 silences: setup
 	$(PYTHON) -W ignore -m benchmarks.silences
 
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -252,24 +252,22 @@
 
     def submit(self, spec, queue=QUEUE, timeout_ms=3_000.0):
         """Submit a job; return its caller, who gets the result once there is one."""
-        caller = Caller()
         answer = self.router.submit(spec, queue, timeout_ms)
-        if isinstance(answer, JobResult):
-            caller.set_result(answer, self.world.clock.now())
-        else:
-            caller.job = answer
-            eventlet.spawn_n(
-                lambda: caller.set_result(self.router.wait(answer), self.world.clock.now())
-            )
-        return caller
+        return self._make_caller(answer, self.router.wait)
 
     def submit_locally(self, spec, queue=QUEUE, timeout_ms=3_000.0):
         """Submit a job to this dispatcher itself, without forwarding to another one."""
+        answer = self.dispatcher.submit(spec, queue, timeout_ms)
+        return self._make_caller(answer, self.dispatcher.wait)
+
+    def _make_caller(self, answer, wait):
+        """Return the caller of an accepted or refused job."""
         caller = Caller()
-        caller.job = self.dispatcher.submit(spec, queue, timeout_ms)
-        eventlet.spawn_n(
-            lambda: caller.set_result(self.dispatcher.wait(caller.job), self.world.clock.now())
-        )
+        if isinstance(answer, JobResult):
+            caller.set_result(answer, self.world.clock.now())
+        else:
+            caller.job = answer
+            eventlet.spawn_n(lambda: caller.set_result(wait(answer), self.world.clock.now()))
         return caller
 
     def unlist_member(self, key):
--- a/tests/test_dispatch_storm.py
+++ b/tests/test_dispatch_storm.py
@@ -12,6 +12,7 @@
 from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.rooms import Resources
 from tests.dispatch_world import DispatchWorld, SimulatedDispatcher, SimulatedWorker, make_spec
+from tests.ordered_waiters import OrderedWaiters
 from tests.storm_callers import ResendingCallers
 
 # The last four guard against tasks that run twice: a dispatcher that resumed from a pause started
@@ -72,20 +73,6 @@
 DOWN_MS = (0, 0, 100, 700)
 
 
-class OrderedWaiters(dict):
-    """Replacement of the set of an event's waiters that wakes them in the order of arrival.
-
-    The set that eventlet uses wakes them in the order of their memory addresses, so that a storm
-    in which two callers wait for one job wouldn't be reproducible.
-    """
-
-    def add(self, waiter):
-        self[waiter] = None
-
-    def discard(self, waiter):
-        self.pop(waiter, None)
-
-
 class Storm:
     """A sequence of faults and submissions drawn from a seed, with checks after each step.
 
