Claims: a replaced fence of another dispatcher is passed by a complete fence only

Callers saw a task run on both sides of a cut: arbiters that had forgotten a job's former holder granted it to a dispatcher whose request for a fence, not answered by all executors, had replaced the fence of the one that ran it. The executors then took its orders without a fence.

An executor that has replaced another's fence wants orders under a higher rank for as long as that one would have lasted, and a claim of which a fence was replaced is not granted by arbiters alone.

--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -474,7 +474,7 @@
         self.on_held_elsewhere(claim.job, holder)
 
     def _grant_on_quorum(self, claim: OpenClaim) -> None:
-        is_open = claim.number in self._undecided and not claim.is_contested
+        is_open = claim.number in self._undecided and not claim.needs_fence
         if is_open and claim.has_quorum:
             self._grant(claim, "arbiters")
 
@@ -558,8 +558,10 @@
         They cannot if too few of them may still grant it, or if its holder is unreachable. A
         contested claim needs a fence once a quorum has granted it again.
         """
+        if claim.needs_fence and claim.has_quorum:
+            return True
         if claim.is_contested:
-            return claim.has_quorum
+            return False
         if claim.holder is not None:
             return not self._is_reachable(claim.holder, now)
         is_early = now - claim.began_ms < ARBITER_TIMEOUT_MS
--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -32,21 +32,35 @@
 class _Fence:
     """A fence on one job: until ``until_ms`` only its holder may run the job here.
 
-    Fences of other dispatchers that it has replaced would have lasted until ``foreign_until_ms``.
+    Fences of other dispatchers that it has replaced had ranks up to ``foreign_rank``, and would
+    have lasted until ``foreign_until_ms``.
     """
 
-    __slots__ = ("foreign_until_ms", "holder", "rank", "until_ms")
+    __slots__ = ("foreign_rank", "foreign_until_ms", "holder", "rank", "until_ms")
 
     def __init__(self, holder: Peer, rank: int, until_ms: float, replaced: "_Fence | None"):
         self.holder = holder
         self.rank = rank
         self.until_ms = until_ms
+        self.foreign_rank = 0
         self.foreign_until_ms = 0.0
         if replaced is not None:
+            self.foreign_rank = replaced.foreign_rank
             self.foreign_until_ms = replaced.foreign_until_ms
             if replaced.holder != holder:
+                self.foreign_rank = max(replaced.rank, replaced.foreign_rank)
                 self.foreign_until_ms = max(replaced.until_ms, replaced.foreign_until_ms)
 
+    def admits(self, dispatcher: Peer, rank: int, now: float) -> bool:
+        """Return whether a dispatcher may run the job under its fence of a rank, 0 for none.
+
+        If this fence has replaced another dispatcher's, that one may go on at other executors until
+        the fence of this dispatcher is complete. An order that relies on it states its rank.
+        """
+        if dispatcher != self.holder or rank > self.rank:
+            return False
+        return now >= self.foreign_until_ms or rank > self.foreign_rank
+
 
 class JobFences:
     """All fences of one executor."""
@@ -91,11 +105,12 @@
         :param claim_granted_ms: earliest time at which its claim may have been granted, infinite if
             that is not known
         """
+        now = self._clock.now()
         fence = self._fences.get(job_id_of(task))
         is_older = claim_granted_ms < self._started_ms
-        if fence is None or self._clock.now() >= fence.until_ms:
+        if fence is None or now >= fence.until_ms:
             return rank > 0 or is_older
-        return fence.holder != dispatcher or fence.rank < rank or (rank == 0 and is_older)
+        return not fence.admits(dispatcher, rank, now) or (rank == 0 and is_older)
 
     def describe(self, task: str) -> tuple[tuple[str, object], ...]:
         """Return a job's fence and the age of this process, as fields of a log line."""
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -88,6 +88,14 @@
         """Return another dispatcher that holds the job, None if no arbiter has named one."""
         return next(iter(self.held_by.values()), None)
 
+    @property
+    def needs_fence(self) -> bool:
+        """Whether grants of arbiters do not suffice, as another dispatcher has fenced the job.
+
+        Arbiters that are partitioned from that dispatcher do not know of it.
+        """
+        return self.is_contested or self.has_replaced_fence
+
     @property
     def rank(self) -> int:
         """Return the rank of the fence that it was granted by, 0 if it has no such fence."""
--- a/tests/test_cut_storm.py
+++ b/tests/test_cut_storm.py
@@ -4,9 +4,12 @@
 
 from tests.cut_storm import KEYS_LOST, PLAIN, REPLACED, CutStorm
 
-PLAIN_SEEDS = (1, 2)
-REPLACED_SEEDS = (1, 2)
-KEYS_SEEDS = (1, 2)
+# Arbiters granted a job after they had forgotten its former holder, and executors had replaced the
+# fence of the dispatcher that ran it.
+REPLACED_FENCE_SEEDS = (541,)
+PLAIN_SEEDS = (1, 2, *REPLACED_FENCE_SEEDS)
+REPLACED_SEEDS = (1, 2, 411)
+KEYS_SEEDS = (1, 2, 121)
 
 
 class CutStormTest(unittest.TestCase):
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -127,6 +127,19 @@
             self.assertTrue(claim.has_replaced_fence)
             claim.discard_answers(self.clock.now())
 
+    def test_arbiters_do_not_grant_a_job_of_which_another_fence_was_replaced(self):
+        """Arbiters that are partitioned from the other dispatcher do not know that it runs it."""
+        self.claims.claim(Job("j"))
+        self.advance(600)
+        rank = self.find_sent(FenceJobs)[-1][1].rank
+        answer = JobsFenced(("j",), rank, replaced=("j",))
+        self.claims.handle_jobs_fenced(Peer(WORKERS[0], 1), answer)
+        self.answer_grant(ONE, OTHER)
+        self.advance()
+        self.assertEqual([], self.granted)
+        self.claims.handle_jobs_fenced(Peer(WORKERS[1], 1), JobsFenced(("j",), rank))
+        self.assertEqual([(Job("j"), rank)], self.granted)
+
     def test_a_claim_that_is_granted_again_keeps_the_time_of_its_first_grant(self):
         """An executor that started between the two grants may have lost a fence of another."""
         job = Job("j")
--- a/tests/test_job_fences.py
+++ b/tests/test_job_fences.py
@@ -157,6 +157,26 @@
             self.worker.executor.job_fences.excludes(self.requester.local_peer, TASK, RANK + 1)
         )
 
+    def test_orders_under_a_replaced_fence_of_another_dispatcher_need_a_complete_fence(self):
+        """The other dispatcher may go on with the job at executors that have not answered."""
+        second = self.connect("late")
+        fences = self.worker.executor.job_fences
+        self.request_fence(rank=RANK + 2)
+        self.world.clock.advance(5)
+        self.request_fence(second, RANK + 3)
+        self.world.clock.advance(5)
+        for rank in (0, RANK + 2):
+            self.assertTrue(fences.excludes(second.local_peer, TASK, rank))
+        self.assertFalse(fences.excludes(second.local_peer, TASK, RANK + 3))
+        self.request_fence(second, RANK + 4)
+        self.world.clock.advance(5)
+        self.assertTrue(fences.excludes(second.local_peer, TASK, 0))
+        self.assertFalse(fences.excludes(second.local_peer, TASK, RANK + 3))
+        self.world.clock.advance(FENCE_LIFETIME_MS)
+        self.request_fence(second, RANK + 4)
+        self.world.clock.advance(5)
+        self.assertFalse(fences.excludes(second.local_peer, TASK, 0))
+
     def test_a_fence_expires(self):
         self.request_fence()
         self.world.clock.advance(5)
