Claims: a majority of the arbiters under former members is needed as well

Callers saw a task run on both sides of a cut whose sides lost the keys of each other: a dispatcher had collected one grant of three, the others left its list of members, and one grant was the majority of those that were left.

While former members are kept, a claim needs a majority of the arbiters under each of them and under the members now.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -115,6 +115,7 @@
     """Grants of one arbiter, by job.
 
     :ivar me: address of this dispatcher
+    :ivar members_version: increases whenever the members or the former members kept change
     """
 
     def __init__(self, clock: Clock, me: str, started_ms: float):
@@ -133,6 +134,7 @@
         self._is_settled = False
         self._last_removal_ms = clock.now()
         self._members: Mapping[str, str] = {}
+        self.members_version = 0
         self._former_members: list[_FormerMembers] = []
         self._longest_claim_ms = USUAL_CLAIM_MS
 
@@ -152,6 +154,7 @@
             former = _FormerMembers(self._members, lost, unannounced, self._clock.now())
             self._former_members.append(former)
         self._members = members
+        self.members_version += 1
 
     def forget_former_members(self) -> int:
         """Forget former members whose grants have all expired; return how many have left since."""
@@ -168,9 +171,24 @@
                     ("kept_ms", round(now - former.ended_ms)),
                 )
                 _LOG.info("former members forgotten", extra={"fields": fields})
+        if len(kept) < len(self._former_members):
+            self.members_version += 1
         self._former_members = kept
         return len(forgotten)
 
+    def list_arbiter_sets(self, job_id: str) -> list[list[str]]:
+        """Return a job's arbiters under the members now, and under each former ones kept.
+
+        A claim needs a quorum of each set: on the other side of a partition, the members may be
+        others than here, and former ones are all that both sides have in common.
+        """
+        sets = [choose_arbiters(job_id, self._members)]
+        for former in self._former_members:
+            arbiters = choose_arbiters(job_id, former.members)
+            if arbiters not in sets:
+                sets.append(arbiters)
+        return sets
+
     @property
     def keeps_unannounced(self) -> bool:
         """Whether a former member that did not announce its exit may still run jobs."""
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -145,7 +145,7 @@
         if claim.has_quorum:
             return False
         answered = claim.granted_by | claim.unsure_grants_by
-        return len(answered) < claim.quorum or self.has_lost_members()
+        return not claim.is_quorum(answered) or self.has_lost_members()
 
     def _silent_since(self, address: str, now: float) -> float:
         request = self._unanswered.get(address)
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -23,7 +23,7 @@
     JobsFenced,
     OpenClaims,
 )
-from geraniumspool.claim_table import ClaimTable, choose_arbiters
+from geraniumspool.claim_table import ClaimTable, quorum_of
 from geraniumspool.contracts import Clock, Counters, Links
 from geraniumspool.fence_requests import FenceRequests
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
@@ -130,6 +130,7 @@
         self.on_suspended: Callable[[Claimant], None] = _ignore_doubt
         self._peers: dict[str, ClaimPeer] = {}
         self._domains: dict[str, str] = {}
+        self._members_version = 0
         self._open: dict[str, OpenClaim] = {}
         self._by_number: dict[int, OpenClaim] = {}
         self._undecided: dict[int, OpenClaim] = {}
@@ -149,10 +150,12 @@
         self._domains[self._me.address] = self._domain
         if self._domains != previous:
             self.table.set_members(self._domains)
-            self._reassign_arbiters()
         forgotten = self.table.forget_former_members()
         if forgotten:
             self._counters.add("former_members_forgotten", forgotten)
+        if self._members_version != self.table.members_version:
+            self._members_version = self.table.members_version
+            self._reassign_arbiters()
         for view in self._peers.values():
             if view.peer.incarnation != ANY_INCARNATION:
                 self._note_incarnation(view.peer)
@@ -162,11 +165,12 @@
     def _reassign_arbiters(self) -> None:
         """Choose the arbiters of open claims again after a change of the members.
 
-        New arbiters of a granted claim are asked as well, so that they know of it.
+        New arbiters of a granted claim are asked as well, so that they know of it. Grants under
+        the former members count only together with the quorum of these.
         """
         now = self._clock.now()
         for claim in self._open.values():
-            claim.arbiters = self._choose_arbiters(claim.job_id)
+            claim.arbiter_sets = self.table.list_arbiter_sets(claim.job_id)
             if claim.is_granted:
                 self._ask_all_due(claim, now)
 
@@ -179,8 +183,8 @@
         if existing is not None:
             existing.resent_job = job
             return
-        arbiters = self._choose_arbiters(job.claim_id)
-        claim = self._open[job.claim_id] = OpenClaim(job, arbiters, self._clock.now())
+        arbiter_sets = self.table.list_arbiter_sets(job.claim_id)
+        claim = self._open[job.claim_id] = OpenClaim(job, arbiter_sets, self._clock.now())
         self._assign_number(claim)
         self._ask_quorum(claim)
         self._grant_on_quorum(claim)
@@ -404,15 +408,17 @@
         """Ask just enough arbiters for a quorum: reachable ones first, then those in this domain.
 
         Arbiters that did not know every earlier claim at their last answer are asked on top, and
-        all arbiters shortly after a connection was found dead.
+        all arbiters shortly after a connection was found dead or after a change of the members.
         """
         now = self._clock.now()
         has_suspect_links = now - self.links.reopened_ms < SUSPECT_LINKS_MS
-        missing = len(claim.arbiters) if has_suspect_links else claim.quorum
-        if self._me.address in claim.arbiters:
+        arbiters = claim.arbiters
+        asks_all = has_suspect_links or len(claim.arbiter_sets) > 1
+        missing = len(arbiters) if asks_all else quorum_of(arbiters)
+        if self._me.address in arbiters:
             self._ask_arbiter(claim, self._me.address, now)
             missing -= self._me.address in claim.granted_by
-        others = [self._peers[name] for name in claim.arbiters if name != self._me.address]
+        others = [self._peers[name] for name in arbiters if name in self._peers]
         others.sort(key=lambda view: (not view.is_reachable(now), not view.is_in_same_domain))
         for view in others:
             if missing > 0:
@@ -502,9 +508,6 @@
             elif address in self._peers:
                 self._queue_for(self._peers[address].peer).released.append(claim.number)
 
-    def _choose_arbiters(self, job_id: str) -> list[str]:
-        return choose_arbiters(job_id, self._domains)
-
     def _queue_for(self, peer: Peer) -> _QueuedParts:
         return self._outbox.setdefault(peer, _QueuedParts())
 
@@ -570,8 +573,7 @@
             for address in set(claim.arbiters) - claim.granted_by - claim.unsure_grants_by
             if is_early and address in self._peers and self._peers[address].is_reachable(now)
         ]
-        granted = claim.granted_by.intersection(claim.arbiters)
-        return len(granted) + len(may_still_grant) < claim.quorum
+        return not claim.is_quorum(claim.granted_by.union(may_still_grant))
 
     def _grant_by_fence(self, claim: OpenClaim) -> None:
         """Grant a claim, as every executor has fenced the job for this dispatcher."""
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -1,6 +1,8 @@
 """State of this dispatcher's claim on a job, from the first request to the release."""
 
+import itertools
 import math
+from collections.abc import Set as AbstractSet
 from typing import Protocol
 
 from geraniumspool.claim_table import quorum_of
@@ -30,7 +32,8 @@
         arbiters have to grant the claim again, so that answers to earlier requests do not count
     :ivar job: the job that it is for
     :ivar resent_job: the same job, sent again while the runs of ``job`` are being stopped
-    :ivar arbiters: addresses of the dispatchers that decide on it
+    :ivar arbiter_sets: addresses of the dispatchers that decide on it, chosen from the members now
+        and from former ones; a quorum of each must grant it
     :ivar began_ms: when the arbiters were first asked under the current number
     :ivar first_granted_ms: when it was first granted, None if it was not or was lost since; a claim
         that is granted again keeps it
@@ -51,16 +54,17 @@
     :ivar fence_asked_ms: when executors were last asked for the fence
     """
 
-    def __init__(self, job: Claimant, arbiters: list[str], now: float):
+    def __init__(self, job: Claimant, arbiter_sets: list[list[str]], now: float):
         """Start without any grant.
 
         :param job: the job that it is for
-        :param arbiters: addresses of the dispatchers that decide on it
+        :param arbiter_sets: addresses of the dispatchers that decide on it, by the members now and
+            by former ones
         :param now: current time in milliseconds
         """
         self.number = 0
         self.job = job
-        self.arbiters = arbiters
+        self.arbiter_sets = arbiter_sets
         self.resent_job: Claimant | None = None
         self.began_ms = now
         self.first_granted_ms: float | None = None
@@ -102,14 +106,21 @@
         return self.fence_rank if self.is_fenced else 0
 
     @property
-    def quorum(self) -> int:
-        """Return how many arbiters must grant it: a majority."""
-        return quorum_of(self.arbiters)
+    def arbiters(self) -> list[str]:
+        """Return the addresses of all dispatchers that decide on it, those of now first."""
+        return list(dict.fromkeys(itertools.chain.from_iterable(self.arbiter_sets)))
 
     @property
     def has_quorum(self) -> bool:
-        """Whether a majority of the arbiters have granted it and know every earlier claim."""
-        return len(self.granted_by.intersection(self.arbiters)) >= self.quorum
+        """Whether a quorum of each set of arbiters has granted it and knows every earlier claim."""
+        return self.is_quorum(self.granted_by)
+
+    def is_quorum(self, addresses: AbstractSet[str]) -> bool:
+        """Return whether some dispatchers contain a majority of each set of arbiters."""
+        return all(
+            len(addresses.intersection(arbiters)) >= quorum_of(arbiters)
+            for arbiters in self.arbiter_sets
+        )
 
     def discard_answers(self, now: float) -> None:
         """Discard all answers of arbiters and executors, so that they must be asked again.
--- a/tests/test_cut_storm.py
+++ b/tests/test_cut_storm.py
@@ -7,9 +7,11 @@
 # Arbiters granted a job after they had forgotten its former holder, and executors had replaced the
 # fence of the dispatcher that ran it.
 REPLACED_FENCE_SEEDS = (541,)
-PLAIN_SEEDS = (1, 2, *REPLACED_FENCE_SEEDS)
-REPLACED_SEEDS = (1, 2, 411)
-KEYS_SEEDS = (1, 2, 121)
+# A grant under the former members counted under the members of one side.
+MEMBERS_SEEDS = (15, 84)
+PLAIN_SEEDS = (1, 2, *REPLACED_FENCE_SEEDS, *MEMBERS_SEEDS)
+REPLACED_SEEDS = (1, 2, 411, 545, 644)
+KEYS_SEEDS = (1, 2, 121, 23, 188)
 
 
 class CutStormTest(unittest.TestCase):
--- a/tests/test_fence_requests.py
+++ b/tests/test_fence_requests.py
@@ -39,7 +39,7 @@
             self.requested_ms.setdefault(job_id, self.clock.now())
 
     def add_claim(self):
-        claim = OpenClaim(Job(f"j{len(self.claims)}"), [], self.clock.now())
+        claim = OpenClaim(Job(f"j{len(self.claims)}"), [[]], self.clock.now())
         self.claims.append(claim)
         self.fences.request(self.claims)
 
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -13,6 +13,7 @@
     ClaimVerdicts,
     FenceJobs,
     JobsFenced,
+    OpenClaims,
 )
 from geraniumspool.clock import ManualClock
 from geraniumspool.counters import MemoryCounters
@@ -60,13 +61,14 @@
         self.sent = []
         self.granted = []
         self.doubted = []
+        self.peers = [ReachablePeer(ONE), ReachablePeer(OTHER)]
         self.claims = JobClaims(
             self.clock,
             lambda peer, message: self.sent.append((peer, message)),
             MemoryCounters(),
             ME,
             "north",
-            lambda: [ReachablePeer(ONE), ReachablePeer(OTHER)],
+            lambda: self.peers,
             lambda: WORKERS,
             self.clock.now() - LONG_AGO_MS,
         )
@@ -127,6 +129,17 @@
             self.assertTrue(claim.has_replaced_fence)
             claim.discard_answers(self.clock.now())
 
+    def test_grants_under_former_members_do_not_make_a_majority_of_the_members_that_are_left(self):
+        """The others may have granted the job on their side of a partition."""
+        for peer in (ONE, OTHER):
+            self.claims.handle_open_claims(peer, OpenClaims((), 0, LONG_AGO_MS, True, ()))
+        self.claims.claim(Job("j"))
+        self.advance()
+        self.peers = []
+        self.claims.update_members()
+        self.advance(300)
+        self.assertEqual([], self.granted)
+
     def test_arbiters_do_not_grant_a_job_of_which_another_fence_was_replaced(self):
         """Arbiters that are partitioned from the other dispatcher do not know that it runs it."""
         self.claims.claim(Job("j"))
@@ -222,7 +235,7 @@
         fences = FenceRequests(clock, lambda _peer, _message: True, lambda: WORKERS)
         fences.has_lost_members = lambda: has_lost_members
         fences.is_connection_closed = lambda _address: is_closed
-        claim = OpenClaim(Job("j"), [ME.address, ONE.address, OTHER.address], clock.now())
+        claim = OpenClaim(Job("j"), [[ME.address, ONE.address, OTHER.address]], clock.now())
         for name, value in claim_fields.items():
             setattr(claim, name, value)
         fences.request([claim])
