Fences: runs of an ended executor are counted from its end

A dispatcher that takes a job over passes over a silent executor whose connection is closed. The silence was counted from the cut, so it was passed over at the moment it ended, while its run went on at the minion until the lease there was over: two runs for up to 0.5 s.

Closed connections are dated, and ORPHANS_OVER_MS have to pass after the end.

The new test fails without the change (passed over 480 ms after the end, and before).

--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -11,7 +11,7 @@
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
 from geraniumspool.open_claim import OpenClaim
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import ORPHANS_OVER_MS, RUNS_OVER_MS
 
 # Interval at which requests are repeated, as executors may be starting.
 REQUEST_PERIOD_MS = 50.0
@@ -68,6 +68,8 @@
         self.has_lost_members: Callable[[], bool] = _assume_none_lost
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
+        # Since when connections have been found closed by the end of an executor's process.
+        self._closed_since_ms: dict[str, float] = {}
         self._round_ms = -math.inf
 
     def request(self, claims: Iterable[OpenClaim]) -> list[OpenClaim]:
@@ -121,18 +123,36 @@
         """Return whether no executor can run the claimed job for another dispatcher.
 
         An executor that is silent for as long as leases last needs no fence in two cases: its
-        process has exited; or nobody has renewed the leases of its runs, as ``_may_be_held`` says.
+        process has ended, and its runs as well; or nobody has renewed the leases of its runs, as
+        ``_may_be_held`` says.
         """
         now = self._clock.now()
         workers = self._list_executors()
+        self._record_closed(workers, now)
         may_skip_silent = not self._may_be_held(claim)
         return bool(workers) and all(
             address in claim.fenced_by
             or now - self._silent_since(address, now) >= RUNS_OVER_MS
-            and (may_skip_silent or self.is_connection_closed(address))
+            and (may_skip_silent or self._are_orphans_over(address, now))
             for address in workers
         )
 
+    def _record_closed(self, executors: Iterable[str], now: float) -> None:
+        """Record which executors have closed the connection, as their processes have ended.
+
+        A process may have been out of reach long before it ended, with its leases renewed by
+        others, so that its silence does not tell how old its runs are.
+        """
+        for address in executors:
+            if self.is_connection_closed(address):
+                self._closed_since_ms.setdefault(address, now)
+            else:
+                self._closed_since_ms.pop(address, None)
+
+    def _are_orphans_over(self, address: str, now: float) -> bool:
+        closed_ms = self._closed_since_ms.get(address)
+        return closed_ms is not None and now - closed_ms >= ORPHANS_OVER_MS
+
     def _may_be_held(self, claim: OpenClaim) -> bool:
         """Return whether another dispatcher may hold a job and reach a silent executor.
 
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -21,7 +21,7 @@
 from geraniumspool.job_claims import HEDGE_MS, MAX_PAUSE_MS, JobClaims
 from geraniumspool.messages import Peer
 from geraniumspool.open_claim import OpenClaim
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import MINION_LEASE_MS, ORPHANS_OVER_MS, RUNS_OVER_MS
 from geraniumspool.run_messages import StartRuns
 from tests.dispatch_world import DispatchWorld, SimulatedDispatcher, make_spec
 
@@ -266,6 +266,29 @@
         self.assertFalse(self.is_complete(granted_by=two, has_replaced_fence=True))
         self.assertTrue(self.is_complete(False, True, granted_by=two, has_replaced_fence=True))
 
+    def test_runs_of_an_ended_process_are_waited_for_from_its_end_and_not_from_its_silence(self):
+        """It was out of reach before, while another dispatcher renewed its leases there."""
+        clock = ManualClock()
+        clock.advance(LONG_AGO_MS)
+        closed = set()
+        fences = FenceRequests(clock, lambda _peer, _message: True, lambda: WORKERS)
+        fences.is_connection_closed = closed.__contains__
+        claim = OpenClaim(Job("j"), [[ME.address, ONE.address, OTHER.address]], clock.now())
+        claim.held_by[ONE.address] = OTHER
+        fences.request([claim])
+        claim.fenced_by.add(WORKERS[0])
+
+        def wait(total_ms):
+            for _ in range(int(total_ms // STEP_MS)):
+                clock.advance(STEP_MS)
+                fences.request([claim])
+            return fences.is_complete(claim)
+
+        self.assertFalse(wait(2 * RUNS_OVER_MS))
+        closed.add(WORKERS[1])
+        self.assertFalse(wait(MINION_LEASE_MS))
+        self.assertTrue(wait(ORPHANS_OVER_MS - MINION_LEASE_MS + 4 * STEP_MS))
+
 
 class StartOrderTest(unittest.TestCase):
     """Orders to executors to start runs of jobs whose claims were granted by a fence."""
