Claims: arbiters learn of the holder of a fence, through executors if need be

Callers saw a task run on both sides of a cut after an executor had been replaced: a dispatcher that was cut from the arbiters ran the job by a fence, the new executor process did not know the fence, and the arbiters granted the job on their side. The holder had told them once, and the message was lost.

A claim granted by a fence is repeated until each arbiter has confirmed it, directly and through the executors, which may be connected to both sides.

Two messages are new, at the end of the list; earlier builds skip or are not sent them.

--- a/benchmarks/cuts.py
+++ b/benchmarks/cuts.py
@@ -13,7 +13,7 @@
 import time
 from typing import NamedTuple
 
-from geraniumspool.claim_messages import FenceJobs
+from geraniumspool.claim_messages import FenceJobs, RelayClaims
 from tests.cut_storm import KINDS, CutStorm
 
 DEFAULT_COUNT = 100
@@ -29,6 +29,7 @@
     :param served: number of jobs that some caller was told to have succeeded
     :param messages: number of messages sent between processes
     :param fences: number of those that request fences
+    :param relays: number of those that ask executors to relay claims
     """
 
     seed: int
@@ -39,6 +40,7 @@
     served: int
     messages: int
     fences: int
+    relays: int
 
 
 def play(kind: str, seed: int) -> StormResult:
@@ -56,6 +58,7 @@
         served,
         len(sent),
         sum(isinstance(message, FenceJobs) for message in sent),
+        sum(isinstance(message, RelayClaims) for message in sent),
     )
 
 
@@ -73,7 +76,7 @@
     logging.disable(logging.CRITICAL)
     begin = time.monotonic()
     failed = []
-    totals = dict.fromkeys(("jobs", "served", "messages", "fences"), 0)
+    totals = dict.fromkeys(("jobs", "served", "messages", "fences", "relays"), 0)
     for seed in range(first, first + count):
         result = play(kind, seed)
         for name in totals:
--- a/geraniumspool/claim_messages.py
+++ b/geraniumspool/claim_messages.py
@@ -108,3 +108,28 @@
     rank: int
     highest: int = 0
     replaced: tuple[str, ...] = ()
+
+
+class RelayClaims(NamedTuple):
+    """Dispatcher to executor: pass claims that were granted by a fence on to their arbiters.
+
+    :param released: numbers of released claims that were relayed before
+    :param arbiters: addresses of the dispatchers that are told
+    """
+
+    claims: tuple[Claim, ...]
+    released: tuple[int, ...]
+    arbiters: tuple[str, ...]
+
+
+class RelayedClaims(NamedTuple):
+    """Executor to dispatcher: claims and releases of another dispatcher, which are not answered.
+
+    :param holder: address of that dispatcher
+    :param holder_life: its incarnation
+    """
+
+    holder: str
+    holder_life: int
+    claims: tuple[Claim, ...]
+    released: tuple[int, ...]
--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -12,7 +12,13 @@
 from collections.abc import Iterable, Mapping, Sequence
 from zlib import crc32
 
-from geraniumspool.claim_messages import Claim, ClaimJobs, ClaimVerdict, OpenClaims
+from geraniumspool.claim_messages import (
+    Claim,
+    ClaimJobs,
+    ClaimVerdict,
+    OpenClaims,
+    RelayedClaims,
+)
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import Peer
 from geraniumspool.run_leases import CLOCK_DRIFT, RUNS_OVER_MS
@@ -286,6 +292,17 @@
                 self.release(sender, number)
         return [self.decide(sender, claim) for claim in message.claims]
 
+    def apply_relayed_claims(self, message: RelayedClaims) -> None:
+        """Apply claims, granted by a fence, of a dispatcher that may not reach this one."""
+        holder = Peer(message.holder, message.holder_life)
+        for number in message.released:
+            self.release(holder, number)
+        for claim in message.claims:
+            if claim.number not in self._open_claims.get(holder, ()):
+                fields = (("job", claim.job_id), ("holder", holder.address), ("rank", claim.rank))
+                _LOG.info("relayed claim recorded", extra={"fields": fields})
+            self.decide(holder, claim)
+
     def decide(self, claimant: Peer, claim: Claim) -> ClaimVerdict:
         """Grant a claim, or answer with the dispatcher that holds the job."""
         now = self._clock.now()
--- a/geraniumspool/dispatch_agent.py
+++ b/geraniumspool/dispatch_agent.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from geraniumspool.application import Application, ReadyLine
-from geraniumspool.claim_messages import FenceJobs
+from geraniumspool.claim_messages import FenceJobs, RelayClaims
 from geraniumspool.contracts import Clock, Messenger, MinionControl, MinionIncarnation, Store
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import ExecutorSettings
@@ -83,6 +83,7 @@
             StopRuns: self.executor.handle_stop,
             RenewRuns: self._take_renewal,
             FenceJobs: self.executor.job_fences.handle_fence_jobs,
+            RelayClaims: self.executor.job_fences.handle_relay_claims,
             WrongIncarnation: self._handle_wrong_incarnation,
         }
 
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -10,6 +10,7 @@
     EndClaims,
     JobsFenced,
     OpenClaims,
+    RelayedClaims,
 )
 from geraniumspool.contracts import Change, Clock, Messenger, Snapshot, Store
 from geraniumspool.counters import MemoryCounters
@@ -153,6 +154,7 @@
             ClaimVerdicts: self.claims.handle_claim_verdicts,
             EndClaims: self.claims.handle_end_claims,
             JobsFenced: self.claims.handle_jobs_fenced,
+            RelayedClaims: self.claims.handle_relayed_claims,
             WrongIncarnation: self._handle_wrong_incarnation,
         }
 
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -22,7 +22,9 @@
     EndClaims,
     JobsFenced,
     OpenClaims,
+    RelayedClaims,
 )
+from geraniumspool.claim_relays import ClaimRelays
 from geraniumspool.claim_table import ClaimTable, quorum_of
 from geraniumspool.contracts import Clock, Counters, Links
 from geraniumspool.fence_requests import FenceRequests
@@ -124,6 +126,7 @@
         self.table = ClaimTable(clock, me.address, self._started_ms)
         self.fences = FenceRequests(clock, send, list_executors)
         self.fences.has_lost_members = lambda: self.table.keeps_unannounced
+        self._relays = ClaimRelays(clock, send, list_executors, self._ask_all_due)
         self.links: Links = ReliableLinks()
         self.on_granted: Callable[[Claimant, int], None] = _ignore_grant
         self.on_held_elsewhere: Callable[[Claimant, str], None] = _ignore_held
@@ -251,6 +254,11 @@
         # settled.
         self._send_verdicts(sender, self.table.apply_open_claims(sender, message))
 
+    def handle_relayed_claims(self, _sender: Peer, message: RelayedClaims) -> None:
+        """Handle claims of a dispatcher that may not reach this arbiter, sent by an executor."""
+        self._yield_to_fences(Peer(message.holder, message.holder_life), message.claims)
+        self.table.apply_relayed_claims(message)
+
     def _note_incarnation(self, peer: Peer) -> None:
         former = self.table.note_incarnation(peer)
         if former is not None:
@@ -376,6 +384,7 @@
             if self._undecided.get(claim.number) is claim:
                 self._check_claim(claim, now)
         self._request_fences()
+        self._relays.run_checks()
 
     def _check_claim(self, claim: OpenClaim, now: float) -> None:
         is_unanswered = now - claim.began_ms > ARBITER_TIMEOUT_MS and not claim.has_quorum
@@ -501,6 +510,7 @@
     def _release_claim(self, claim: OpenClaim) -> None:
         del self._open[claim.job_id]
         del self._by_number[claim.number]
+        self._relays.remove(claim)
         self._undecided.pop(claim.number, None)
         for address in claim.asked_ms:
             if address == self._me.address:
@@ -583,8 +593,19 @@
         now = self._clock.now()
         for address in claim.arbiters:
             self._ask_arbiter(claim, address, now)
+        self._relays.add(claim, self._list_unreachable(claim, now))
         self._grant(claim, "fence")
 
+    def _list_unreachable(self, claim: OpenClaim, now: float) -> list[str]:
+        """Return the arbiters of a claim that are not expected to answer."""
+        others = [address for address in claim.arbiters if address != self._me.address]
+        peers = self._peers
+        return [
+            address
+            for address in others
+            if address not in peers or not peers[address].is_reachable(now)
+        ]
+
 
 def _ignore_doubt(_owner: Claimant) -> None:
     pass
--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -11,9 +11,9 @@
 
 import eventlet
 
-from geraniumspool.claim_messages import FenceJobs, JobsFenced
+from geraniumspool.claim_messages import FenceJobs, JobsFenced, RelayClaims, RelayedClaims
 from geraniumspool.contracts import Clock
-from geraniumspool.messages import Message, Peer
+from geraniumspool.messages import ANY_INCARNATION, Message, Peer
 from geraniumspool.run_messages import FENCED
 from geraniumspool.run_stops import RunStops
 from geraniumspool.run_table import RunTable, job_id_of
@@ -144,6 +144,14 @@
         if self._unanswered and not is_polling:
             eventlet.spawn_n(self._poll_unanswered)
 
+    def handle_relay_claims(self, dispatcher: Peer, message: RelayClaims) -> None:
+        """Pass claims of a dispatcher on to arbiters that it may not reach itself."""
+        relayed = RelayedClaims(
+            dispatcher.address, dispatcher.incarnation, message.claims, message.released
+        )
+        for address in message.arbiters:
+            self._send(Peer(address, ANY_INCARNATION), relayed)
+
     def _poll_unanswered(self) -> None:
         """Answer each dispatcher as soon as other dispatchers' runs of its jobs have ended."""
         while self._unanswered:
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -29,6 +29,8 @@
     FenceJobs,
     JobsFenced,
     OpenClaims,
+    RelayClaims,
+    RelayedClaims,
 )
 from geraniumspool.errors import MalformedMessage, UnknownKind
 from geraniumspool.job_messages import (
@@ -578,6 +580,8 @@
     EndClaims,
     FenceJobs,
     JobsFenced,
+    RelayClaims,
+    RelayedClaims,
 )
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -9,6 +9,8 @@
     FenceJobs,
     JobsFenced,
     OpenClaims,
+    RelayClaims,
+    RelayedClaims,
 )
 from geraniumspool.clock import ManualClock
 from geraniumspool.contracts import KeyValue, Snapshot
@@ -138,6 +140,7 @@
             StopRuns: self.executor.handle_stop,
             RenewRuns: self.executor.handle_renewal,
             FenceJobs: self.executor.job_fences.handle_fence_jobs,
+            RelayClaims: self.executor.job_fences.handle_relay_claims,
             WrongIncarnation: lambda sender, message: self.executor.expire_dispatcher(
                 Peer(sender.address, message.meant)
             ),
@@ -232,6 +235,7 @@
             ClaimVerdicts: self.claims.handle_claim_verdicts,
             EndClaims: self.claims.handle_end_claims,
             JobsFenced: self.claims.handle_jobs_fenced,
+            RelayedClaims: self.claims.handle_relayed_claims,
             WrongIncarnation: self._handle_wrong_incarnation,
         }
         self.messenger.start(lambda d: handlers[type(d.message)](d.sender, d.message))
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -194,6 +194,34 @@
                     case(f"j{number}")
 
 
+class LostFenceTest(ClaimGapCase):
+    """An executor that loses its fences while their holder is partitioned from the arbiters."""
+
+    def test_a_job_that_is_claimed_after_an_executor_has_lost_its_fence_does_not_run_twice(self):
+        def scenario(name):
+            arbiters, (holder, *_) = self.all_dispatchers[1:], self.all_dispatchers
+            self.partition(holder.address, [arbiter.address for arbiter in arbiters])
+            self.advance(PEERS_SILENT_MS)
+            spec = make_spec(name, count=1, cpu=4_000, run_ms=4_000, declared_ms=500)
+            self.place(0, spec)
+            self.advance(1_000)
+            self.assertEqual(1, self.world.start_count(f"{name}.0.0.0"))
+            for index, worker in enumerate(self.world.workers):
+                if f"{name}.0.0.0" not in worker.minion.running:
+                    self.partition(holder.address, [worker.address])
+                    worker.kill()
+                    self.world.workers[index] = SimulatedWorker(
+                        self.world, worker.name, 2, worker.minion, fence=100
+                    )
+            self.advance(700)
+            for index in (1, 2):
+                self.place(index, spec)
+                self.advance(1_000)
+            self.assertEqual(set(), self.ran_twice)
+
+        self.run_for_each_job(scenario)
+
+
 class SilentExecutorTest(ClaimGapCase):
     """A partition with the holder and its executor on the same side."""
 
