Soak: cuts between dispatchers, and executors that hear one side

Real processes were silenced and reset, but never cut from each other while callers returned. A proxy learns from the operating system which process a connection belongs to.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -28,10 +28,17 @@
 
 import eventlet
 
-from benchmarks.soak_callers import Callers, EagerCallers, Outcome, PatientCallers
+from benchmarks.soak_callers import (
+    LONGEST_RUN_MS,
+    Callers,
+    EagerCallers,
+    Outcome,
+    PatientCallers,
+)
 from benchmarks.soak_deployment import Layout, SoakDeployment
 from benchmarks.soak_faults import (
     CRASHES,
+    CUTS,
     DEPARTURES,
     EARLY_CALLERS,
     EVACUATIONS,
@@ -54,10 +61,12 @@
 MAX_PAUSES_S = (0.4, 0.8, 1.2)
 DOMAINS = ("north", "south")
 # Later seeds draw more kinds of faults; earlier ones draw the same as before, so that they repeat.
+CUTS_FIRST_SEED = 7_000
 SHARING_FIRST_SEED = 6_000
 SILENCES_FIRST_SEED = 5_000
 EARLY_CALLERS_FIRST_SEED = 4_000
 FAULTS_BY_FIRST_SEED = (
+    (CUTS_FIRST_SEED, CUTS),
     (SHARING_FIRST_SEED, DEPARTURES),
     (SILENCES_FIRST_SEED, SILENCES),
     (EARLY_CALLERS_FIRST_SEED, EARLY_CALLERS),
@@ -77,6 +86,10 @@
     ("remote_data_factor", 2.0),
 )
 SHARING_LOAD = 3.0
+# With cuts between dispatchers, jobs run for longer than it takes to notice a cut.
+CUTS_DISPATCHERS = 4
+CUTS_LOAD = 0.12
+CUTS_RUN_MS = 1_500
 
 
 class Soak:
@@ -100,16 +113,20 @@
         self._log = EventLog(Path(folder, "soak.log"))
         self.checker = GuaranteeChecker(self._log)
         self.outcomes: list[Outcome] = []
+        self._has_cuts = seed >= CUTS_FIRST_SEED
+        dispatchers = 3 if self._has_early_callers else 2
+        is_sharing = SHARING_FIRST_SEED <= seed < CUTS_FIRST_SEED
         layout = Layout(
-            3 if self._has_early_callers else 2,
+            CUTS_DISPATCHERS if self._has_cuts else dispatchers,
             EXECUTORS,
             DOMAINS if "evacuate" in self._kinds else DOMAINS[:1],
             seed >= SILENCES_FIRST_SEED,
             self._has_early_callers,
-            dispatcher_settings=SHARING_SETTINGS if seed >= SHARING_FIRST_SEED else (),
+            dispatcher_settings=SHARING_SETTINGS if is_sharing else (),
         )
-        is_sharing = seed >= SHARING_FIRST_SEED
         self._jobs_per_s = JOBS_PER_S * (SHARING_LOAD if is_sharing else 1.0)
+        if self._has_cuts:
+            self._jobs_per_s = JOBS_PER_S * CUTS_LOAD
         self._deployment = SoakDeployment(layout, seed, folder, self.checker)
 
     def run(self) -> None:
@@ -146,7 +163,8 @@
     def _make_callers(self) -> Callers:
         endpoints = self._deployment.endpoints
         if self._has_early_callers:
-            return EagerCallers(endpoints, self.checker, self._seed)
+            run_ms = CUTS_RUN_MS if self._has_cuts else LONGEST_RUN_MS
+            return EagerCallers(endpoints, self.checker, self._seed, run_ms)
         return PatientCallers(endpoints)
 
     def _call(self, job: str, number: int) -> None:
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -36,6 +36,8 @@
 UNANSWERED = 0
 DISCONNECTED = -1
 REFUSED = (429, 503)
+# Tasks run for up to about this time.
+LONGEST_RUN_MS = 200
 RETRIED = (UNANSWERED, 502, 504)
 # Value of SO_LINGER with which closing a socket resets the connection.
 RESET = struct.pack("ii", 1, 0)
@@ -88,14 +90,17 @@
         """
 
 
-def make_job(job_id: str, number: int) -> Job:
-    """Return a job whose size is determined by its number."""
+def make_job(job_id: str, number: int, longest_ms: int = LONGEST_RUN_MS) -> Job:
+    """Return a job whose size is determined by its number.
+
+    :param longest_ms: about how long its tasks run at most, in milliseconds
+    """
     tasks = 1 + number % 5
-    return Job(job_id, tasks, _make_body(number, tasks))
+    return Job(job_id, tasks, _make_body(number, tasks, longest_ms))
 
 
-def _make_body(number: int, tasks: int) -> bytes:
-    run_ms = 20 + (number * 37) % 200
+def _make_body(number: int, tasks: int, longest_ms: int) -> bytes:
+    run_ms = 20 + (number * 37) % longest_ms
     step = {"count": tasks, "cpu": 1_000, "estimate_ms": run_ms}
     body = {"spec": f"1000:{run_ms}", "steps": [step], "best_effort": True}
     return json.dumps(body).encode()
@@ -184,11 +189,19 @@
     A missing response is reported as a violation if no fault affected the dispatcher.
     """
 
-    def __init__(self, dispatchers: list[DispatcherEndpoint], checker: GuaranteeChecker, seed: int):
+    def __init__(
+        self,
+        dispatchers: list[DispatcherEndpoint],
+        checker: GuaranteeChecker,
+        seed: int,
+        longest_ms: int = LONGEST_RUN_MS,
+    ):
         """Take the dispatchers to call.
 
         :param seed: determines the behavior of the callers
+        :param longest_ms: about how long tasks run at most, in milliseconds
         """
+        self._longest_ms = longest_ms
         self._dispatchers = dispatchers
         self._checker = checker
         self._seed = seed
@@ -205,7 +218,7 @@
         """Hand one job in; see :class:`Callers`."""
         rng = random.Random(f"{self._seed}/{number}")
         behaviors, weights = zip(*self._behaviors, strict=True)
-        job = make_job(job_id, number)
+        job = make_job(job_id, number, self._longest_ms)
         rng.choices(behaviors, weights)[0](job, rng)
         return self._make_outcome(job)
 
@@ -219,7 +232,7 @@
         connection = _Connection(rng.choice(self._dispatchers))
         outcomes = []
         while time.monotonic() < until_s:
-            job = make_job(f"{rng.getrandbits(64):016x}", rng.randrange(1_000))
+            job = make_job(f"{rng.getrandbits(64):016x}", rng.randrange(1_000), self._longest_ms)
             retry_until_s = time.monotonic() + RETRY_LIMIT_S
             while self._try(connection, job) in RETRIED and time.monotonic() < retry_until_s:
                 if self._answers[job.job_id][-1][0] == UNANSWERED:
--- a/benchmarks/soak_deployment.py
+++ b/benchmarks/soak_deployment.py
@@ -14,6 +14,7 @@
 from eventlet import wsgi
 
 from benchmarks.soak_callers import HOST, PREFIX, DispatcherEndpoint, PatientCallers, make_job
+from benchmarks.soak_cuts import LinkCuts
 from benchmarks.soak_processes import CURRENT_BUILD, GRACE_S, Addresses, Build, Process, Proxy
 from benchmarks.soak_witness import EVACUATION_S, WORKER_ROOM, CheckedMinion, GuaranteeChecker
 from geraniumspool.clock import MS_PER_SECOND, SystemClock
@@ -65,6 +66,7 @@
     :ivar endpoints: addresses at which callers reach the dispatchers
     :ivar minion_proxies: proxies in front of the minions
     :ivar link_proxies: proxies in front of the processes' inboxes, by name of the process
+    :ivar cuts: cuts between the processes, which these proxies apply
     :ivar store_proxy: proxy in front of the store
     :ivar store: stand-in for the store
     """
@@ -82,6 +84,7 @@
         self.endpoints: list[DispatcherEndpoint] = []
         self.minion_proxies: list[Proxy] = []
         self.link_proxies: dict[str, Proxy] = {}
+        self.cuts = LinkCuts(lambda: self.processes)
         self._layout = layout
         self._seed = seed
         self._folder = folder
@@ -185,6 +188,7 @@
         }
         if self._layout.has_link_proxies:
             proxy = self.link_proxies[name] = self._start_proxy(inbox)
+            proxy.is_cut = lambda port: self.cuts.is_cut(port, name)
             settings["advertised_inbox"] = f"tcp://{proxy.address}"
         return settings
 
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -1,5 +1,6 @@
 """Faults of the soak test: random, overlapping faults of processes, connections and the store."""
 
+import itertools
 import random
 import signal
 import time
@@ -39,6 +40,22 @@
     "silence_all",
 )
 DEPARTURES = (*SILENCES, "depart", "depart", "depart")
+CUTS = (
+    *("cut_dispatchers",) * 4,
+    "kill",
+    "kill_dispatcher",
+    "kill_executor",
+    "kill_executor",
+    "stop",
+    "term",
+    "cut_store",
+    "silence_links",
+    "reset_minion",
+)
+# Least and greatest length of a cut between dispatchers, and share of the executors that hear one
+# side only.
+CUT_S = (0.5, 4.0)
+ONE_SIDE_SHARE = 0.4
 MIN_PAUSE_S = 0.2
 # Longest time between two kills if several processes are killed, in the order of their list.
 MAX_KILL_INTERVAL_S = 0.02
@@ -226,6 +243,24 @@
             self._deployment.silence_links()
             eventlet.sleep(self._random.uniform(*SILENCE_INTERVAL_S))
 
+    def _do_cut_dispatchers(self) -> None:
+        """Cut some dispatchers, and executors that hear one side only, from the others."""
+        if self._deployment.cuts.is_active:
+            return
+        names = [process.name for process in self._deployment.dispatchers]
+        side = self._random.sample(names, self._random.randint(1, len(names) - 1))
+        other_side = [name for name in names if name not in side]
+        pairs = list(itertools.product(side, other_side))
+        for executor in self._deployment.executors:
+            if self._random.random() < ONE_SIDE_SHARE:
+                unheard = self._random.choice((side, other_side))
+                pairs += [(executor.name, name) for name in unheard]
+        self._deployment.checker.log.write("cut begins", pairs=pairs)
+        self._deployment.cuts.cut(pairs)
+        eventlet.sleep(self._random.uniform(*CUT_S))
+        self._deployment.cuts.heal()
+        self._deployment.checker.log.write("cut ends")
+
     def _do_silence_inbox(self) -> None:
         """Silence the open connections to one process."""
         self._deployment.silence_links({self._random.choice(self._processes).name})
--- a/benchmarks/soak_processes.py
+++ b/benchmarks/soak_processes.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,6 +17,8 @@
 ROOT = Path(__file__).parent.parent
 # Setting ``grace_s`` of the processes: how long a process may take to exit after SIGTERM.
 GRACE_S = 6.0
+# Interval at which a proxy checks whether it still has to hold data back.
+HELD_CHECK_S = 0.02
 
 
 class _ProxiedConnection:
@@ -23,13 +26,15 @@
 
     :ivar near: socket of the client
     :ivar far: socket to the target
+    :ivar port: port that the client connected from
     :ivar silent_sources: sockets whose data is discarded
     :ivar tasks: green threads that forward the data
     """
 
-    def __init__(self, near, far):
+    def __init__(self, near, far, port: int):
         self.near = near
         self.far = far
+        self.port = port
         self.silent_sources: set = set()
         self.tasks: list = []
 
@@ -52,6 +57,8 @@
 
     :ivar address: host and port that it listens on
     :ivar is_stalled: whether data is held back, in both directions
+    :ivar is_cut: returns whether the connection from a port is cut: its data is held back, and
+        neither side learns that the other one has closed it
     """
 
     def __init__(self, target: str):
@@ -59,6 +66,7 @@
         self._listener = eventlet.listen(("127.0.0.1", 0), backlog=512)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.is_stalled = False
+        self.is_cut: Callable[[int], bool] = _never_cut
         self._connections: set[_ProxiedConnection] = set()
         self._task = eventlet.spawn(self._accept)
 
@@ -94,13 +102,14 @@
             eventlet.spawn_n(self._connect, near)
 
     def _connect(self, near) -> None:
+        self._wait_while_held(near.getpeername()[1])
         try:
             far = eventlet.connect(self._target)
         except OSError:
             # The target is down.
             near.close()
             return
-        connection = _ProxiedConnection(near, far)
+        connection = _ProxiedConnection(near, far, near.getpeername()[1])
         self._connections.add(connection)
         connection.tasks = [
             eventlet.spawn(self._forward, connection, near, far),
@@ -110,13 +119,14 @@
     def _forward(self, connection: _ProxiedConnection, source, sink) -> None:
         try:
             while data := source.recv(65_536):
-                while self.is_stalled:
-                    eventlet.sleep(0.02)
+                self._wait_while_held(connection.port)
                 if source not in connection.silent_sources:
                     sink.sendall(data)
         except (OSError, EOFError):
             # One side was closed or reset, or the proxy was closed.
             pass
+        while self.is_cut(connection.port):
+            eventlet.sleep(HELD_CHECK_S)
         if source in connection.silent_sources:
             # The other side does not learn that this one has closed the connection.
             source.close()
@@ -128,6 +138,14 @@
         source.close()
         sink.close()
 
+    def _wait_while_held(self, port: int) -> None:
+        while self.is_stalled or self.is_cut(port):
+            eventlet.sleep(HELD_CHECK_S)
+
+
+def _never_cut(_port: int) -> bool:
+    return False
+
 
 class Addresses:
     """Free addresses for processes that are restarted.
@@ -204,6 +222,11 @@
         self._has_ended = self._is_to_end = False
         self.started_s = self.unaffected_since_s = time.monotonic()
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process that was started last."""
+        return self._pid
+
     @property
     def has_ended(self) -> bool:
         """Whether the process has ended."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 SEED = 1_000
 EARLY_CALLERS_SEED = 4_000
 SHARING_SEED = 6_000
+CUTS_SEED = 7_000
 
 
 class ShortSoakTest(unittest.TestCase):
@@ -31,6 +32,9 @@
     def test_no_guarantee_is_violated_while_capacity_and_demand_are_shared(self):
         self.play(SHARING_SEED)
 
+    def test_no_task_runs_twice_while_dispatchers_are_cut_from_each_other(self):
+        self.play(CUTS_SEED)
+
 
 if __name__ == "__main__":
     unittest.main()
