Fences last for as long as the longest claim

A fence was dropped after 60 s, though a caller may wait for longer: a job that ran on lost its protection, and a dispatcher that had been shut out was admitted again.

Requests for fences state after how long all claims are over. Two new tests fail without the change, and 101 tests of claims, fences, messages and mixed builds pass.

--- a/geraniumspool/claim_messages.py
+++ b/geraniumspool/claim_messages.py
@@ -88,10 +88,13 @@
 
     :param rank: a fence replaces another dispatcher's fence on the same job only if its rank is
         higher, or equal and its dispatcher's address is not lower
+    :param claims_over_ms: time from now after which every run must have ended that any dispatcher
+        has claimed until now
     """
 
     job_ids: tuple[str, ...]
     rank: int
+    claims_over_ms: float = 0.0
 
 
 class JobsFenced(NamedTuple):
--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -195,6 +195,11 @@
                 sets.append(arbiters)
         return sets
 
+    @property
+    def claims_over_ms(self) -> float:
+        """Return the time from now after which the runs of all claims made until now are over."""
+        return self._longest_claim_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
+
     @property
     def keeps_unannounced(self) -> bool:
         """Whether a former member that did not announce its exit may still run jobs."""
@@ -208,7 +213,7 @@
         """
         if not former.unannounced:
             return RUNS_OVER_MS
-        return self._longest_claim_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
+        return self.claims_over_ms
 
     def _find_unannounced(self, addresses: Iterable[str]) -> dict[str, Peer | None]:
         """Return the last known incarnations of dispatchers that have not announced their exit."""
@@ -306,7 +311,7 @@
     def decide(self, claimant: Peer, claim: Claim) -> ClaimVerdict:
         """Grant a claim, or answer with the dispatcher that holds the job."""
         now = self._clock.now()
-        self._longest_claim_ms = max(self._longest_claim_ms, claim.left_ms)
+        self.note_length(claim.left_ms)
         self._remove_expired(now)
         grant = self._grants.get(claim.job_id)
         is_held = grant is not None and grant.holder != claimant and now < grant.until_ms
@@ -323,6 +328,10 @@
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
         return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
+    def note_length(self, left_ms: float) -> None:
+        """Note how long a claim may last, in milliseconds."""
+        self._longest_claim_ms = max(self._longest_claim_ms, left_ms)
+
     def release(self, holder: Peer, number: int) -> None:
         """Remove the grant of a released or expired claim; does nothing if there is none."""
         job_id = self._open_claims.get(holder, {}).pop(number, None)
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -45,6 +45,8 @@
         process
     :ivar has_lost_members: returns whether a dispatcher that is no longer a member may still run
         jobs that arbiters do not know of
+    :ivar find_claims_over_ms: returns the time in milliseconds after which the runs of all claims
+        made until now are over
     :ivar find_silent_since: returns since when an executor has been silent, by this process's clock
         in milliseconds, None if that is not known
     """
@@ -66,6 +68,7 @@
         self.rank = round(clock.wall_ms())
         self.is_connection_closed: Callable[[str], bool] = _assume_open
         self.has_lost_members: Callable[[], bool] = _assume_none_lost
+        self.find_claims_over_ms: Callable[[], float] = _find_no_claims
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
         # Since when connections have been found closed by the end of an executor's process.
@@ -101,7 +104,7 @@
                 fenced.append(claim)
         for address, job_ids in job_ids_by_executor.items():
             self._record_request(address, now)
-            self._send(Peer(address, ANY_INCARNATION), FenceJobs(tuple(job_ids), self.rank))
+            self._send_request(address, tuple(job_ids))
         return fenced
 
     def request_from(self, address: str, claims: Iterable[OpenClaim]) -> None:
@@ -111,7 +114,11 @@
         """
         job_ids = tuple(claim.job_id for claim in claims if claim.fence_rank == self.rank)
         if job_ids:
-            self._send(Peer(address, ANY_INCARNATION), FenceJobs(job_ids, self.rank))
+            self._send_request(address, job_ids)
+
+    def _send_request(self, address: str, job_ids: tuple[str, ...]) -> None:
+        message = FenceJobs(job_ids, self.rank, self.find_claims_over_ms())
+        self._send(Peer(address, ANY_INCARNATION), message)
 
     def handle_answer(self, sender: Peer, message: JobsFenced) -> None:
         """Note that an executor has answered, and raise the rank above that of fences it kept."""
@@ -187,6 +194,10 @@
     pass
 
 
+def _find_no_claims() -> float:
+    return 0.0
+
+
 def _assume_none_lost() -> bool:
     return False
 
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -126,6 +126,7 @@
         self.table = ClaimTable(clock, me.address, self._started_ms)
         self.fences = FenceRequests(clock, send, list_executors)
         self.fences.has_lost_members = lambda: self.table.keeps_unannounced
+        self.fences.find_claims_over_ms = lambda: self.table.claims_over_ms
         self._relays = ClaimRelays(clock, send, list_executors, self._ask_all_due)
         self.links: Links = ReliableLinks()
         self.on_granted: Callable[[Claimant, int], None] = _ignore_grant
@@ -451,6 +452,7 @@
         claim.asked_ms[address] = now
         claim.first_asked_ms.setdefault(address, now)
         left_ms = claim.job.remaining_claim_ms(now)
+        self.table.note_length(left_ms)
         message = Claim(claim.number, claim.job_id, left_ms, claim.rank)
         if address == self._me.address:
             self._apply_verdict(claim, address, self.table.decide(self._me, message))
--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -20,8 +20,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Lifetime of a fence, longer than callers wait: after it, no dispatcher still runs the job as it
-# was when the fence was set.
+# Least lifetime of a fence. It lasts for longer if a caller may wait for longer: after it, no
+# dispatcher still runs the job as it was when the fence was set.
 FENCE_LIFETIME_MS = 60_000.0
 # Beyond this the oldest fences are dropped early.
 MAX_FENCES = 20_000
@@ -132,7 +132,7 @@
                 highest_kept = max(highest_kept, fence.rank)
                 continue
             replaced = self._fences.pop(job_id, None)
-            until_ms = now + FENCE_LIFETIME_MS
+            until_ms = now + max(FENCE_LIFETIME_MS, message.claims_over_ms)
             self._fences[job_id] = _Fence(dispatcher, message.rank, until_ms, replaced)
             fenced.append(job_id)
         self._drop_expired(now)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -588,6 +588,7 @@
 # How many fields the types that have grown since the base version had in it.
 _BASE_LENGTHS: dict[type, int] = {
     DispatcherReport: 8,
+    FenceJobs: 2,
     ForwardJob: 7,
     JobsFenced: 3,
     Queue: 10,
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -53,6 +53,15 @@
         return 1_000.0
 
 
+class LongJob(NamedTuple):
+    """A job whose caller waits for a long time."""
+
+    claim_id: str
+
+    def remaining_claim_ms(self, _now):
+        return 100_000.0
+
+
 class ClaimsTest(unittest.TestCase):
     """A dispatcher that claims jobs; the test answers for the two other dispatchers."""
 
@@ -140,6 +149,13 @@
         self.advance(300)
         self.assertEqual([], self.granted)
 
+    def test_fences_are_requested_for_as_long_as_the_longest_claim(self):
+        self.claims.claim(LongJob("long"))
+        self.claims.claim(Job("j"))
+        self.advance(600)
+        lifetimes = [message.claims_over_ms for _, message in self.find_sent(FenceJobs)]
+        self.assertGreater(min(lifetimes), LongJob("long").remaining_claim_ms(0) + RUNS_OVER_MS)
+
     def test_arbiters_do_not_grant_a_job_of_which_another_fence_was_replaced(self):
         """Arbiters that are partitioned from the other dispatcher do not know that it runs it."""
         self.claims.claim(Job("j"))
--- a/tests/test_job_fences.py
+++ b/tests/test_job_fences.py
@@ -177,6 +177,17 @@
         self.world.clock.advance(5)
         self.assertFalse(fences.excludes(second.local_peer, TASK, 0))
 
+    def test_a_fence_lasts_for_as_long_as_any_claim(self):
+        """It expired after a minute, while the job of a caller that waits for longer went on."""
+        peer = Peer(self.worker.address, self.worker.messenger.local_peer.incarnation)
+        self.requester.send(peer, FenceJobs((JOB,), RANK, 2 * FENCE_LIFETIME_MS))
+        self.world.clock.advance(5)
+        other = Peer("tcp://other", 1)
+        self.world.clock.advance(2 * FENCE_LIFETIME_MS - 10)
+        self.assertTrue(self.worker.executor.job_fences.excludes(other, TASK, 0))
+        self.world.clock.advance(10)
+        self.assertFalse(self.worker.executor.job_fences.excludes(other, TASK, 0))
+
     def test_a_fence_expires(self):
         self.request_fence()
         self.world.clock.advance(5)
