Soak: connections are looked up once a second at most

The dispatcher had answered after 2.97 s; the soak itself stood still for 6 s, as it looked up the owner of each new connection during a cut, 0.04 to 0.3 s at a time. Unknown connections are now held until the next lookup.

--- a/benchmarks/soak_cuts.py
+++ b/benchmarks/soak_cuts.py
@@ -1,11 +1,15 @@
 """Cuts between the processes of the soak test, applied by the proxies of their inboxes."""
 
+import time
 from collections.abc import Callable, Iterable
 
 import psutil
 
 from benchmarks.soak_processes import Process
 
+# Connections are looked up at most this often, so that the soak itself keeps running.
+LOOKUP_INTERVAL_S = 1.0
+
 
 class LinkCuts:
     """Pairs of processes whose connections to each other hold back all data.
@@ -22,6 +26,7 @@
         self._list_processes = list_processes
         self._pairs: set[frozenset[str]] = set()
         self._owners: dict[int, str] = {}
+        self._looked_up_s = 0.0
 
     @property
     def is_active(self) -> bool:
@@ -47,13 +52,18 @@
         if not self._pairs:
             return False
         if port not in self._owners:
+            if time.monotonic() - self._looked_up_s < LOOKUP_INTERVAL_S:
+                # Held until it is known where it comes from.
+                return True
             self._look_up_owners()
         # The port of a process that has just ended belongs to none.
         return frozenset((self._owners.setdefault(port, ""), target)) in self._pairs
 
     def _look_up_owners(self) -> None:
-        for process in self._list_processes():
-            if process.has_ended:
-                continue
-            for connection in psutil.Process(process.pid).net_connections("tcp"):
-                self._owners[connection.laddr.port] = process.name
+        names = {
+            process.pid: process.name for process in self._list_processes() if not process.has_ended
+        }
+        for connection in psutil.net_connections("tcp"):
+            if connection.pid in names:
+                self._owners[connection.laddr.port] = names[connection.pid]
+        self._looked_up_s = time.monotonic()
