--- a/geraniumspool/claim_relays.py
+++ b/geraniumspool/claim_relays.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Collection, Iterable
 
 from geraniumspool.claim_messages import Claim, RelayClaims
@@ -18,7 +19,10 @@
 
 # Arbiters that count as reachable have this time to answer before executors are asked to relay.
 ANSWER_LIMIT_MS = 100.0
-# Interval at which unconfirmed claims are repeated, as messages may be lost.
+# Claims and releases that are due are relayed together, at most once in this time: as many messages
+# are sent as there are executors.
+RELAY_INTERVAL_MS = 500.0
+# Interval until an unconfirmed claim is repeated, as messages may be lost; it doubles each time.
 REPEAT_PERIOD_MS = 500.0
 
 
@@ -27,6 +31,7 @@
 
     :ivar number: number of the claim when it was granted; a new number needs a new grant
     :ivar due_ms: when it is repeated next
+    :ivar period_ms: time from that repetition to the one after
     :ivar relayed_to: arbiters that it was relayed to
     """
 
@@ -34,6 +39,7 @@
         self.claim = claim
         self.number = claim.number
         self.due_ms = due_ms
+        self.period_ms = REPEAT_PERIOD_MS
         self.relayed_to: set[str] = set()
 
     def list_missing(self) -> set[str]:
@@ -66,27 +72,33 @@
         self._list_executors = list_executors
         self._ask_arbiters = ask_arbiters
         self._relayed: dict[str, _RelayedClaim] = {}
+        self._relayed_ms = -math.inf
+        self._released: list[int] = []
+        self._told_arbiters: set[str] = set()
 
     def add(self, claim: OpenClaim, unreachable: Collection[str]) -> None:
         """Add a claim that was just granted by a fence, and that all arbiters were asked for.
 
         :param unreachable: those of its arbiters that are not expected to answer
         """
-        now = self._clock.now()
-        relayed = self._relayed[claim.job_id] = _RelayedClaim(claim, now + ANSWER_LIMIT_MS)
-        missing = relayed.list_missing().intersection(unreachable)
-        if missing:
-            self._relay([relayed], missing, now)
+        due_ms = self._clock.now()
+        relayed = _RelayedClaim(claim, due_ms)
+        if not relayed.list_missing().intersection(unreachable):
+            relayed.due_ms += ANSWER_LIMIT_MS
+        self._relayed[claim.job_id] = relayed
 
     def remove(self, claim: OpenClaim) -> None:
         """Remove a claim that is released; arbiters that it was relayed to are told."""
         relayed = self._relayed.pop(claim.job_id, None)
         if relayed is not None and relayed.relayed_to:
-            self._send_all(RelayClaims((), (relayed.number,), tuple(sorted(relayed.relayed_to))))
+            self._released.append(relayed.number)
+            self._told_arbiters |= relayed.relayed_to
 
     def run_checks(self) -> None:
         """Repeat the claims that are due and not confirmed. Called periodically."""
         now = self._clock.now()
+        if now - self._relayed_ms < RELAY_INTERVAL_MS:
+            return
         due = []
         missing: set[str] = set()
         for job_id, relayed in list(self._relayed.items()):
@@ -99,11 +111,15 @@
                 self._ask_arbiters(relayed.claim, now)
                 due.append(relayed)
                 missing |= unconfirmed
-        if due:
+        if due or self._released:
             self._relay(due, missing, now)
 
     def _relay(self, due: Iterable[_RelayedClaim], arbiters: set[str], now: float) -> None:
-        """Send claims to arbiters through all executors, as it is not known which reach them."""
+        """Send claims and releases to arbiters through all executors.
+
+        It is not known which of these reach them.
+        """
+        self._relayed_ms = now
         claims = []
         for relayed in due:
             claim = relayed.claim
@@ -111,11 +127,12 @@
                 fields = (("job", claim.job_id), ("arbiters", ",".join(sorted(arbiters))))
                 _LOG.info("claim relayed to arbiters", extra={"fields": fields})
             relayed.relayed_to |= arbiters
-            relayed.due_ms = now + REPEAT_PERIOD_MS
+            relayed.due_ms = now + relayed.period_ms
+            relayed.period_ms *= 2
             left_ms = claim.job.remaining_claim_ms(now)
             claims.append(Claim(claim.number, claim.job_id, left_ms, claim.rank))
-        self._send_all(RelayClaims(tuple(claims), (), tuple(sorted(arbiters))))
-
-    def _send_all(self, message: RelayClaims) -> None:
+        released, self._released = self._released, []
+        told, self._told_arbiters = arbiters | self._told_arbiters, set()
+        message = RelayClaims(tuple(claims), tuple(released), tuple(sorted(told)))
         for address in self._list_executors():
             self._send(Peer(address, ANY_INCARNATION), message)
