--- a/tests/test_cut_storm.py
+++ b/tests/test_cut_storm.py
@@ -8,10 +8,10 @@
 # fence of the dispatcher that ran it.
 REPLACED_FENCE_SEEDS = (541,)
 # A grant under the former members counted under the members of one side.
-MEMBERS_SEEDS = (15, 84)
+MEMBERS_SEEDS = (15, 84, 225)
 PLAIN_SEEDS = (1, 2, *REPLACED_FENCE_SEEDS, *MEMBERS_SEEDS)
-REPLACED_SEEDS = (1, 2, 411, 545, 644)
-KEYS_SEEDS = (1, 2, 121, 23, 188)
+REPLACED_SEEDS = (1, 2, 411, 459, 545, 623, 644, 726)
+KEYS_SEEDS = (1, 2, 121, 23, 29, 53, 54, 76, 113, 160, 186, 188)
 
 
 class CutStormTest(unittest.TestCase):
