--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,88 @@
+"""Case 1: an arbiter that has forgotten a claim counts as one that knows of no holder."""
+
+from pathlib import Path
+
+import eventlet
+import standins
+from standins import Deployment, Record
+
+JOBS = 24
+# A task of 1.8 s on a minion of speed 0.8 away from its data (far_x 1.5).
+RUN_MS = 3_375
+ESTIMATE_MS = 1_800
+CPU = 500
+DEADLINE_MS = 9_000
+RESEND_S = 1.3
+CUT_AFTER_S = 0.3
+KILL_AFTER_S = 0.2
+BROKEN_AFTER_S = 0.7
+CUT_S = 5.0
+# Bound of the pages: a run that is told to stop may go on for this long (stop_ms).
+STOP_S = 0.05
+# Shares of two processors. Front machines have 0.516 to 2.15 cores; the fastest dispatcher places
+# the tasks of a small fleet, the next one while that is out of reach.
+SHARES = (0.537, 1.075, 0.8)
+ZONES = ("sukhbaatar-hall", "bayanzurkh-hall", "khan-uul-hall")
+
+
+def play(deployment: Deployment, record: Record) -> list[str]:
+    """Cut a region with running jobs off, kill a process elsewhere, and send the jobs again."""
+    for number, zone in enumerate(ZONES):
+        deployment.add_executor(f"side-{number}-0", zone)
+        deployment.add_executor(f"side-{number}-1", zone)
+    for number, zone in enumerate(ZONES):
+        deployment.add_dispatcher(f"front-{number}", zone, SHARES[number])
+    deployment.await_ready()
+
+    step = {"count": 1, "cpu": CPU, "estimate_ms": ESTIMATE_MS}
+    job = {"spec": f"{CPU}:{RUN_MS}", "steps": [step], "best_effort": True}
+
+    def send(name: str, job_id: str) -> int:
+        record.write(f"client sends {job_id} to {name}")
+        status, body = standins.submit(deployment.fronts[name], job_id, job, DEADLINE_MS)
+        text = f"is answered {status} {body[:80]!r}" if status else "has a broken connection"
+        record.write(f"client {text} for {job_id} at {name}")
+        return status
+
+    def send_until_answered(job_id: str) -> None:
+        if not send("front-1", job_id):
+            eventlet.sleep(RESEND_S)
+            send("front-2", job_id)
+
+    job_ids = [f"{0xA0000000 + number:016x}" for number in range(JOBS)]
+    callers = eventlet.GreenPool()
+    for job_id in job_ids:
+        callers.spawn(send_until_answered, job_id)
+    eventlet.sleep(CUT_AFTER_S)
+    if not any(minion.running for minion in deployment.minions.values()):
+        raise standins.NotRun("no task has started")
+    if standins.HAS_TROUBLE:
+        deployment.cut({"front-1", "side-1-0", "side-1-1"})
+        eventlet.sleep(KILL_AFTER_S)
+        deployment.dispatchers["front-0"].kill_and_restart()
+        eventlet.sleep(BROKEN_AFTER_S - KILL_AFTER_S - standins.RESTART_S)
+        deployment.break_clients("front-1")
+        eventlet.sleep(CUT_S - BROKEN_AFTER_S)
+        deployment.heal()
+    callers.waitall()
+    return find_double_runs(deployment)
+
+
+def find_double_runs(deployment: Deployment) -> list[str]:
+    """Return the runs of one task that were at work at the same time, on minions that are up."""
+    spans: dict[str, list] = {}
+    for minion in deployment.minions.values():
+        for key, (began, ended) in minion.spans.items():
+            spans.setdefault(key.task, []).append((began, ended or float("inf"), minion.name))
+    broken = []
+    for task, runs in sorted(spans.items()):
+        runs.sort()
+        for (_, ended, minion), (began, other_ended, other) in zip(runs, runs[1:], strict=False):
+            both_s = min(ended, other_ended) - began
+            if both_s > STOP_S:
+                broken.append(f"TWICE {task} on {minion} and {other} for {both_s:.3f} s")
+    return broken
+
+
+if __name__ == "__main__":
+    standins.run_case(Path(__file__).resolve().parent, play)
