--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,6 @@
 KILL_AFTER_S = 0.2
 BROKEN_AFTER_S = 0.7
 CUT_S = 5.0
-# Bound of the pages: a run that is told to stop may go on for this long (stop_ms).
-STOP_S = 0.05
 # Shares of two processors. Front machines have 0.516 to 2.15 cores; the fastest dispatcher places
 # the tasks of a small fleet, the next one while that is out of reach.
 SHARES = (0.537, 1.075, 0.8)
@@ -65,23 +63,7 @@
         eventlet.sleep(CUT_S - BROKEN_AFTER_S)
         deployment.heal()
     callers.waitall()
-    return find_double_runs(deployment)
-
-
-def find_double_runs(deployment: Deployment) -> list[str]:
-    """Return the runs of one task that were at work at the same time, on minions that are up."""
-    spans: dict[str, list] = {}
-    for minion in deployment.minions.values():
-        for key, (began, ended) in minion.spans.items():
-            spans.setdefault(key.task, []).append((began, ended or float("inf"), minion.name))
-    broken = []
-    for task, runs in sorted(spans.items()):
-        runs.sort()
-        for (_, ended, minion), (began, other_ended, other) in zip(runs, runs[1:], strict=False):
-            both_s = min(ended, other_ended) - began
-            if both_s > STOP_S:
-                broken.append(f"TWICE {task} on {minion} and {other} for {both_s:.3f} s")
-    return broken
+    return standins.find_double_runs(deployment)
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -56,6 +56,8 @@
 PLATFORM = "platform"
 # The platform starts a process that has ended again after a short delay.
 RESTART_S = 0.3
+# Bound of the pages: a run that is told to stop may go on for this long (stop_ms).
+STOP_S = 0.05
 GRACE_S = 6
 # Read by ``run.sh`` of each case. Python itself ends with 1 after an error.
 EXIT_HELD, EXIT_NOT_RUN, EXIT_BROKEN = 0, 2, 10
@@ -213,13 +215,6 @@
         self.is_silent = False
         self.threads: list = []
 
-    def reset(self) -> None:
-        """Reset both sides."""
-        for thread in self.threads:
-            thread.kill()
-        reset_socket(self.near)
-        reset_socket(self.far)
-
 
 def reset_socket(end) -> None:
     """Close a socket so that its peer sees the connection reset."""
@@ -257,19 +252,16 @@
             link.is_silent = True
         return len(found)
 
-    def reset_cut(self) -> int:
-        """Reset the open connections that are cut; return how many."""
-        found = [link for link in self.links if self._is_cut(link.source)]
-        for link in found:
-            link.reset()
-        self.links.difference_update(found)
-        return len(found)
+    def break_near(self, source: str) -> int:
+        """Reset a program's side of its open connections; return how many.
 
-    def break_near(self) -> None:
-        """Reset the clients' side of all open connections; the other side does not learn of it."""
-        for link in self.links:
+        The other side, which is cut off, does not learn of it.
+        """
+        found = [link for link in self.links if link.source == source]
+        for link in found:
             link.threads[0].kill()
             reset_socket(link.near)
+        return len(found)
 
     def _accept(self) -> None:
         while True:
@@ -374,6 +366,7 @@
         self.fronts: dict[str, str] = {}
         self._inboxes: dict[str, Proxy] = {}
         self._forwarders: dict[str, Proxy] = {}
+        self._probes = 0
         self.ready: dict[str, str] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._cut = Cut()
@@ -392,21 +385,20 @@
         """Silence the open connections from one program to another; return how many."""
         return self._inboxes[target].silence(source)
 
-    def cut(self, region: set[str], resets: bool = False) -> None:
-        """Cut the machines of a region from all others and from clients, in both directions.
-
-        :param resets: whether connections that are open are reset; they fall silent otherwise
-        """
+    def cut(self, region: set[str]) -> None:
+        """Cut the machines of a region from all others and from clients, in both directions."""
         others = {PLATFORM} | {program.name for program in self.programs} - region
         self._cut.sides = (frozenset(region), frozenset(others))
         self.record.write(f"cut off from all others: {sorted(region)}")
-        if resets:
-            count = sum(proxy.reset_cut() for proxy in self._inboxes.values())
-            self.record.write(f"connections reset by the cut: {count}")
 
     def break_clients(self, name: str) -> None:
         """End the clients' connections to a dispatcher that is cut off and does not notice."""
-        self._forwarders[name].break_near()
+        self._forwarders[name].break_near(PLATFORM)
+
+    def reset_connections(self, source: str, targets: Iterable[str]) -> None:
+        """Reset a program's connections to others that it is cut off from."""
+        count = sum(self._inboxes[target].break_near(source) for target in targets)
+        self.record.write(f"connections of {source} that are reset: {count}")
 
     def heal(self) -> None:
         """End the cut; data that was held back is delivered."""
@@ -485,12 +477,12 @@
     def await_ready(self, limit_s: float = 30.0) -> None:
         """Wait until each dispatcher is ready and serves a job; raise NotRun if none does."""
         end = time.monotonic() + limit_s
-        number = 0
         for name, front in self.fronts.items():
             while True:
-                number += 1
-                job = {"spec": "100:20", "steps": [{"cpu": 100, "estimate_ms": 20}]}
-                status = submit(front, f"{number:016x}", job | {"best_effort": True}, 2_000)[0]
+                self._probes += 1
+                job = {"spec": "100:20", "steps": [{"count": 1, "cpu": 100, "estimate_ms": 20}]}
+                job_id = f"{self._probes:016x}"
+                status = submit(front, job_id, job | {"best_effort": True}, 2_000)[0]
                 if status == 200 and call(self.ready[name], "GET", "/ready", limit_s=1.0)[0] == 200:
                     break
                 if time.monotonic() > end:
@@ -545,6 +537,22 @@
     return call(front, "DELETE", PREFIX + job_id, None, 5.0, {"Host": HOST})
 
 
+def find_double_runs(deployment: Deployment) -> list[str]:
+    """Return the runs of one task that were at work at the same time, on minions that are up."""
+    spans: dict[str, list] = {}
+    for minion in deployment.minions.values():
+        for key, (began, ended) in minion.spans.items():
+            spans.setdefault(key.task, []).append((began, ended or float("inf"), minion.name))
+    broken = []
+    for task, runs in sorted(spans.items()):
+        runs.sort()
+        for (_, ended, minion), (began, other_ended, other) in zip(runs, runs[1:], strict=False):
+            both_s = min(ended, other_ended) - began
+            if both_s > STOP_S:
+                broken.append(f"TWICE {task} on {minion} and {other} for {both_s:.3f} s")
+    return broken
+
+
 def _abort(deployment: Deployment) -> None:
     for program in deployment.programs:
         program.process.kill()
