claims: an arbiter without memory does not prove that a job is free

Cause: FenceRequests counted every "not sure" grant towards the majority that knows of no holder. A restarted arbiter gives such grants because it has forgotten the claim. By the same cause it was settled as soon as all dispatchers that it finds had told their claims, though one that had left the list may hold a job by a forgotten grant.

Now only arbiters count that know every claim made before their start, and a member that left without notice keeps an arbiter unsettled. The version of messages is 3, as claims of earlier builds do not end so.

SilentExecutorTest asserted that unsure grants alone suffice, which is the fault; it now asks for arbiters that remember, and for a wait without them.

--- a/geraniumspool/claim_messages.py
+++ b/geraniumspool/claim_messages.py
@@ -42,6 +42,8 @@
     :param age_ms: time since the dispatcher's process started
     :param is_settled: whether the dispatcher, as an arbiter, knows all earlier claims itself
     :param clean: addresses of dispatchers whose last incarnation exited with no run left
+    :param has_lost_members: whether a dispatcher that is no longer listed may still run jobs that
+        it has claimed
     """
 
     claims: tuple[Claim, ...]
@@ -49,6 +51,7 @@
     age_ms: float
     is_settled: bool
     clean: tuple[str, ...]
+    has_lost_members: bool = False
 
 
 class ClaimVerdict(NamedTuple):
--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -21,7 +21,8 @@
 )
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import Peer
-from geraniumspool.run_leases import CLOCK_DRIFT, RUNS_OVER_MS
+from geraniumspool.run_leases import CLAIMS_LAPSED_MS, CLOCK_DRIFT, RUNS_OVER_MS
+from geraniumspool.wire_versions import VERSION_LAPSING_CLAIMS, announced_version
 
 _LOG = logging.getLogger(__name__)
 
@@ -65,11 +66,16 @@
 
 
 class _Grant:
-    """A granted claim; ``until_ms`` is when all runs of the job must have ended."""
+    """A granted claim.
 
-    __slots__ = ("holder", "number", "rank", "until_ms")
+    :ivar granted_ms: when its holder last asked for it
+    :ivar until_ms: when all runs of the job must have ended
+    """
+
+    __slots__ = ("granted_ms", "holder", "number", "rank", "until_ms")
 
-    def __init__(self, holder: Peer, claim: Claim, until_ms: float):
+    def __init__(self, holder: Peer, claim: Claim, granted_ms: float, until_ms: float):
+        self.granted_ms = granted_ms
         self.holder = holder
         self.number = claim.number
         self.rank = claim.rank
@@ -84,6 +90,8 @@
     :ivar is_settled: whether it is settled as an arbiter itself
     :ivar started_ms: when its process started, by the clock of this process; infinite if unknown
     :ivar clean: addresses of dispatchers whose last incarnation it has seen exit with no run left
+    :ivar has_lost_members: whether a dispatcher that it no longer finds in the store may run jobs
+    :ivar heard_ms: when its last report arrived, 0 before the first
     """
 
     def __init__(self, peer: Peer):
@@ -92,6 +100,8 @@
         self.is_settled = False
         self.started_ms = math.inf
         self.clean: frozenset[str] = frozenset()
+        self.has_lost_members = False
+        self.heard_ms = 0.0
 
 
 class _FormerMembers:
@@ -291,6 +301,7 @@
         member.is_settled = message.is_settled
         member.started_ms = self._clock.now() - message.age_ms
         member.clean = frozenset(message.clean)
+        member.has_lost_members = message.has_lost_members
         listed = {claim.number for claim in message.claims}
         for number in list(self._open_claims.get(sender, ())):
             if number <= message.upto and number not in listed:
@@ -314,7 +325,7 @@
         self.note_length(claim.left_ms)
         self._remove_expired(now)
         grant = self._grants.get(claim.job_id)
-        is_held = grant is not None and grant.holder != claimant and now < grant.until_ms
+        is_held = grant is not None and grant.holder != claimant and self._is_in_force(grant, now)
         if is_held and claim.rank <= grant.rank:
             holder = grant.holder
             return ClaimVerdict(claim.number, holder.address, holder.incarnation)
@@ -324,10 +335,37 @@
         if grant is not None:
             self.release(grant.holder, grant.number)
         until_ms = now + claim.left_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
-        self._grants[claim.job_id] = _Grant(claimant, claim, until_ms)
+        self._grants[claim.job_id] = _Grant(claimant, claim, now, until_ms)
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
         return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
+    def note_report(self, sender: Peer) -> None:
+        """Note that a report of a dispatcher has arrived."""
+        self.note_incarnation(sender)
+        self._dispatchers[sender.address].heard_ms = self._clock.now()
+
+    def _is_in_force(self, grant: _Grant, now: float) -> bool:
+        """Return whether runs of a granted claim may go on.
+
+        A holder that is out of contact gives up its claims, unless executors have fenced the job
+        for it or a quorum of other arbiters hears it: some arbiter of each quorum that would grant
+        the job anew is one of these.
+        """
+        if now >= grant.until_ms:
+            return False
+        holder = grant.holder
+        is_lapsing = announced_version(holder.incarnation) >= VERSION_LAPSING_CLAIMS
+        if holder.address == self.me or grant.rank > 0 or not is_lapsing:
+            return True
+        member = self._dispatchers.get(holder.address)
+        heard_ms = member.heard_ms if member is not None and member.peer == holder else 0.0
+        silent_ms = now - max(grant.granted_ms, heard_ms)
+        if silent_ms < CLAIMS_LAPSED_MS:
+            return True
+        fields = (("holder", holder.address), ("silent_ms", round(silent_ms)))
+        _LOG.warning("claim of silent dispatcher lapsed", extra={"fields": fields})
+        return False
+
     def note_length(self, left_ms: float) -> None:
         """Note how long a claim may last, in milliseconds."""
         self._longest_claim_ms = max(self._longest_claim_ms, left_ms)
@@ -369,10 +407,23 @@
             return False
         if not all(self._is_accounted_for(address, now) for address in self._members):
             return False
+        if self._may_unlisted_hold_jobs(now):
+            return False
         fields = (("members", len(self._members)), ("age_ms", round(now - self._started_ms)))
         _LOG.info("arbiter knows all earlier claims", extra={"fields": fields})
         return True
 
+    def _may_unlisted_hold_jobs(self, now: float) -> bool:
+        """Return whether a dispatcher that is not listed may hold a job by a forgotten grant.
+
+        One that has left the list without announcing its exit may only be partitioned. Then it has
+        given up its claims after some time, as this arbiter was restarted.
+        """
+        if now - self._started_ms >= CLAIMS_LAPSED_MS:
+            return False
+        members = self._dispatchers.values()
+        return self.keeps_unannounced or any(member.has_lost_members for member in members)
+
     def _is_accounted_for(self, address: str, now: float) -> bool:
         """Return whether a dispatcher's claims are known, and its former incarnation's expired."""
         started_ms = self._find_start_ms(address)
--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -42,6 +42,7 @@
     :ivar record: what it registered in the store
     :ivar clock_ms: highest reading of its own clock in its reports, sent back to it so that it can
         tell how old a message is; 0 before the first report of this incarnation
+    :ivar confirmed_ms: when the last report was sent that this incarnation has received
     :ivar last_message_ms: when its last report arrived
     :ivar known_since_ms: when it was added, or replaced by another incarnation
     :ivar report_sent_ms: when a report was last sent to it
@@ -68,6 +69,7 @@
         self.peer = Peer(address, ANY_INCARNATION)
         self.record = record
         self.clock_ms = 0.0
+        self.confirmed_ms = 0.0
         self.last_message_ms = 0.0
         self.known_since_ms = now
         self.report_sent_ms = -math.inf
@@ -120,6 +122,7 @@
     def apply_report(self, report: DispatcherReport, now: float) -> None:
         """Store the contents of its report."""
         self.clock_ms = max(self.clock_ms, report.now_ms)
+        self.confirmed_ms = max(self.confirmed_ms, report.echo_ms)
         self.last_message_ms = now
         self.is_leaving = report.is_leaving
         self.loads = {load.service: load for load in report.loads}
@@ -152,6 +155,7 @@
         """Replace it by another incarnation, of which nothing is known but its address."""
         self.peer = peer
         self.clock_ms = 0.0
+        self.confirmed_ms = 0.0
         self.known_since_ms = now
         self.is_leaving = False
         self.loads = {}
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -170,16 +170,16 @@
     def _may_be_held(self, claim: OpenClaim) -> bool:
         """Return whether another dispatcher may hold a job and reach a silent executor.
 
-        A quorum of arbiters has to answer that they know no holder. That does not show a holder by
-        a fence that is partitioned from the arbiters: executors report that they have replaced its
-        fence. Arbiters that are not sure do not know what a lost member holds.
+        A quorum of arbiters has to answer that they know no holder. One that may have forgotten a
+        claim when it was restarted does not count. Nor does their answer show a holder by a fence
+        that is partitioned from the arbiters: executors report that they have replaced its fence.
+        Arbiters that are not sure do not know what a lost member holds.
         """
         if claim.holder is not None or claim.has_replaced_fence:
             return True
         if claim.has_quorum:
             return False
-        answered = claim.granted_by | claim.unsure_grants_by
-        return not claim.is_quorum(answered) or self.has_lost_members()
+        return not claim.is_quorum(claim.informed_grants_by) or self.has_lost_members()
 
     def _silent_since(self, address: str, now: float) -> float:
         request = self._unanswered.get(address)
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -31,7 +31,7 @@
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
 from geraniumspool.open_claim import Claimant, OpenClaim
 from geraniumspool.reliable_links import ReliableLinks
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import CLAIM_CONTACT_MS, RUNS_OVER_MS
 
 _LOG = logging.getLogger(__name__)
 
@@ -49,6 +49,10 @@
 SUSPECT_LINKS_MS = 500.0
 # A reachable arbiter that has not answered after this is no longer waited for.
 ARBITER_TIMEOUT_MS = 500.0
+# A granted claim is requested again if no quorum of its arbiters was in contact for this long.
+CONTACT_LIMIT_MS = 1_000.0
+# Interval at which the contact with arbiters is checked.
+CONTACT_CHECK_MS = 200.0
 # Releases are batched for up to this time. A dispatcher that claims the job in between is
 # referred to its holder.
 RELEASE_BATCH_MS = 100.0
@@ -66,11 +70,13 @@
     :ivar peer: its address and incarnation
     :ivar is_in_same_domain: whether it is in the failure domain of this process
     :ivar domain: its failure domain
+    :ivar confirmed_ms: when the last report was sent that this incarnation has received
     """
 
     peer: Peer
     is_in_same_domain: bool
     domain: str
+    confirmed_ms: float
 
     def is_reachable(self, now: float) -> bool:
         """Return whether its current incarnation has reported, is connected and not silent."""
@@ -145,6 +151,7 @@
         self._is_fence_due = False
         self._flushed_ms = clock.now()
         self._checked_ms = clock.now()
+        self._contacts_checked_ms = clock.now()
 
     def update_members(self) -> None:
         """Update the list of dispatchers, and send all open claims to those that need them."""
@@ -263,6 +270,8 @@
     def _note_incarnation(self, peer: Peer) -> None:
         former = self.table.note_incarnation(peer)
         if former is not None:
+            for claim in self._by_number.values():
+                claim.forget_answer(peer.address)
             # If this was a late message, the former incarnation is the current one. This answer
             # makes it send its open claims again.
             self._send(former, ClaimVerdicts((), False))
@@ -280,6 +289,11 @@
     def _send_verdicts(self, sender: Peer, verdicts: list[ClaimVerdict]) -> None:
         self._send(sender, ClaimVerdicts(tuple(verdicts), self._is_settled_for(sender)))
 
+    def note_report(self, sender: Peer) -> None:
+        """Note that a report of another dispatcher has arrived."""
+        self._note_incarnation(sender)
+        self.table.note_report(sender)
+
     def handle_end_claims(self, sender: Peer, _message: EndClaims) -> None:
         """Handle that another dispatcher exits with no run left."""
         self._note_incarnation(sender)
@@ -307,7 +321,7 @@
         for verdict in message.verdicts:
             claim = self._by_number.get(verdict.number)
             if claim is not None:
-                self._apply_verdict(claim, sender.address, verdict)
+                self._apply_verdict(claim, sender.address, verdict, message.is_settled)
                 self._grant_on_quorum(claim)
                 if claim.number in self._undecided and self._is_undecidable(claim, now):
                     self._request_fences_soon()
@@ -381,12 +395,34 @@
         if now - self._flushed_ms >= RELEASE_BATCH_MS:
             self._flushed_ms = now
             self._flush()
+        if now - self._contacts_checked_ms >= CONTACT_CHECK_MS:
+            self._contacts_checked_ms = now
+            self._check_contacts(now)
         for claim in list(self._undecided.values()):
             if self._undecided.get(claim.number) is claim:
                 self._check_claim(claim, now)
         self._request_fences()
         self._relays.run_checks()
 
+    def _check_contacts(self, now: float) -> None:
+        """Give up jobs whose arbiters may have lapsed the claim, as they do not hear this process.
+
+        Before that, the claim is requested again: from other arbiters, or as a fence.
+        """
+        confirmed_ms = {address: view.confirmed_ms for address, view in self._peers.items()}
+        confirmed_ms[self._me.address] = now
+        for claim in list(self._by_number.values()):
+            if claim.is_fenced or claim.first_granted_ms is None:
+                continue
+            claim.update_contact(confirmed_ms)
+            lost_ms = now - claim.contact_ms
+            if lost_ms >= CLAIM_CONTACT_MS - CONTACT_CHECK_MS:
+                self._give_up(claim, "")
+            elif claim.is_granted and lost_ms >= CONTACT_LIMIT_MS:
+                self._counters.add("job_claims", outcome="contact_lost")
+                self.on_suspended(claim.job)
+                self._request_again(claim)
+
     def _check_claim(self, claim: OpenClaim, now: float) -> None:
         is_unanswered = now - claim.began_ms > ARBITER_TIMEOUT_MS and not claim.has_quorum
         if claim.is_contested and (claim.holder is not None or is_unanswered):
@@ -455,12 +491,19 @@
         self.table.note_length(left_ms)
         message = Claim(claim.number, claim.job_id, left_ms, claim.rank)
         if address == self._me.address:
-            self._apply_verdict(claim, address, self.table.decide(self._me, message))
+            verdict = self.table.decide(self._me, message)
+            self._apply_verdict(claim, address, verdict, self.table.is_settled)
         elif address in self._peers:
             self._queue_for(self._peers[address].peer).claims.append(message)
             self._flush_soon()
 
-    def _apply_verdict(self, claim: OpenClaim, address: str, verdict: ClaimVerdict) -> None:
+    def _apply_verdict(
+        self, claim: OpenClaim, address: str, verdict: ClaimVerdict, is_settled: bool
+    ) -> None:
+        """Apply an arbiter's answer.
+
+        :param is_settled: whether the arbiter knows every claim made before its process started
+        """
         if claim.is_fenced and verdict.holder:
             # An answer to a request from before executors fenced the holder off.
             return
@@ -469,7 +512,9 @@
             return
         if not verdict.holder:
             claim.held_by.pop(address, None)
-            claim.unsure_grants_by.discard(address)
+            claim.forget_answer(address)
+            if is_settled:
+                claim.informed_grants_by.add(address)
             (claim.granted_by if verdict.is_sure else claim.unsure_grants_by).add(address)
             return
         holder = Peer(verdict.holder, verdict.holder_life)
@@ -549,7 +594,14 @@
         )
         age_ms = now - self._started_ms
         upto = self._next_number - 1
-        message = OpenClaims(claims, upto, age_ms, self.table.is_settled, self.table.clean_exits)
+        message = OpenClaims(
+            claims,
+            upto,
+            age_ms,
+            self.table.is_settled,
+            self.table.clean_exits,
+            self.table.keeps_unannounced,
+        )
         self._send(peer, message)
 
     def _request_fences_soon(self) -> None:
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -359,6 +359,7 @@
         now = self._clock.now()
         self._evacuations.merge(report.evacuations, report.echo_ms)
         view = self.peers.find_or_add(sender)
+        self._claims.note_report(sender)
         was_leaving, was_alive = view.is_leaving, view.was_alive
         is_lease_urgent = max(view.silent_ms(now), now - report.echo_ms) > LEASE_URGENT_MS
         view.apply_report(report, now)
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -591,6 +591,7 @@
     FenceJobs: 2,
     ForwardJob: 7,
     JobsFenced: 3,
+    OpenClaims: 5,
     Queue: 10,
     RunOrder: 10,
     ServiceLoad: 6,
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 from typing import Protocol
 
@@ -43,6 +44,9 @@
     :ivar granted_by: addresses of arbiters that have granted it and know every earlier claim
     :ivar unsure_grants_by: addresses of arbiters that have granted it and may not know an earlier
         claim
+    :ivar informed_grants_by: addresses of arbiters that have granted it and knew then every claim
+        made before their process started, whether or not their grants are sure
+    :ivar contact_ms: latest time at which a quorum of arbiters is known to have recorded it
     :ivar asked_ms: when each arbiter was last asked
     :ivar first_asked_ms: when each arbiter was first asked
     :ivar held_by: other dispatcher that holds the job, by the arbiter that has last said so
@@ -73,6 +77,8 @@
         self.is_contested = False
         self.granted_by: set[str] = set()
         self.unsure_grants_by: set[str] = set()
+        self.informed_grants_by: set[str] = set()
+        self.contact_ms = now
         self.asked_ms: dict[str, float] = {}
         self.first_asked_ms: dict[str, float] = {}
         self.held_by: dict[str, Peer] = {}
@@ -122,6 +128,31 @@
             for arbiters in self.arbiter_sets
         )
 
+    def update_contact(self, confirmed_ms: Mapping[str, float]) -> None:
+        """Update the time of the last contact with a quorum of each set of arbiters.
+
+        :param confirmed_ms: by address, when a message was sent that the dispatcher's current
+            incarnation has received
+        """
+        recorded = self.granted_by | self.unsure_grants_by
+        contacts = []
+        for arbiters in self.arbiter_sets:
+            times = [
+                max(self.began_ms, confirmed_ms.get(address, 0.0))
+                for address in arbiters
+                if address in recorded
+            ]
+            if len(times) < quorum_of(arbiters):
+                return
+            contacts.append(sorted(times, reverse=True)[quorum_of(arbiters) - 1])
+        self.contact_ms = max(self.contact_ms, min(contacts))
+
+    def forget_answer(self, address: str) -> None:
+        """Forget the grant of an arbiter that was restarted and has forgotten it as well."""
+        self.granted_by.discard(address)
+        self.unsure_grants_by.discard(address)
+        self.informed_grants_by.discard(address)
+
     def discard_answers(self, now: float) -> None:
         """Discard all answers of arbiters and executors, so that they must be asked again.
 
@@ -132,6 +163,7 @@
         self.began_ms = now
         self.granted_by.clear()
         self.unsure_grants_by.clear()
+        self.informed_grants_by.clear()
         self.asked_ms.clear()
         self.first_asked_ms.clear()
         self.held_by.clear()
--- a/geraniumspool/wire_versions.py
+++ b/geraniumspool/wire_versions.py
@@ -6,7 +6,9 @@
 * version 0 reads an envelope of four elements and every message in its base form; it rejects a
   message with an element more;
 * version 1 reads, and always sends, the stamp of the envelope as well;
-* version 2 skips elements at the end of a message or of a part of it that it does not know.
+* version 2 skips elements at the end of a message or of a part of it that it does not know;
+* version 3 sends the same messages, and gives up its claims when it is out of contact with their
+  arbiters.
 
 A process of version 2 or later announces its version in its incarnation: builds before it draw
 theirs from 1 to 2**63, which leaves the numbers above. Wherever a peer is known by its
@@ -18,8 +20,9 @@
 VERSION_BASE = 0
 VERSION_STAMPED = 1
 VERSION_EXTENSIBLE = 2
+VERSION_LAPSING_CLAIMS = 3
 # The version of this build.
-CURRENT_VERSION = VERSION_EXTENSIBLE
+CURRENT_VERSION = VERSION_LAPSING_CLAIMS
 
 # An incarnation that announces a version has this bit set, followed by the version and a random
 # number.
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -3,6 +3,7 @@
 In each of them two dispatchers could run the same job at the same time.
 """
 
+import math
 import unittest
 from typing import NamedTuple
 
@@ -376,6 +377,7 @@
     peer: Peer
     is_in_same_domain: bool = True
     domain: str = "north"
+    confirmed_ms: float = math.inf
 
     def is_reachable(self, _now):
         return True
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -12,7 +12,13 @@
 )
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
-from geraniumspool.run_leases import CLOCK_DRIFT, RUNS_OVER_MS
+from geraniumspool.run_leases import (
+    CLAIM_CONTACT_MS,
+    CLAIMS_LAPSED_MS,
+    CLOCK_DRIFT,
+    RUNS_OVER_MS,
+)
+from geraniumspool.wire_versions import VERSION_EXTENSIBLE, make_incarnation
 
 ME = "tcp://a"
 ONE, OTHER = Peer("tcp://b", 1), Peer("tcp://c", 1)
@@ -21,6 +27,8 @@
 LONG_AGO_MS = 60_000.0
 # Time within which all runs of a claimed job end.
 LEFT_MS = 1_000.0
+# Interval between the reports of a dispatcher.
+REPORT_MS = 100.0
 JOB = "j"
 
 
@@ -116,6 +124,51 @@
         self.assertEqual(current.address, self.send_claims(OTHER, claim())[0].holder)
 
 
+class LapsedClaimTest(TableCase):
+    """A holder that is out of contact gives up its claims, and arbiters grant the jobs again."""
+
+    left_ms = 60_000.0
+
+    def setUp(self):
+        super().setUp()
+        self.holder = Peer(ONE.address, make_incarnation(1))
+        self.send_open_claims(self.holder)
+        self.send_open_claims(OTHER)
+
+    def find_holder(self, rank=0, holder=None, reports=False):
+        """Return who holds a job after its holder may have given it up.
+
+        :param rank: rank of the holder's fence
+        :param reports: whether the holder goes on reporting
+        """
+        holder = holder or self.holder
+        self.send_claims(holder, Claim(1, JOB, self.left_ms, rank))
+        for _ in range(int(CLAIMS_LAPSED_MS // REPORT_MS) + 1):
+            self.clock.advance(REPORT_MS)
+            if reports:
+                self.table.note_report(holder)
+        return self.send_claims(OTHER, claim())[0].holder
+
+    def test_a_claim_of_a_silent_dispatcher_lapses(self):
+        self.assertEqual("", self.find_holder())
+
+    def test_reports_keep_claims_in_force(self):
+        self.assertEqual(ONE.address, self.find_holder(reports=True))
+
+    def test_a_claim_by_a_fence_does_not_lapse(self):
+        """Its holder may be out of contact with all arbiters."""
+        self.assertEqual(ONE.address, self.find_holder(rank=7))
+
+    def test_claims_of_builds_that_do_not_give_them_up_do_not_lapse(self):
+        former = Peer(ONE.address, make_incarnation(2, VERSION_EXTENSIBLE))
+        self.assertEqual(ONE.address, self.find_holder(holder=former))
+
+    def test_it_holds_until_runs_of_the_holder_must_be_over(self):
+        self.send_claims(self.holder, Claim(1, JOB, self.left_ms))
+        self.clock.advance(CLAIM_CONTACT_MS + RUNS_OVER_MS)
+        self.assertEqual(ONE.address, self.send_claims(OTHER, claim())[0].holder)
+
+
 class SettledTest(TableCase):
     """When a restarted arbiter may mark its answers as sure."""
 
@@ -147,6 +200,23 @@
         self.clock.advance(RUNS_OVER_MS)
         self.assertTrue(self.is_sure())
 
+    def test_it_is_not_sure_while_a_member_that_left_without_notice_may_run_jobs(self):
+        """That one may only be partitioned, with a grant that this arbiter has forgotten."""
+        self.send_open_claims(ONE)
+        self.table.set_members({ME: "north", ONE.address: "south"})
+        self.clock.advance(CLAIM_CONTACT_MS + RUNS_OVER_MS)
+        self.assertFalse(self.table.is_settled)
+        self.clock.advance(CLAIMS_LAPSED_MS - CLAIM_CONTACT_MS - RUNS_OVER_MS)
+        self.assertTrue(self.table.is_settled)
+
+    def test_it_is_not_sure_while_another_arbiter_knows_of_such_a_member(self):
+        self.send_open_claims(ONE)
+        self.table.apply_open_claims(OTHER, OpenClaims((), 0, LONG_AGO_MS, True, (), True))
+        self.clock.advance(CLAIM_CONTACT_MS + RUNS_OVER_MS)
+        self.assertFalse(self.table.is_settled)
+        self.send_open_claims(OTHER)
+        self.assertTrue(self.table.is_settled)
+
     def test_it_is_sure_at_once_if_all_settled_dispatchers_saw_it_exit_cleanly(self):
         self.send_open_claims(ONE, clean=(ME,))
         self.send_open_claims(OTHER, clean=())
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -38,6 +38,7 @@
     peer: Peer
     domain: str = "north"
     is_in_same_domain: bool = True
+    confirmed_ms: float = math.inf
 
     def is_reachable(self, _now):
         return True
@@ -266,15 +267,21 @@
     def test_an_executor_that_nobody_can_renew_is_not_waited_for(self):
         two = {ME.address, ONE.address}
         self.assertTrue(self.is_complete(granted_by=two))
-        self.assertTrue(self.is_complete(unsure_grants_by=two))
-        self.assertFalse(self.is_complete(unsure_grants_by={ME.address}))
+        self.assertTrue(self.is_complete(unsure_grants_by=two, informed_grants_by=two))
+        self.assertFalse(self.is_complete(unsure_grants_by=two, informed_grants_by={ME.address}))
+
+    def test_it_is_waited_for_if_an_arbiter_may_have_forgotten_the_holder(self):
+        """An arbiter that has just started knows no claim, whoever holds the job."""
+        two = {ME.address, ONE.address}
+        self.assertFalse(self.is_complete(unsure_grants_by=two))
 
     def test_it_is_waited_for_while_a_lost_member_may_run_the_job(self):
         """Arbiters that are not sure do not know the jobs of a partitioned former member."""
         two = {ME.address, ONE.address}
-        self.assertFalse(self.is_complete(has_lost_members=True, unsure_grants_by=two))
+        unsure = {"unsure_grants_by": two, "informed_grants_by": two}
+        self.assertFalse(self.is_complete(has_lost_members=True, **unsure))
         self.assertTrue(self.is_complete(has_lost_members=True, granted_by=two))
-        self.assertTrue(self.is_complete(True, is_closed=True, unsure_grants_by=two))
+        self.assertTrue(self.is_complete(True, is_closed=True, **unsure))
 
     def test_it_is_waited_for_if_another_dispatcher_had_fenced_the_job(self):
         """The other dispatcher may be partitioned from the arbiters, and renew its leases there."""
--- a/tests/test_unheard_holder.py
+++ b/tests/test_unheard_holder.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from geraniumspool.registrations import WORKER_PREFIX
+from geraniumspool.job_specs import JobOutcome
+from geraniumspool.registrations import DISPATCHER_PREFIX, WORKER_PREFIX
 from tests.dispatch_world import QUEUE, DispatchWorld, SimulatedDispatcher, make_spec
 
 STEP_MS = 5
@@ -14,18 +15,35 @@
 CUT_MS = 40
 # Longer than a dead dispatcher counts as the holder of its jobs, shorter than the runs.
 RESEND_MS = 2_800
+# Time from a cut to the restart of a dispatcher, and from there until the job is sent again.
+RESTART_MS = 200
+SOON_MS = 1_300
 # By then all dispatchers have removed a worker whose key in the store has expired.
 UNLISTED_MS = 4_000
 
 
-class UnheardHolderTest(unittest.TestCase):
-    """Three dispatchers that own a worker each; the first one, with a running job, is cut off."""
+class UnheardHolderCase(unittest.TestCase):
+    """Three dispatchers that own a worker each; the first one, with a running job, is cut off.
+
+    :cvar tasks: number of the job's tasks, of which three fit on a worker
+    :cvar run_ms: run time of these
+    :cvar declared_ms: declared run time of the tasks, None for the real one
+    :cvar wait_ms: how long callers wait for it
+    """
+
+    tasks = 4
+    run_ms = RUN_MS
+    declared_ms = None
+    wait_ms = WAIT_MS
 
     def setUp(self):
         self.world = DispatchWorld(3, 3, group_workers=1)
         self.addCleanup(self.world.close)
         self.holder, *self.others = self.world.dispatchers
-        self.spec = make_spec("j", count=4, cpu=3_000, run_ms=RUN_MS)
+        declared_ms = self.declared_ms or self.run_ms
+        self.spec = make_spec(
+            "j", count=self.tasks, cpu=3_000, run_ms=self.run_ms, declared_ms=declared_ms
+        )
         self.ran_twice = set()
 
     def advance(self, total_ms):
@@ -35,7 +53,7 @@
             self.ran_twice |= self.world.find_duplicate_runs()
 
     def start_job(self):
-        self.holder.submit_locally(self.spec, PATIENT, WAIT_MS)
+        self.holder.submit_locally(self.spec, PATIENT, self.wait_ms)
         self.advance(CUT_MS)
         self.assertEqual(1, self.world.start_count("j.0.0.0"))
 
@@ -44,6 +62,18 @@
         for other in self.others:
             self.world.network.partition(self.holder.address, other.address)
 
+    def cut_workers(self):
+        """Cut the holder's workers off from the other dispatchers, but not from the holder."""
+        self.start_job()
+        self.partition()
+        for worker in self.holder.peers.owned:
+            for other in self.others:
+                self.world.network.partition(worker, other.address)
+
+
+class UnheardHolderTest(UnheardHolderCase):
+    """The job is sent to another dispatcher while its holder goes on."""
+
     def lose_messages(self):
         self.start_job()
         self.partition()
@@ -63,14 +93,6 @@
                 self.world, f"h{index}", incarnation=2
             )
 
-    def cut_workers(self):
-        """Cut the holder's workers off from the other dispatchers, but not from the holder."""
-        self.start_job()
-        self.partition()
-        for worker in self.holder.peers.owned:
-            for other in self.others:
-                self.world.network.partition(worker, other.address)
-
     def unlist_worker(self):
         """Let a worker's key in the store expire, while the holder still reaches the worker."""
         worker = next(iter(sorted(self.holder.peers.owned)))
@@ -100,6 +122,80 @@
                     self.assertEqual(set(), self.ran_twice)
 
 
+class RestartedArbiterTest(UnheardHolderCase):
+    """An arbiter whose grant counted for the holder's quorum restarts and forgets the grant.
+
+    The holder is cut off together with its workers. Neither its silence nor the answers of an
+    arbiter without memory show that nobody runs the job.
+    """
+
+    tasks = 3
+    run_ms = 6_000
+    declared_ms = 500
+    wait_ms = 14_000.0
+
+    def setUp(self):
+        super().setUp()
+        # From then on the holder asks no more arbiters than it needs.
+        self.holder.submit_locally(make_spec("earlier", run_ms=10))
+        self.advance(SOON_MS)
+
+    def cut_region(self):
+        """Cut the holder and its worker off from all others."""
+        self.start_job()
+        region = {self.holder.address, *self.holder.peers.owned}
+        addresses = {part.address for part in (*self.world.workers, *self.world.dispatchers)}
+        for inside in region:
+            for outside in addresses - region:
+                self.world.network.partition(inside, outside)
+
+    def restart_arbiter(self, number):
+        self.cut_region()
+        self.advance(RESTART_MS)
+        self.world.dispatchers[number].kill()
+        self.world.dispatchers[number] = SimulatedDispatcher(
+            self.world, f"h{number}", incarnation=2
+        )
+
+    def unlist_holder(self):
+        for other in self.world.dispatchers[1:]:
+            other.unlist_member(DISPATCHER_PREFIX + self.holder.address)
+
+    def check(self, index):
+        """Send the job again; return the outcome that its caller gets."""
+        self.advance(SOON_MS)
+        caller = self.world.dispatchers[index].submit(self.spec, PATIENT, self.wait_ms)
+        self.advance(self.wait_ms)
+        self.assertEqual(set(), self.ran_twice)
+        return caller.outcome
+
+    def test_a_restarted_arbiter_does_not_prove_that_nobody_runs_the_job(self):
+        for restarted in (1, 2):
+            for index in (1, 2):
+                with self.subTest(restarted=restarted, index=index):
+                    self.doCleanups()
+                    self.setUp()
+                    self.restart_arbiter(restarted)
+                    self.check(index)
+
+    def test_a_holder_that_is_no_longer_listed_may_still_run_the_job(self):
+        """All dispatchers that the restarted arbiter finds have told it their claims."""
+        for restarted in (1, 2):
+            for index in (1, 2):
+                with self.subTest(restarted=restarted, index=index):
+                    self.doCleanups()
+                    self.setUp()
+                    self.restart_arbiter(restarted)
+                    self.unlist_holder()
+                    self.check(index)
+
+    def test_the_job_is_served_once_the_holder_must_have_given_it_up(self):
+        """Long before its caller's limit, and without hearing from the holder."""
+        self.restart_arbiter(1)
+        self.unlist_holder()
+        self.assertEqual(JobOutcome.SUCCEEDED, self.check(2))
+
+
 class UnheardExecutorTest(unittest.TestCase):
     """All dispatchers die, and their next incarnations cannot reach an executor with runs."""
 
