peers: ask executors that left the list while a lost dispatcher may use them

Cause: an unlisted executor was kept while a listed dispatcher was out of reach. Once the dispatcher that used it was removed from the list, nothing kept it. It is now kept while a dispatcher that left without notice may still run jobs, and in the round in which it is removed.

--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -95,6 +95,7 @@
             started_ms,
         )
         self.claims.links = messenger
+        self._peers.has_lost_members = lambda: self.claims.table.keeps_unannounced
         self.dispatcher = Dispatcher(
             clock,
             messenger.send,
--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -172,6 +172,7 @@
     :ivar directory: dispatchers and workers registered in the store
     :ivar executors: addresses of all executors that some dispatcher may use
     :ivar is_connection_closed: returns whether a dispatcher has closed the connection to this one
+    :ivar has_lost_members: returns whether a dispatcher that is no longer listed may still run jobs
     """
 
     def __init__(
@@ -198,6 +199,7 @@
         self.is_leaving = False
         self.views: dict[str, PeerView] = {}
         self.is_connection_closed: Callable[[Peer], bool] = _assume_connected
+        self.has_lost_members: Callable[[], bool] = _assume_none_lost
         self._sites: dict[str, WorkerLocation] = {}
         self._sites_version = 0
         # Input of the last division of the workers.
@@ -234,23 +236,28 @@
         for address, record in listed.items():
             if address != self._me.address and address not in self.views:
                 self._add(address, record, now)
+        may_drop_executors = not self.has_lost_members()
         for address, view in list(self.views.items()):
             view.record = listed.get(address, view.record)
             view.is_connection_closed = self.is_connection_closed(view.peer)
             if address not in listed and not view.is_alive(now):
                 del self.views[address]
+                may_drop_executors = False
             elif view.was_alive != view.is_alive(now):
                 self._log_change(view, now)
-        self._update_executors(now)
+        self._update_executors(now, may_drop_executors)
         return self._divide_workers(now)
 
-    def _update_executors(self, now: float) -> None:
-        """Update the executors; keep one that is not registered while a dispatcher may use it."""
+    def _update_executors(self, now: float, may_drop: bool) -> None:
+        """Update the executors; keep one that is not registered while a dispatcher may use it.
+
+        :param may_drop: whether no dispatcher was lost that may use executors without registration
+        """
         listed = self.directory.workers.keys()
         views = self.views.values()
         used = {address for view in views for address in view.unregistered}
         self.executors |= listed | used
-        if all(view.is_reachable(now) for view in views):
+        if may_drop and all(view.is_reachable(now) for view in views):
             self.executors &= listed | used
 
     def _add(self, address: str, record: DispatcherRecord, now: float) -> PeerView:
@@ -315,3 +322,7 @@
 
 def _assume_connected(_peer: Peer) -> bool:
     return False
+
+
+def _assume_none_lost() -> bool:
+    return False
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -200,6 +200,7 @@
             world.clock.now() - LONG_AGO_MS if incarnation == 1 else None,
         )
         self.claims.links = self.messenger
+        self.peers.has_lost_members = lambda: self.claims.table.keeps_unannounced
         self.dispatcher = Dispatcher(
             world.clock,
             self.messenger.send,
--- a/tests/test_unheard_holder.py
+++ b/tests/test_unheard_holder.py
@@ -132,6 +132,7 @@
 
     def setUp(self):
         super().setUp()
+        self.region = {self.holder.address, *self.holder.peers.owned}
         # From then on the holder asks no more arbiters than it needs.
         self.holder.submit_locally(make_spec("earlier", run_ms=10))
         self.advance(SOON_MS)
@@ -139,7 +140,6 @@
     def cut_region(self):
         """Cut the holder and its worker off from all others."""
         self.start_job()
-        self.region = {self.holder.address, *self.holder.peers.owned}
         addresses = {part.address for part in (*self.world.workers, *self.world.dispatchers)}
         for inside in self.region:
             for outside in addresses - self.region:
@@ -169,6 +169,37 @@
                 self.assertEqual(JobOutcome.SUCCEEDED, self.check(index))
 
 
+class UnlistedRegionTest(RegionCase):
+    """The keys of the cut-off holder and of its worker are gone from the store."""
+
+    run_ms = 9_000
+
+    def test_executors_that_left_the_list_are_asked_while_a_lost_dispatcher_may_use_them(self):
+        for fault in (self.unlist_before_cut, self.unlist_after_cut):
+            for index in (1, 2):
+                with self.subTest(fault.__name__, index=index):
+                    self.doCleanups()
+                    self.setUp()
+                    fault()
+                    self.assertEqual(JobOutcome.SUCCEEDED, self.check(index))
+
+    def unlist_before_cut(self):
+        self.unlist_region()
+        self.advance(UNLISTED_MS)
+        self.cut_region()
+
+    def unlist_after_cut(self):
+        self.cut_region()
+        self.unlist_region()
+        self.advance(UNLISTED_MS - SOON_MS)
+
+    def unlist_region(self):
+        for dispatcher in self.world.dispatchers:
+            dispatcher.unlist_member(DISPATCHER_PREFIX + self.holder.address)
+            for worker in self.region - {self.holder.address}:
+                dispatcher.unlist_member(WORKER_PREFIX + worker)
+
+
 class RestartedArbiterTest(RegionCase):
     """An arbiter whose grant counted for the holder's quorum restarts and forgets the grant.
 
