ingress: bound what a job may ask for before anything is made for it

One body of 100 bytes with "count": took all memory of a dispatcher, and thirty bodies with 20,000 steps kept ordinary callers without an answer for a minute.

Cause: numbers in a body were used as sizes without a bound. Tasks, steps, references, amounts, declared times and the task's data are bounded now, and a job over a bound is answered 400 at once. Deadline-Ms, for which claims are kept, is cut at ten minutes. A deeply nested field is answered 400 and no longer 500.

--- a/geraniumspool/platform/ingress.py
+++ b/geraniumspool/platform/ingress.py
@@ -11,7 +11,13 @@
 from geraniumspool.connection import CONNECTION_KEY, NO_CONNECTION
 from geraniumspool.contracts import Counters
 from geraniumspool.job_router import JobRouter
-from geraniumspool.job_specs import JobOutcome, JobResult, JobSpec, StepSpec
+from geraniumspool.job_specs import (
+    JobOutcome,
+    JobResult,
+    JobSpec,
+    StepSpec,
+    find_size_fault,
+)
 from geraniumspool.queues import Queue, QueueConfiguration
 from geraniumspool.reply import Reply, reply_json, reply_problem
 from geraniumspool.rooms import Resources
@@ -24,6 +30,8 @@
 
 # Longest request body that is read, whether or not a configuration is known.
 MAX_BODY_BYTES = 1 << 20
+# Longest time that a caller is waited for. Claims are kept for as long as the longest wait.
+MAX_WAIT_MS = 600_000.0
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -121,10 +129,13 @@
     ) -> Reply:
         try:
             job_body = msgspec.json.decode(body, type=JobBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return reply_problem(400, "invalid_input", str(error))
         spec = _job_spec(job_id, job_body, queue)
-        timeout_ms = _parse_wait(environ.get("HTTP_DEADLINE_MS"))
+        fault = find_size_fault(spec)
+        if fault:
+            return reply_problem(400, "invalid_input", fault)
+        timeout_ms = parse_wait(environ.get("HTTP_DEADLINE_MS"))
         submitted = self._router.submit(spec, queue, timeout_ms, version)
         if not isinstance(submitted, JobResult):
             submitted = self._wait_for_result(environ, submitted)
@@ -194,7 +205,7 @@
     return ""
 
 
-def _parse_wait(text: str | None) -> float:
+def parse_wait(text: str | None) -> float:
     """Return how long a caller waits, in milliseconds, or 0 if it is unknown.
 
     :param text: value of the ``Deadline-Ms`` header, None if there is none
@@ -204,7 +215,7 @@
     except ValueError:
         _LOG.info("invalid Deadline-Ms header", extra={"fields": (("text", text),)})
         return 0.0
-    return timeout_ms if math.isfinite(timeout_ms) and timeout_ms > 0 else 0.0
+    return min(timeout_ms, MAX_WAIT_MS) if math.isfinite(timeout_ms) and timeout_ms > 0 else 0.0
 
 
 def _reply(result: JobResult) -> Reply:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -9,9 +9,16 @@
 from geraniumspool.clock import SystemClock
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.executor import Executor
+from geraniumspool.job_specs import (
+    MAX_AMOUNT,
+    MAX_DEPENDENCIES,
+    MAX_PAYLOAD_BYTES,
+    MAX_STEPS,
+    MAX_TASKS,
+)
 from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.platform.configuration import decode_configuration
-from geraniumspool.platform.ingress import Ingress, ReadyCheck
+from geraniumspool.platform.ingress import MAX_WAIT_MS, Ingress, ReadyCheck, parse_wait
 from geraniumspool.platform.reports import MinionReportsApplication
 from geraniumspool.queues import QueueConfiguration
 from geraniumspool.run_messages import UNKNOWN_DEPARTURE
@@ -126,6 +133,52 @@
                 if expected == 200:
                     self.assertEqual({"pending": 0}, answer)
 
+    def test_jobs_over_the_limits_are_rejected_before_anything_is_made_for_them(self):
+        self.configure()
+        step = {"count": 1, "cpu": 1_000}
+        rows = [
+            {"steps": [step | {"count": 2_000_000_000}]},
+            {"steps": [step | {"count": 1 << 80}]},
+            {"steps": [step | {"count": MAX_TASKS}, step]},
+            {"steps": [step] * (MAX_STEPS + 1)},
+            {"steps": [step | {"cpu": 1 << 64}]},
+            {"steps": [step | {"mem_mb": MAX_AMOUNT + 1}]},
+            {"steps": [step | {"cpu": -1}]},
+            {"steps": [step | {"count": -1}]},
+            {"steps": [step | {"max_per_server": -1}]},
+            {"steps": [step | {"estimate_ms": 1e300}]},
+            {"steps": [step, *[step | {"after": [0] * MAX_DEPENDENCIES}] * 2]},
+            {"spec": "x" * (MAX_PAYLOAD_BYTES + 1)},
+        ]
+        for fields in rows:
+            with self.subTest(fields=str(fields)[:80]):
+                answer = self.request("POST", f"/lohu930/{JOB}", make_body(**fields))
+                self.assertEqual((400, "invalid_input"), (answer[0], answer[1]["code"]))
+        self.assertFalse(self.dispatcher.has_job(JOB))
+
+    def test_a_job_at_the_limits_is_not_rejected_for_its_size(self):
+        self.configure()
+        self.run_clock()
+        steps = [{"count": MAX_TASKS - 1, "cpu": 1}, {"count": 1, "after": [0], "cpu": MAX_AMOUNT}]
+        body = make_body(steps=steps, spec="1000:20:" + "x" * (MAX_PAYLOAD_BYTES - 8))
+        status = self.request("POST", f"/lohu930/{JOB}", body, **{"Deadline-Ms": "500"})[0]
+        self.assertNotEqual(400, status)
+
+    def test_a_deeply_nested_field_is_rejected(self):
+        self.configure()
+        url = f"http://{self.server.address}/lohu930/{JOB}"
+        for body in ("[" * 50_000, '{"x":' + "[" * 50_000, '{"x":' + '{"y":' * 20_000):
+            with self.subTest(body=body[:10]):
+                headers = {"Host": "nony24.example"}
+                answer = self.http.request("POST", url, body=body, headers=headers, timeout=20)
+                self.assertEqual(400, answer.status)
+
+    def test_the_longest_wait_is_limited(self):
+        """Claims are kept for as long as callers wait, on all dispatchers."""
+        for text in ("600001", "1e300", "9" * 400):
+            with self.subTest(text=text[:10]):
+                self.assertLessEqual(parse_wait(text), MAX_WAIT_MS)
+
     def test_a_job_is_answered_when_it_has_ended(self):
         self.configure()
         self.run_clock()
