connection: bound the chunks of a request body

Eighty clients that sent bodies in chunks of two bytes left an ordinary caller without an answer, and forty of them at the address for the minion's reports kept its executor from working.

Cause: the bytes of a chunked body were bounded, its chunks were not, and each chunk costs as much processor time and memory as a kilobyte. Negative sizes and trailers were read without end. The lines between the chunks of a body are now limited to 4,096, and a body over it is answered 400.

--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -22,6 +22,8 @@
 
 # Limit of the line that precedes each chunk of a chunked body, in bytes.
 MAX_CHUNK_LINE = 1024
+# Limit of these lines in one body. Each takes about as much processor time as a kilobyte.
+MAX_CHUNK_LINES = 4_096
 # Limits for reading and discarding the rest of a rejected request before the connection is closed.
 LINGER_MS = 2_000.0
 LINGER_BYTES = 4 << 20
@@ -112,13 +114,17 @@
 
 
 class _BoundedChunkReader:
-    """Reader that limits the length of the lines between the chunks of a chunked body."""
+    """Reader that limits the lines between the chunks of a chunked body."""
 
     def __init__(self, source: Any):
         self._source = source
+        self._lines = 0
         self.read = source.read
 
     def readline(self, size: int = MAX_CHUNK_LINE) -> bytes:
+        self._lines += 1
+        if self._lines > MAX_CHUNK_LINES:
+            raise wsgi.ChunkReadError("the body has too many chunks")
         line = self._source.readline(size)
         if len(line) >= MAX_CHUNK_LINE:
             raise wsgi.ChunkReadError("a chunk's line is too long")
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -33,6 +33,8 @@
 CONNECT_LIMIT_S = 5.0
 ORDINARY_DEADLINE_MS = 20_000
 
+REPORTERS = 40
+CHUNKERS = 80
 ENDLESS_CALLERS = 40
 STEP_CALLERS = 30
 MANY_STEPS = 20_000
@@ -129,6 +131,12 @@
 class CallersCrowdTest(CrowdCase):
     """Crowds at the address for callers."""
 
+    def test_bodies_of_tiny_chunks_that_never_end(self):
+        head = make_head(PREFIX + "a" * 16, CHUNKED)
+        piece = b"2\r\n  \r\n" * (MIB // 64)
+        self.send_crowd(CHUNKERS, self.front, lambda: (head, *[piece] * 32))
+        self.check()
+
     def test_chunked_bodies_without_an_end(self):
         head = make_head(PREFIX + "a" * 16, CHUNKED)
         piece = b"10000\r\n" + b" " * 0x10000 + b"\r\n"
@@ -175,5 +183,17 @@
         self.send_crowd(1, self.front, lambda: (head + body,))
 
 
+class ReportersCrowdTest(CrowdCase):
+    """Crowds at the address for the minion's reports."""
+
+    path = "/instances/i-0/heartbeat"
+
+    def test_reports_of_tiny_chunks_that_never_end(self):
+        head = make_head(self.path, CHUNKED)
+        piece = b"2\r\n  \r\n" * (MIB // 64)
+        self.send_crowd(REPORTERS, self.reports, lambda: (head, *[piece] * 64))
+        self.check()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event
 
 from geraniumspool.clock import ManualClock, SystemClock
+from geraniumspool.connection import MAX_CHUNK_LINES
 from geraniumspool.errors import Finding, InvalidInput, LinkDown
 from geraniumspool.reply import reply_json, retry_after_s
 from geraniumspool.routes import Route
@@ -327,6 +328,21 @@
                     self.assertEqual(ask(server, put())[0], 200)
 
 
+class ChunkLimitTest(unittest.TestCase):
+    """Bodies of more chunks than a client within the limits sends."""
+
+    def test_a_body_of_too_many_chunks_is_rejected(self):
+        server, _ = make_server(SystemClock(), Route("PUT", "/v1/jobs/{ticket}", echo))
+        self.addCleanup(server.stop)
+        head = put("/v1/jobs/t1", CHUNKED)
+        whole = put("/v1/jobs/t1", CHUNKED, body=b"1\r\nx\r\n" * 100 + b"0\r\n\r\n")
+        self.assertEqual(100, ask(server, whole)[2]["size"])
+        for first, line in ((b"", b"-1\r\n"), (b"0\r\n", b"trailer: x\r\n")):
+            with self.subTest(line=line):
+                status, _, answer = ask(server, head + first + line * (MAX_CHUNK_LINES + 1))
+                self.assertEqual((400, "body_incomplete"), (status, answer["code"]))
+
+
 class StopTest(unittest.TestCase):
     """Stopping does not wait, and works in any state of the server."""
 
