webserver: bound the bodies of all connections together

Clients that announced a body of the longest size and never finished it ended a process: 120 of them took 161 MB of a dispatcher, 40 at the address for the minion's reports 197 MB of an executor, against a bound of 112 MB.

Cause: the limit was for one body, and nothing bounded what all connections hold together. The bodies of a server now share 24 MiB, from their first byte to the answer. The largest unfinished ones are ended with 503 where that does not suffice; memory counts until it is really released. A minion's report may have 256 KiB instead of 4 MiB, the configuration's limit for callers' bodies is applied, and the kernel keeps 32 KiB of unread bytes for a connection.

--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -14,6 +14,7 @@
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
+from geraniumspool.body_budget import BodyBudget
 from geraniumspool.contracts import Clock
 from geraniumspool.reply import STATUS_LINES, reply_problem
 
@@ -49,6 +50,7 @@
     :ivar draining: whether the server has stopped accepting connections
     :ivar keep_alive_disabled: whether each connection is closed after its next reply
     :ivar connections: all open connections
+    :ivar bodies: memory for the request bodies of all connections
     """
 
     limits: Limits
@@ -57,6 +59,7 @@
     draining: bool
     keep_alive_disabled: bool
     connections: set["Connection"]
+    bodies: BodyBudget
 
 
 class ConnectionCallbacks:
@@ -65,6 +68,24 @@
     def begin_body(self) -> None:
         """Signal that the application starts to read the request's body."""
 
+    def reserve_body(self, size: int) -> bool:
+        """Reserve memory for a part of the body; return whether there is enough.
+
+        :param size: bytes that are received next
+        """
+        return True
+
+    def finish_body(self, size: int) -> None:
+        """Signal that the whole body was received.
+
+        :param size: bytes of the body
+        """
+
+    @property
+    def is_body_aborted(self) -> bool:
+        """Whether the receipt of the body was ended for want of memory."""
+        return False
+
     def begin_handling(self) -> None:
         """Signal that the request is read completely and the handler starts."""
 
@@ -146,17 +167,38 @@
         self._shutdown_how = socket.SHUT_RDWR
         self._must_linger = False
         self._is_idle = False
+        self._is_body_aborted = False
         self.environ = None
         server.connections.add(self)
         try:
             super().__init__(conn_state, wsgi_server)
         finally:
             server.connections.discard(self)
+            server.bodies.release(self)
 
     def begin_body(self) -> None:
         """Start the time limit of the body; see :meth:`ConnectionCallbacks.begin_body`."""
         self._start_limit(self._server.limits.body_ms, socket.SHUT_RD)
 
+    def reserve_body(self, size: int) -> bool:
+        """Reserve memory for a part of the body; see :class:`BodyBudget`."""
+        return not self._is_body_aborted and self._server.bodies.reserve(self, size)
+
+    def finish_body(self, size: int) -> None:
+        """Keep the memory of a whole body until the request is answered."""
+        self._server.bodies.finish(self, size)
+
+    @property
+    def is_body_aborted(self) -> bool:
+        """Whether the receipt of the body was ended for want of memory."""
+        return self._is_body_aborted
+
+    def abort_body(self) -> None:
+        """End the receipt of the body; the caller still gets a reply."""
+        self._is_body_aborted = True
+        with suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RD)
+
     def begin_handling(self) -> None:
         """Suspend the time limit while the request is handled."""
         self._start_limit(math.inf)
@@ -164,6 +206,8 @@
     def begin_reply(self, reusable: bool) -> None:
         """Start the time limit of the reply; see :meth:`ConnectionCallbacks.begin_reply`."""
         self._start_limit(self._server.limits.body_ms)
+        if self._is_body_aborted:
+            self._server.bodies.release(self)
         if not reusable:
             self._must_linger = True
         if not reusable or self._server.draining or self._server.keep_alive_disabled:
@@ -197,11 +241,15 @@
         with suppress(OSError):
             self.connection.shutdown(self._shutdown_how)
 
+    def abort(self) -> None:
+        """Close the connection, whatever it waits for."""
+        with suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RDWR)
+
     def close_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self._is_idle:
-            with suppress(OSError):
-                self.connection.shutdown(socket.SHUT_RDWR)
+            self.abort()
 
     def _start_limit(self, limit_ms: float, shutdown: int = socket.SHUT_RDWR) -> None:
         self._deadline_ms = self._server.clock.now() + limit_ms
@@ -219,6 +267,7 @@
         """Serve one request; called by the base class."""
         self.environ = None
         super().handle_one_request()
+        self._server.bodies.release(self)
         if self.environ is None and self.raw_requestline:
             self._must_linger = True
         if self._server.draining:
--- a/geraniumspool/platform/dispatcher_program.py
+++ b/geraniumspool/platform/dispatcher_program.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from geraniumspool.body_budget import BodyBudget
 from geraniumspool.bounded_log import configure_rate_limited_logging
 from geraniumspool.clock import SystemClock
 from geraniumspool.counters import MemoryCounters
@@ -42,7 +43,10 @@
         PROCESS_STARTED_MS,
     )
     callers = WebServer(
-        Ingress(entry.router, entry.configuration, metrics), settings.callers_listen, clock
+        Ingress(entry.router, entry.configuration, metrics),
+        settings.callers_listen,
+        clock,
+        bodies=BodyBudget(counters=metrics),
     )
     ready = WebServer(ReadyCheck(lambda: entry.is_ready, metrics), settings.ready_listen, clock)
     pages = serve_metrics(metrics, "dispatcher", settings.domain, settings.metrics_listen, clock)
--- a/geraniumspool/platform/ingress.py
+++ b/geraniumspool/platform/ingress.py
@@ -10,6 +10,7 @@
 
 from geraniumspool.connection import CONNECTION_KEY, NO_CONNECTION
 from geraniumspool.contracts import Counters
+from geraniumspool.errors import PayloadTooLarge
 from geraniumspool.job_router import JobRouter
 from geraniumspool.job_specs import (
     JobOutcome,
@@ -19,7 +20,7 @@
     find_size_fault,
 )
 from geraniumspool.queues import Queue, QueueConfiguration
-from geraniumspool.reply import Reply, reply_json, reply_problem
+from geraniumspool.reply import Reply, reply_error, reply_json, reply_problem
 from geraniumspool.rooms import Resources
 from geraniumspool.routed_jobs import RoutedJob
 from geraniumspool.routes import Request, Route
@@ -99,6 +100,13 @@
         self._router = router
         self._configuration = configuration
 
+    def handle(self, environ: dict[str, Any], body: bytes) -> Reply:
+        """Answer a request unless its body is longer than the operators allow."""
+        table = self._configuration.table
+        if table is not None and 0 < table.max_body_bytes < len(body):
+            return reply_error(PayloadTooLarge(f"a body may have {table.max_body_bytes} bytes"))
+        return super().handle(environ, body)
+
     def dispatch(self, environ: dict[str, Any], body: bytes) -> Reply:
         """Answer one request; see :meth:`geraniumspool.web.WebApplication.dispatch`."""
         table = self._configuration.table
--- a/geraniumspool/platform/reports.py
+++ b/geraniumspool/platform/reports.py
@@ -17,7 +17,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 4 << 20
+# Longest report that is read; usual ones have under a kilobyte.
+MAX_BODY_BYTES = 256 << 10
 
 
 Amount = Annotated[int, msgspec.Meta(ge=0)]
--- a/geraniumspool/web.py
+++ b/geraniumspool/web.py
@@ -22,6 +22,12 @@
 BODY_INCOMPLETE = "body_incomplete"
 ENCODING_UNSUPPORTED = "transfer_encoding_unsupported"
 QUERY_INVALID = "query_invalid"
+BODY_MEMORY = "body_memory_exhausted"
+
+# Bytes of a body that are read at once.
+BODY_PART_BYTES = 16 << 10
+# After this time a request is repeated that was refused since other bodies took all memory.
+BODY_RETRY_MS = 1_000.0
 
 MAX_QUERY_FIELDS = 64
 
@@ -42,7 +48,10 @@
 
 
 class WebApplication:
-    """WSGI callable that dispatches requests to the handlers of its routes."""
+    """WSGI callable that dispatches requests to the handlers of its routes.
+
+    :ivar max_body_bytes: limit of a request body
+    """
 
     def __init__(
         self,
@@ -60,7 +69,7 @@
         :param logger: where unexpected exceptions are logged
         """
         self._router = Router(routes)
-        self._max_body_bytes = max_body_bytes
+        self.max_body_bytes = max_body_bytes
         self._counters = counters
         self._logger = logger
 
@@ -127,11 +136,11 @@
             if size == 0:
                 return b""
         connection.begin_body()
-        body = _read_stream(
-            environ["wsgi.input"], self._max_body_bytes + 1 if size is None else size
-        )
+        limit = self.max_body_bytes + 1 if size is None else size
+        body = _read_stream(environ["wsgi.input"], limit, connection)
+        connection.finish_body(len(body))
         connection.begin_handling()
-        if size is None and len(body) > self._max_body_bytes:
+        if size is None and len(body) > self.max_body_bytes:
             raise self._body_too_large()
         if size is not None and len(body) < size:
             raise _reject(400, BODY_INCOMPLETE, f"the body ended after {len(body)} of {size} bytes")
@@ -143,17 +152,20 @@
             raise _reject(400, BODY_INCOMPLETE, "Content-Length is not one plain number")
         # The number of digits is checked first: a very long number is too large in any case, and
         # int() raises ValueError for thousands of digits.
-        if len(length) > len(str(self._max_body_bytes)) + 8 or int(length) > self._max_body_bytes:
+        if len(length) > len(str(self.max_body_bytes)) + 8 or int(length) > self.max_body_bytes:
             raise self._body_too_large()
         return int(length)
 
     def _body_too_large(self) -> _RejectedRequest:
-        error = PayloadTooLarge(f"a body may have {self._max_body_bytes} bytes")
+        error = PayloadTooLarge(f"a body may have {self.max_body_bytes} bytes")
         return _RejectedRequest(reply_error(error))
 
 
-def _reject(status: int, code: str, detail: str, reusable: bool = False) -> _RejectedRequest:
-    return _RejectedRequest(reply_problem(status, code, detail), reusable)
+def _reject(
+    status: int, code: str, detail: str, retry_after_ms: float | None = None, reusable: bool = False
+) -> _RejectedRequest:
+    reply = reply_problem(status, code, detail, retry_after_ms=retry_after_ms)
+    return _RejectedRequest(reply, reusable)
 
 
 def _reply_method_not_allowed(method: str, node: RouteNode) -> Reply:
@@ -171,8 +183,38 @@
         raise _reject(400, QUERY_INVALID, str(error), reusable=True) from error
 
 
-def _read_stream(source: Any, limit: int) -> bytes:
+def _read_stream(source: Any, limit: int, connection: ConnectionCallbacks) -> bytes:
+    """Return a request's body, shorter than ``limit`` if it ends before.
+
+    It is read in parts for which memory is reserved, so that announced bytes take none.
+    """
+    parts = []
+    remaining = limit
+    while remaining > 0:
+        size = min(remaining, BODY_PART_BYTES)
+        if not connection.reserve_body(size):
+            raise _reject_for_memory()
+        part = _read_part(source, size, connection)
+        if connection.is_body_aborted:
+            raise _reject_for_memory()
+        if not part:
+            break
+        parts.append(part)
+        remaining -= len(part)
+        if remaining > 0:
+            # A client that sends faster than this process reads must not keep it from others.
+            eventlet.sleep(0)
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+def _read_part(source: Any, size: int, connection: ConnectionCallbacks) -> bytes:
     try:
-        return source.read(limit)
+        return source.read(size)
     except (OSError, ValueError) as error:
+        if connection.is_body_aborted:
+            return b""
         raise _reject(400, BODY_INCOMPLETE, f"the body could not be read: {error}") from error
+
+
+def _reject_for_memory() -> _RejectedRequest:
+    return _reject(503, BODY_MEMORY, "other bodies take all memory", BODY_RETRY_MS)
--- a/geraniumspool/webserver.py
+++ b/geraniumspool/webserver.py
@@ -11,6 +11,7 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
+from geraniumspool.body_budget import BodyBudget
 from geraniumspool.connection import Connection, Limits
 from geraniumspool.contracts import Clock
 
@@ -19,6 +20,9 @@
 MAX_HEADER_BYTES = 16 << 10
 # Interval of the check for connections past their time limit.
 EXPIRY_CHECK_MS = 500.0
+# Bytes that the kernel receives for a connection and nobody has read yet, about half of what it
+# really takes. They count towards the memory of the process.
+RECEIVE_BUFFER_BYTES = 16 << 10
 # Pause after a failed accept.
 ACCEPT_PAUSE_S = 0.05
 # Rounds of the hub that a drain waits, so that connections queued by the kernel are accepted.
@@ -65,6 +69,7 @@
         header_timeout_ms: float = Limits().header_ms,
         body_timeout_ms: float = Limits().body_ms,
         idle_timeout_ms: float = Limits().idle_ms,
+        bodies: BodyBudget | None = None,
     ):
         """Configure the server without binding its address.
 
@@ -76,10 +81,12 @@
         :param header_timeout_ms: see :class:`Limits`
         :param body_timeout_ms: see :class:`Limits`
         :param idle_timeout_ms: see :class:`Limits`
+        :param bodies: memory for request bodies, which servers may share; its own if not given
         """
         self.clock = clock
         self.limits = Limits(header_timeout_ms, body_timeout_ms, idle_timeout_ms)
         self.connections: set[Connection] = set()
+        self.bodies = bodies or BodyBudget()
         self.max_header_bytes = max_header_bytes
         self.draining = False
         self.keep_alive_disabled = False
@@ -179,6 +186,7 @@
         # Inherited by accepted sockets. With Nagle's algorithm, a reply of several segments would
         # wait for the peer's acknowledgement.
         listen_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listen_socket.bind((host, int(port)))
         listen_socket.listen(BACKLOG)
     except OSError:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -33,6 +33,7 @@
 CONNECT_LIMIT_S = 5.0
 ORDINARY_DEADLINE_MS = 20_000
 
+CALLERS = 120
 REPORTERS = 40
 CHUNKERS = 80
 ENDLESS_CALLERS = 40
@@ -131,6 +132,11 @@
 class CallersCrowdTest(CrowdCase):
     """Crowds at the address for callers."""
 
+    def test_large_bodies_that_never_end(self):
+        head = make_head(PREFIX + "a" * 16, announce(MIB))
+        self.send_crowd(CALLERS, self.front, lambda: (head, b" " * (MIB - 1)))
+        self.check()
+
     def test_bodies_of_tiny_chunks_that_never_end(self):
         head = make_head(PREFIX + "a" * 16, CHUNKED)
         piece = b"2\r\n  \r\n" * (MIB // 64)
@@ -188,6 +194,11 @@
 
     path = "/instances/i-0/heartbeat"
 
+    def test_large_reports_that_never_end(self):
+        head = make_head(self.path, announce(4 * MIB))
+        self.send_crowd(REPORTERS, self.reports, lambda: (head, b" " * (4 * MIB - 1)))
+        self.check()
+
     def test_reports_of_tiny_chunks_that_never_end(self):
         head = make_head(self.path, CHUNKED)
         piece = b"2\r\n  \r\n" * (MIB // 64)
