webserver: connections without a request make room for other callers

Clients that open all connections a server takes and send nothing, or half a request, kept everybody else waiting for up to 75 s.

Cause: further connections wait until one ends, and a silent one ends only by its own time limit. The connection that has waited for a request for the longest time is now closed when another caller needs its place. Addresses that only the balancer, the operators' metrics or one minion call take 64 connections instead of 1,024.

--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -153,7 +153,11 @@
 
 
 class Connection(wsgi.HttpProtocol, ConnectionCallbacks):
-    """HTTP connection of one caller, with a time limit on each phase."""
+    """HTTP connection of one caller, with a time limit on each phase.
+
+    :ivar waits_since_ms: since when a request or the rest of one is awaited, None while a request
+        is handled
+    """
 
     def __init__(self, server: Server, conn_state: list, wsgi_server: Any):
         """Serve the connection until it ends.
@@ -169,6 +173,7 @@
         self._is_idle = False
         self._is_body_aborted = False
         self.environ = None
+        self.waits_since_ms = server.clock.now()
         server.connections.add(self)
         try:
             super().__init__(conn_state, wsgi_server)
@@ -179,6 +184,7 @@
     def begin_body(self) -> None:
         """Start the time limit of the body; see :meth:`ConnectionCallbacks.begin_body`."""
         self._start_limit(self._server.limits.body_ms, socket.SHUT_RD)
+        self.waits_since_ms = self._server.clock.now()
 
     def reserve_body(self, size: int) -> bool:
         """Reserve memory for a part of the body; see :class:`BodyBudget`."""
@@ -202,6 +208,7 @@
     def begin_handling(self) -> None:
         """Suspend the time limit while the request is handled."""
         self._start_limit(math.inf)
+        self.waits_since_ms = None
 
     def begin_reply(self, reusable: bool) -> None:
         """Start the time limit of the reply; see :meth:`ConnectionCallbacks.begin_reply`."""
@@ -275,6 +282,7 @@
 
     def _read_request_line(self) -> bytes:
         self._start_limit(self._server.limits.idle_ms)
+        self.waits_since_ms = self._server.clock.now()
         # With the state "idle", eventlet would close this connection at the start of a drain,
         # possibly while its next request arrives.
         self.conn_state[2] = wsgi.STATE_REQUEST
--- a/geraniumspool/metrics_page.py
+++ b/geraniumspool/metrics_page.py
@@ -7,7 +7,7 @@
 from geraniumspool.reply import Reply
 from geraniumspool.routes import Request, Route
 from geraniumspool.web import WebApplication
-from geraniumspool.webserver import WebServer
+from geraniumspool.webserver import FEW_CONNECTIONS, WebServer
 
 _LOG = logging.getLogger(__name__)
 
@@ -52,4 +52,4 @@
     """
     if not address:
         return []
-    return [WebServer(MetricsPage(counters, role, domain), address, clock)]
+    return [WebServer(MetricsPage(counters, role, domain), address, clock, FEW_CONNECTIONS)]
--- a/geraniumspool/platform/dispatcher_program.py
+++ b/geraniumspool/platform/dispatcher_program.py
@@ -14,7 +14,7 @@
 from geraniumspool.platform.ingress import Ingress, ReadyCheck
 from geraniumspool.platform.store import KeyValueStore
 from geraniumspool.process_start import PROCESS_STARTED_MS
-from geraniumspool.webserver import WebServer
+from geraniumspool.webserver import FEW_CONNECTIONS, WebServer
 from geraniumspool.wire_versions import new_incarnation
 
 
@@ -48,7 +48,9 @@
         clock,
         bodies=BodyBudget(counters=metrics),
     )
-    ready = WebServer(ReadyCheck(lambda: entry.is_ready, metrics), settings.ready_listen, clock)
+    ready = WebServer(
+        ReadyCheck(lambda: entry.is_ready, metrics), settings.ready_listen, clock, FEW_CONNECTIONS
+    )
     pages = serve_metrics(metrics, "dispatcher", settings.domain, settings.metrics_listen, clock)
     entry.set_servers(callers, [ready, *pages])
     return entry
--- a/geraniumspool/platform/executor_program.py
+++ b/geraniumspool/platform/executor_program.py
@@ -14,7 +14,7 @@
 from geraniumspool.platform.reports import MinionReportsApplication
 from geraniumspool.platform.store import KeyValueStore
 from geraniumspool.process_start import PROCESS_STARTED_MS
-from geraniumspool.webserver import WebServer
+from geraniumspool.webserver import FEW_CONNECTIONS, WebServer
 from geraniumspool.wire_versions import new_incarnation
 
 
@@ -44,7 +44,10 @@
         PROCESS_STARTED_MS,
     )
     reports = WebServer(
-        MinionReportsApplication(agent.executor, metrics), settings.minion_listen, clock
+        MinionReportsApplication(agent.executor, metrics),
+        settings.minion_listen,
+        clock,
+        FEW_CONNECTIONS,
     )
     pages = serve_metrics(metrics, "executor", settings.domain, settings.metrics_listen, clock)
     agent.serve([reports, *pages])
--- a/geraniumspool/webserver.py
+++ b/geraniumspool/webserver.py
@@ -20,6 +20,8 @@
 MAX_HEADER_BYTES = 16 << 10
 # Interval of the check for connections past their time limit.
 EXPIRY_CHECK_MS = 500.0
+# Connections to an address that only a few clients call, such as a balancer or a minion.
+FEW_CONNECTIONS = 64
 # Bytes that the kernel receives for a connection and nobody has read yet, about half of what it
 # really takes. They count towards the memory of the process.
 RECEIVE_BUFFER_BYTES = 16 << 10
@@ -34,20 +36,24 @@
 class _ResilientListener:
     """Socket wrapper whose ``accept`` retries after errors that must not end the server."""
 
-    def __init__(self, listen_socket: Any):
+    def __init__(self, listen_socket: Any, on_accepted: Callable[[], None]):
         self._listen_socket = listen_socket
+        self._on_accepted = on_accepted
         self.family = listen_socket.family
 
     def accept(self) -> tuple[Any, Any]:
         while True:
             try:
-                return self._listen_socket.accept()
+                accepted = self._listen_socket.accept()
             except OSError as error:
                 if error.errno == errno.ESHUTDOWN:
                     raise
                 # Out of file descriptors, or the caller aborted the connection: retry after a
                 # pause for the callers still waiting.
                 eventlet.sleep(ACCEPT_PAUSE_S)
+                continue
+            self._on_accepted()
+            return accepted
 
     def getsockname(self) -> Any:
         return self._listen_socket.getsockname()
@@ -76,7 +82,8 @@
         :param application: the WSGI callable
         :param listen: ``host:port`` to bind; port 0 picks a free port
         :param clock: source of time for limits and drain
-        :param max_connections: limit of concurrent connections; others wait in the backlog
+        :param max_connections: limit of concurrent connections; for another one, the connection is
+            closed that has been waiting for a request for the longest time
         :param max_header_bytes: limit of a request's head (request line and headers)
         :param header_timeout_ms: see :class:`Limits`
         :param body_timeout_ms: see :class:`Limits`
@@ -153,7 +160,7 @@
     def _serve(self) -> None:
         try:
             wsgi.server(
-                _ResilientListener(self._listen_socket),
+                _ResilientListener(self._listen_socket, self._make_room),
                 self._application,
                 protocol=partial(Connection, self),
                 custom_pool=self._pool,
@@ -164,6 +171,16 @@
         finally:
             self._finished.send()
 
+    def _make_room(self) -> None:
+        """Close a connection that sends no request if there is none left for another caller."""
+        if self._pool.free() > 0:
+            return
+        waiting = [
+            connection for connection in self.connections if connection.waits_since_ms is not None
+        ]
+        if waiting:
+            min(waiting, key=lambda connection: connection.waits_since_ms).abort()
+
     def _close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_idle()
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -117,6 +117,15 @@
             self.assert_ordinary_request_is_answered()
         self.assertEqual(0, self.server.bodies.used_bytes)
 
+    def test_connections_without_a_request_make_room_for_another_caller(self):
+        head = put("/v1/jobs/t1", f"Content-Length: {MAX_BODY}")
+        for data in (b"", b"PUT /v1", head + b"x"):
+            with self.subTest(data=data[:10]):
+                self.start(max_connections=3)
+                crowd = [self.hold(data) for _ in range(3)]
+                self.assert_ordinary_request_is_answered()
+                self.assertIn(crowd[0].recv(1000)[:12], (b"", b"HTTP/1.1 400"))
+
     def test_what_a_client_sends_ahead_is_bounded(self):
         self.start()
         listener = self.server._listen_socket
