tests: known failures of crowd tests do not count against the list's limit

The tests of clients without limits may be listed one by one, beside the three entries that the list may hold. They must still fail, and are printed.

--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -62,5 +62,16 @@
                 with self.assertRaises(ValueError):
                     check.read_known(path)
 
+    def test_tests_of_crowds_do_not_count_against_the_limit(self):
+        crowds = "".join(f"{check.CROWD_TESTS}C.{name}: reason\n" for name in "abcd")
+        others = "".join(f"tests.a.B.{name}: reason\n" for name in "abc")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "KNOWN-RED.txt"
+            path.write_text(crowds + others)
+            self.assertEqual(7, len(check.read_known(path)))
+            path.write_text(crowds + others + "tests.a.B.d: reason\n")
+            with self.assertRaises(ValueError):
+                check.read_known(path)
+
     def test_this_projects_list_is_valid(self):
         check.read_known()
