claims: an arbiter is settled once silent dispatchers have given up

Cause: an arbiter that has forgotten its grants waited for word of each listed dispatcher. One that is silent has given up its claims by itself, so the arbiter waits 3.3 s from its own start at most. That holds for members whose record says so; earlier builds write none. A dispatcher now gives up after 2 s without contact to a quorum instead of 3 s.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -10,6 +10,7 @@
 import logging
 import math
 from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from zlib import crc32
 
 from geraniumspool.claim_messages import (
@@ -132,6 +133,8 @@
 
     :ivar me: address of this dispatcher
     :ivar members_version: increases whenever the members or the former members kept change
+    :ivar lapsing_members: addresses of the members that give up their jobs when they are out of
+        contact with their arbiters
     """
 
     def __init__(self, clock: Clock, me: str, started_ms: float):
@@ -151,6 +154,7 @@
         self._last_removal_ms = clock.now()
         self._members: Mapping[str, str] = {}
         self.members_version = 0
+        self.lapsing_members: AbstractSet[str] = frozenset()
         self._former_members: list[_FormerMembers] = []
         self._longest_claim_ms = USUAL_CLAIM_MS
 
@@ -425,7 +429,14 @@
         return self.keeps_unannounced or any(member.has_lost_members for member in members)
 
     def _is_accounted_for(self, address: str, now: float) -> bool:
-        """Return whether a dispatcher's claims are known, and its former incarnation's expired."""
+        """Return whether a dispatcher's claims are known, and its former incarnation's expired.
+
+        One that is out of contact has given up the jobs that this process has granted it before it
+        was restarted, after some time.
+        """
+        age_ms = now - self._started_ms
+        if address in self.lapsing_members and age_ms >= CLAIMS_LAPSED_MS:
+            return True
         started_ms = self._find_start_ms(address)
         if math.isinf(started_ms):
             return False
--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -81,7 +81,7 @@
         self._decode = decode
         self.configuration = QueueConfiguration()
         self.evacuations = Evacuations(clock, metrics)
-        record = DispatcherRecord(settings.domain, settings.capacity)
+        record = DispatcherRecord(settings.domain, settings.capacity, gives_up_claims=True)
         self._peers = DispatcherPeers(clock, messenger.local_peer, record, self.evacuations)
         self._peers.is_connection_closed = messenger.is_connection_closed
         self.claims = JobClaims(
--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -88,6 +88,11 @@
         """Return the failure domain that it registered."""
         return self.record.domain
 
+    @property
+    def gives_up_claims(self) -> bool:
+        """Whether it registered as one that gives up its jobs when out of contact."""
+        return self.record.gives_up_claims
+
     @property
     def is_in_same_domain(self) -> bool:
         """Whether it is in the same failure domain as this process."""
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -71,12 +71,14 @@
     :ivar is_in_same_domain: whether it is in the failure domain of this process
     :ivar domain: its failure domain
     :ivar confirmed_ms: when the last report was sent that this incarnation has received
+    :ivar gives_up_claims: whether it gives up its jobs when out of contact with their arbiters
     """
 
     peer: Peer
     is_in_same_domain: bool
     domain: str
     confirmed_ms: float
+    gives_up_claims: bool
 
     def is_reachable(self, now: float) -> bool:
         """Return whether its current incarnation has reported, is connected and not silent."""
@@ -161,6 +163,9 @@
         self._domains[self._me.address] = self._domain
         if self._domains != previous:
             self.table.set_members(self._domains)
+        self.table.lapsing_members = {
+            address for address, view in self._peers.items() if view.gives_up_claims
+        }
         forgotten = self.table.forget_former_members()
         if forgotten:
             self._counters.add("former_members_forgotten", forgotten)
--- a/geraniumspool/registrations.py
+++ b/geraniumspool/registrations.py
@@ -58,10 +58,13 @@
 
     :param domain: failure domain of the dispatcher
     :param capacity: processor capacity in cores
+    :param gives_up_claims: whether it gives up its jobs when it is out of contact with their
+        arbiters; earlier builds do not
     """
 
     domain: str
     capacity: Annotated[float, msgspec.Meta(gt=0, le=MAX_CAPACITY)] = 1.0
+    gives_up_claims: bool = False
 
 
 class MemberDirectory:
--- a/geraniumspool/run_leases.py
+++ b/geraniumspool/run_leases.py
@@ -20,7 +20,7 @@
 RUNS_OVER_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
 # A dispatcher that has had no contact with a quorum of the arbiters of a job for this long gives up
 # the job and stops its runs: arbiters that were restarted meanwhile do not know of its claim.
-CLAIM_CONTACT_MS = 3_000.0
+CLAIM_CONTACT_MS = 2_000.0
 # Time after an arbiter's last contact with a dispatcher after which the runs of its claims must be
 # over, unless it is still in contact with a quorum of other arbiters.
 CLAIMS_LAPSED_MS = CLAIM_CONTACT_MS * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -184,7 +184,7 @@
         self.messenger = MemoryMessenger(world.network, me, self.counters)
         policy = world.policy() if world.policy else None
         self.evacuations = Evacuations(world.clock, self.counters)
-        self.record = DispatcherRecord(domain, capacity)
+        self.record = DispatcherRecord(domain, capacity, gives_up_claims=True)
         self.peers = DispatcherPeers(
             world.clock, me, self.record, self.evacuations, world.group_workers
         )
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -378,6 +378,7 @@
     is_in_same_domain: bool = True
     domain: str = "north"
     confirmed_ms: float = math.inf
+    gives_up_claims: bool = False
 
     def is_reachable(self, _now):
         return True
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -192,6 +192,14 @@
         self.send_open_claims(OTHER)
         self.assertTrue(self.is_sure())
 
+    def test_a_silent_dispatcher_has_given_up_its_claims_after_some_time(self):
+        self.table.lapsing_members = {OTHER.address}
+        self.send_open_claims(ONE)
+        self.clock.advance(CLAIM_CONTACT_MS + RUNS_OVER_MS)
+        self.assertFalse(self.is_sure())
+        self.clock.advance(CLAIMS_LAPSED_MS - CLAIM_CONTACT_MS - RUNS_OVER_MS)
+        self.assertTrue(self.is_sure())
+
     def test_it_is_not_sure_while_another_dispatcher_has_just_started(self):
         self.send_open_claims(ONE, age_ms=-RUNS_OVER_MS)
         self.send_open_claims(OTHER)
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -39,6 +39,7 @@
     domain: str = "north"
     is_in_same_domain: bool = True
     confirmed_ms: float = math.inf
+    gives_up_claims: bool = False
 
     def is_reachable(self, _now):
         return True
