--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -4,6 +4,7 @@
 for this dispatcher, no other dispatcher can run the job.
 """
 
+import logging
 import math
 from collections.abc import Callable, Collection, Iterable
 
@@ -13,6 +14,8 @@
 from geraniumspool.open_claim import OpenClaim
 from geraniumspool.run_leases import RUNS_OVER_MS
 
+_LOG = logging.getLogger(__name__)
+
 # Interval at which requests are repeated, as executors may be starting.
 REQUEST_PERIOD_MS = 50.0
 # Rounds of requests begin at most once in this time for each executor. After a power loss every job
@@ -131,14 +134,21 @@
         process has ended: it may have been reset, and a partition keeps it down.
         """
         now = self._clock.now()
-        workers = self._list_executors()
-        may_skip_silent = not self._may_be_held(claim)
-        return bool(workers) and all(
-            address in claim.fenced_by
-            or may_skip_silent
-            and now - self._silent_since(address, now) >= RUNS_OVER_MS
-            for address in workers
-        )
+        executors = self._list_executors()
+        missing = [address for address in executors if address not in claim.fenced_by]
+        if not executors or (missing and self._may_be_held(claim)):
+            return False
+        silent_ms = [now - self._silent_since(address, now) for address in missing]
+        if any(silent < RUNS_OVER_MS for silent in silent_ms):
+            return False
+        if missing:
+            fields = (
+                ("job", claim.job_id),
+                ("executors", ",".join(sorted(missing))),
+                ("silent_ms", round(min(silent_ms))),
+            )
+            _LOG.info("fence complete without silent executors", extra={"fields": fields})
+        return True
 
     def _may_be_held(self, claim: OpenClaim) -> bool:
         """Return whether another dispatcher may hold a job and reach a silent executor.
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -425,6 +425,8 @@
                 self._give_up(claim, "")
             elif claim.is_granted and lost_ms >= CONTACT_LIMIT_MS:
                 self._counters.add("job_claims", outcome="contact_lost")
+                fields = (("job", claim.job_id), ("lost_ms", round(lost_ms)))
+                _LOG.warning("contact with arbiters lost", extra={"fields": fields})
                 self.on_suspended(claim.job)
                 self._request_again(claim)
 
@@ -530,8 +532,12 @@
         claim.held_by[address] = holder
 
     def _give_up(self, claim: OpenClaim, holder: str) -> None:
-        """Give up a granted claim, as the job was granted to another dispatcher meanwhile."""
-        fields = (("job", claim.job_id), ("holder", holder))
+        """Give up a claim, as the job was or may be granted to another dispatcher.
+
+        :param holder: address of that dispatcher, empty if it is not known
+        """
+        contact_age_ms = round(self._clock.now() - claim.contact_ms)
+        fields = (("job", claim.job_id), ("holder", holder), ("contact_age_ms", contact_age_ms))
         _LOG.warning("claim lost", extra={"fields": fields})
         self._counters.add("job_claims", outcome="lost")
         claim.discard_answers(self._clock.now())
