claims: a job held by a fence keeps its contact when it is requested again

Found by reading: while a claim is fenced its contact with arbiters is not followed. When it had to be granted again, as after the restart of an executor, the old contact made its holder give the job up within 200 ms. ContactTest fails without the change in its last case.

--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -131,8 +131,8 @@
     def update_contact(self, confirmed_ms: Mapping[str, float]) -> None:
         """Update the time of the last contact with a quorum of each set of arbiters.
 
-        :param confirmed_ms: by address, when a message was sent that the dispatcher's current
-            incarnation has received
+        :param confirmed_ms: by address, when the last report was sent that the current incarnation
+            of the dispatcher there has received
         """
         recorded = self.granted_by | self.unsure_grants_by
         contacts = []
@@ -158,6 +158,9 @@
 
         :param now: current time in milliseconds
         """
+        if self.is_fenced:
+            # No contact was needed until now.
+            self.contact_ms = now
         self.is_granted = False
         self.is_fenced = False
         self.began_ms = now
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -31,6 +31,8 @@
 LONG_AGO_MS = 60_000.0
 STEP_MS = 30
 
+PEERS = {"one": ONE, "other": OTHER}
+
 
 class ReachablePeer(NamedTuple):
     """Another dispatcher, which is always reachable."""
@@ -243,6 +245,44 @@
                     self.assertFalse(self.find_sent(FenceJobs))
 
 
+class ContactTest(unittest.TestCase):
+    """Since when a claim is without contact to its arbiters."""
+
+    def setUp(self):
+        arbiters = [[ME.address, ONE.address, OTHER.address]]
+        self.claim = OpenClaim(Job("j"), arbiters, LONG_AGO_MS)
+        self.claim.granted_by = {ME.address, ONE.address}
+        self.now = 2 * LONG_AGO_MS
+
+    def find_contact(self, **confirmed_ms):
+        times = {peer.address: confirmed_ms.get(name, 0.0) for name, peer in PEERS.items()}
+        self.claim.update_contact({ME.address: self.now} | times)
+        return self.claim.contact_ms
+
+    def test_a_quorum_must_have_confirmed_something(self):
+        self.assertEqual(LONG_AGO_MS, self.find_contact())
+        self.assertEqual(self.now - 5, self.find_contact(one=self.now - 5))
+
+    def test_an_arbiter_that_has_not_recorded_the_claim_does_not_count(self):
+        self.assertEqual(LONG_AGO_MS, self.find_contact(other=self.now))
+        self.claim.unsure_grants_by = {OTHER.address}
+        self.assertEqual(self.now, self.find_contact(other=self.now))
+
+    def test_a_restarted_arbiter_does_not_count_until_it_has_recorded_the_claim(self):
+        self.claim.forget_answer(ONE.address)
+        self.assertEqual(LONG_AGO_MS, self.find_contact(one=self.now))
+
+    def test_former_members_need_a_quorum_as_well(self):
+        self.claim.arbiter_sets.append([OTHER.address])
+        self.assertEqual(LONG_AGO_MS, self.find_contact(one=self.now))
+
+    def test_a_fenced_claim_needs_no_contact_until_it_is_requested_again(self):
+        """An executor that restarts made its holder give up a job held by a fence for long."""
+        self.claim.is_fenced = True
+        self.claim.discard_answers(self.now)
+        self.assertEqual(self.now, self.claim.contact_ms)
+
+
 class SilentExecutorTest(unittest.TestCase):
     """When a fence is complete though an executor has not answered for as long as leases last."""
 
