program: signals during a drain change nothing

Cause: run_application aborted the drain at any second signal. It now waits for the drain, which has a time limit of its own, and logs how many signals came meanwhile. The programs on the platform ignore SIGHUP from their first moment until they handle it, as it ended them before that.

--- a/geraniumspool/platform/__main__.py
+++ b/geraniumspool/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 import warnings
 
@@ -10,6 +11,8 @@
 # Objects created by imports stay alive, so that collecting garbage now would only delay the
 # start. The collector is enabled again once the program runs.
 gc.disable()
+# Until the program handles it, this signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet
--- a/geraniumspool/program.py
+++ b/geraniumspool/program.py
@@ -45,7 +45,7 @@
     """Run a program until SIGTERM, SIGINT or its own exit request, then drain and stop it.
 
     Prints one line of JSON when the program is ready. SIGHUP reloads the
-    settings. Another SIGTERM or SIGINT during the drain aborts it.
+    settings. Further signals during the drain change nothing: it ends by its own time limit.
 
     :param app: the program
     :param output: where the ready line is written, standard output by default
@@ -59,7 +59,7 @@
         _tune_garbage_collector()
         print(json.dumps(app.ready_line()), file=output or sys.stdout, flush=True)
         _poll_until(lambda: received or getattr(app, "exit_requested", False))
-        drained = _drain_until_signal(app, received)
+        drained = _drain(app, received)
     finally:
         app.stop()
         _restore_signals(previous)
@@ -95,12 +95,14 @@
         eventlet.sleep(SIGNAL_POLL_MS / MS_PER_SECOND)
 
 
-def _drain_until_signal(app: RunnableProgram, received: list[int]) -> bool:
+def _drain(app: RunnableProgram, received: list[int]) -> bool:
+    """Drain a program; return whether all work was finished.
+
+    Callers whose requests are in work get their answers, however often the program is told to end.
+    """
     before = len(received)
-    task = eventlet.spawn(app.drain)
-    _poll_until(lambda: task.dead or len(received) > before)
-    if task.dead:
-        return task.wait() is not False
-    logger.warning("signal received during drain, aborting")
-    task.kill()
-    return False
+    drained = app.drain()
+    if len(received) > before:
+        fields = (("signals", len(received) - before),)
+        logger.info("signals during drain ignored", extra={"fields": fields})
+    return drained is not False
