router: a report ends cancelled jobs also where it lists none

Cause: the list in a report counted as complete up to the highest number in it, so that an empty list said nothing. It is complete now up to the last job that was sent long enough ago to be listed.

Before: LossTest.test_a_lost_cancel_ends_the_job_with_the_next_report failed in both cases. After: it passes.

--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -693,6 +693,9 @@
         has_changed_loads = bool(loads) != bool(self._own_loads)
         self._own_loads = loads
         numbers_by_peer: dict[Peer, list[int]] = {}
+        # Jobs that were sent just now are not listed, as their messages may arrive later. Up to the
+        # first of them, a job that is not listed was dropped, even if the owner was told in vain.
+        upto = self._next_number - 1
         awaited_peers = {job.owner_peer for job in self._unanswered.values()}
         served_peers = self.forwarded.list_entry_dispatchers()
         # When the latest job was sent that each owner should have confirmed by now.
@@ -700,6 +703,8 @@
         for number, job in self._unanswered.items():
             if now - job.sent_ms > LISTED_AFTER_MS:
                 numbers_by_peer.setdefault(job.owner_peer, []).append(number)
+            else:
+                upto = min(upto, number - 1)
             if now - job.sent_ms > JOB_CONFIRMATION_LIMIT_MS:
                 due_ms_by_peer[job.owner_peer] = job.sent_ms
         for view in self.peers.views.values():
@@ -713,13 +718,12 @@
             view.report_sent_ms = now
             numbers = tuple(numbers_by_peer.get(view.peer, ()))
             leaving = self.peers.is_leaving
-            highest = max(numbers, default=0)
             report = DispatcherReport(
                 now,
                 view.clock_ms,
                 leaving,
                 numbers,
-                highest,
+                upto,
                 loads,
                 evacuation_news,
                 unlisted,
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -113,6 +113,23 @@
         self.assertEqual(2, self.world.start_count(TASK))
         self.assertEqual(JobOutcome.SUCCEEDED, request.outcome)
 
+    def test_a_lost_cancel_ends_the_job_with_the_next_report(self):
+        """The entry dispatcher has no other job there, so that its reports list none."""
+        for cancelled_after_ms in (10, 400):
+            with self.subTest(cancelled_after_ms=cancelled_after_ms):
+                self.doCleanups()
+                self.setUp()
+                spec = make_spec("j", run_ms=1_000)
+                later = spec.steps[0]._replace(after=(0,))
+                self.entry.submit(spec._replace(steps=(*spec.steps, later)), timeout_ms=9_000.0)
+                self.advance(cancelled_after_ms)
+                self.world.network.dropped_kinds = {"DropJobs"}
+                self.assertTrue(self.entry.router.cancel("j"))
+                self.advance(500)
+                self.assertTrue(self.owner.dispatcher.is_idle)
+                self.advance(2_000)
+                self.assertEqual(0, self.world.start_count("j.0.1.0"))
+
     def test_nothing_is_forwarded_to_an_owner_whose_process_has_exited(self):
         self.owner.kill()
         self.advance(60)
