claims: a late message of a former incarnation does not make claims lapse

Found by reading: a message of a dispatcher's former incarnation that arrives late makes that one current for a moment. When the living one took its place again, its last report was forgotten, and claims of over 3.3 s were granted to others until its next report. It counts as heard from then on. The new case of LapsedClaimTest fails without the change.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -92,17 +92,17 @@
     :ivar started_ms: when its process started, by the clock of this process; infinite if unknown
     :ivar clean: addresses of dispatchers whose last incarnation it has seen exit with no run left
     :ivar has_lost_members: whether a dispatcher that it no longer finds in the store may run jobs
-    :ivar heard_ms: when its last report arrived, 0 before the first
+    :ivar heard_ms: when its last report arrived, before the first when it became the current one
     """
 
-    def __init__(self, peer: Peer):
+    def __init__(self, peer: Peer, heard_ms: float):
         self.peer = peer
         self.is_synced = False
         self.is_settled = False
         self.started_ms = math.inf
         self.clean: frozenset[str] = frozenset()
         self.has_lost_members = False
-        self.heard_ms = 0.0
+        self.heard_ms = heard_ms
 
 
 class _FormerMembers:
@@ -277,7 +277,7 @@
         member = self._dispatchers.get(peer.address)
         if member is not None and member.peer == peer:
             return None
-        self._dispatchers[peer.address] = _DispatcherState(peer)
+        self._dispatchers[peer.address] = _DispatcherState(peer, self._clock.now())
         if member is None:
             return None
         self._limit_grants(member.peer)
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -155,6 +155,15 @@
     def test_reports_keep_claims_in_force(self):
         self.assertEqual(ONE.address, self.find_holder(reports=True))
 
+    def test_a_late_message_of_a_former_incarnation_does_not_make_claims_lapse(self):
+        self.send_claims(self.holder, Claim(1, JOB, self.left_ms))
+        for _ in range(int(CLAIMS_LAPSED_MS // REPORT_MS) + 1):
+            self.clock.advance(REPORT_MS)
+            self.table.note_report(self.holder)
+        self.table.note_incarnation(Peer(ONE.address, make_incarnation(7)))
+        self.table.note_incarnation(self.holder)
+        self.assertEqual(ONE.address, self.send_claims(OTHER, claim())[0].holder)
+
     def test_a_claim_by_a_fence_does_not_lapse(self):
         """Its holder may be out of contact with all arbiters."""
         self.assertEqual(ONE.address, self.find_holder(rank=7))
