--- a/geraniumspool/registrations.py
+++ b/geraniumspool/registrations.py
@@ -12,7 +12,7 @@
 
 from geraniumspool.contracts import KeyValue, MinionIncarnation
 from geraniumspool.decoding import DECODE_ERRORS
-from geraniumspool.report_checks import find_report_fault, is_process_address
+from geraniumspool.report_checks import ADDRESS_MARK, find_report_fault, is_process_address
 
 _LOG = logging.getLogger(__name__)
 
@@ -106,9 +106,10 @@
     def apply_change(self, key: str, value: bytes | None, now: float) -> None:
         """Apply the change of one registration key.
 
-        A key without the address of a process names no member. An invalid record does not replace
+        An address that nothing can be sent to names no member. An invalid record does not replace
         the member's last valid one. A worker with an invalid record and no earlier one is listed
-        with an empty record, because it may be an executor of another build.
+        with an empty record if its key has the address of a process, because it may be an executor
+        of another build.
 
         :param value: new value, None if the key was deleted or its lease expired
         :param now: time in milliseconds
@@ -120,17 +121,19 @@
             return
         self._unlisted_since_ms.pop(key, None)
         is_worker = key.startswith(WORKER_PREFIX)
-        prefix = WORKER_PREFIX if is_worker else DISPATCHER_PREFIX
-        address = key.removeprefix(prefix)
-        if not key.startswith(prefix) or not is_process_address(address):
+        address = key.removeprefix(WORKER_PREFIX if is_worker else DISPATCHER_PREFIX)
+        if ADDRESS_MARK in address and not is_process_address(address):
             _LOG.warning("key names no member: %.200s", key)
         elif is_worker:
             record = decode_record(value, WorkerRecord) or self.workers.get(address)
-            self.listed.add(address)
-            self.workers[address] = record or WorkerRecord("")
-        else:
+            if record is None and ADDRESS_MARK in address:
+                record = WorkerRecord("")
+            if record is not None and address:
+                self.listed.add(address)
+                self.workers[address] = record
+        elif key.startswith(DISPATCHER_PREFIX):
             record = decode_record(value, DispatcherRecord)
-            if record is not None:
+            if record is not None and address:
                 self.dispatchers[address] = record
 
     def remove_expired(self, now: float) -> bool:
