claims: an executor that its host says has ended is not waited for

With two dispatchers, of which one had ended for good together with an executor, a job that was sent again was no longer served: since closed connections prove nothing, its fence waited for the executor until the store no longer listed both (test_dispatcher.FaultsTest, found by the first whole run of the tests).

A host that is in reach refuses connections to an address where nobody listens; one behind a partition does not answer. A dispatcher now probes the address of a silent executor whose connection is closed, while a claim waits for it, and passes it over once all probes were refused for as long as the minion's lease lasts. Processes with a translated address do not probe.

--- a/geraniumspool/contracts.py
+++ b/geraniumspool/contracts.py
@@ -50,6 +50,13 @@
         process has ended: it may have been reset by a device in between.
         """
 
+    def find_ended_since(self, peer: Peer) -> float | None:
+        """Return the clock time in ms by which the process at a peer's address has ended.
+
+        Its host must have said so, and nothing may have been heard there since. Return None if that
+        is not known, as for a process that is out of reach.
+        """
+
     def is_unconfirmed(self, peer: Peer, sent_ms: float) -> bool:
         """Return whether a peer confirmed nothing of what was sent to it at or after a time.
 
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -143,6 +143,7 @@
         claims.on_held_elsewhere = self._on_held_elsewhere
         claims.on_suspended = self._on_claim_uncertain
         claims.fences.find_silent_since = self.fleet.find_silent_since
+        claims.fences.find_ended_since = self.fleet.find_ended_since
         self.get_remote_capacity: Callable[[str], float] = _no_remote_capacity
         self.find_served: FindServed = _no_served
         self.exit_ms = math.inf
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -12,7 +12,7 @@
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
 from geraniumspool.open_claim import OpenClaim
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import ORPHANS_OVER_MS, RUNS_OVER_MS
 
 _LOG = logging.getLogger(__name__)
 
@@ -48,6 +48,8 @@
         jobs that arbiters do not know of
     :ivar find_claims_over_ms: returns the time in milliseconds after which the runs of all claims
         made until now are over
+    :ivar find_ended_since: returns by when an executor's process has ended, by this process's clock
+        in milliseconds, None if that is not known
     :ivar find_silent_since: returns since when an executor has been silent, by this process's clock
         in milliseconds, None if that is not known
     """
@@ -69,6 +71,7 @@
         self.rank = round(clock.wall_ms())
         self.has_lost_members: Callable[[], bool] = _assume_none_lost
         self.find_claims_over_ms: Callable[[], float] = _find_no_claims
+        self.find_ended_since: Callable[[str], float | None] = _find_no_silence
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
         self._round_ms = -math.inf
@@ -129,15 +132,21 @@
     def is_complete(self, claim: OpenClaim) -> bool:
         """Return whether no executor can run the claimed job for another dispatcher.
 
-        An executor that is silent for as long as leases last needs no fence if nobody has renewed
-        the leases of its runs, as ``_may_be_held`` says. A closed connection does not show that its
-        process has ended: it may have been reset, and a partition keeps it down.
+        An executor that is silent for as long as leases last needs no fence in two cases: its host
+        has said that the process has ended, and its runs are over as well; or nobody has renewed
+        the leases of its runs, as ``_may_be_held`` says. A closed connection does not show the end:
+        it may have been reset, and a partition keeps it down.
         """
         now = self._clock.now()
         executors = self._list_executors()
         missing = [address for address in executors if address not in claim.fenced_by]
-        if not executors or (missing and self._may_be_held(claim)):
+        if not executors:
             return False
+        if missing and self._may_be_held(claim):
+            # All are asked, as each question makes the next probe begin.
+            are_over = [self._are_orphans_over(address, now) for address in missing]
+            if not all(are_over):
+                return False
         silent_ms = [now - self._silent_since(address, now) for address in missing]
         if any(silent < RUNS_OVER_MS for silent in silent_ms):
             return False
@@ -150,6 +159,11 @@
             _LOG.info("fence complete without silent executors", extra={"fields": fields})
         return True
 
+    def _are_orphans_over(self, address: str, now: float) -> bool:
+        """Return whether an executor's process has ended, and its runs at the minion as well."""
+        ended_ms = self.find_ended_since(address)
+        return ended_ms is not None and now - ended_ms >= ORPHANS_OVER_MS
+
     def _may_be_held(self, claim: OpenClaim) -> bool:
         """Return whether another dispatcher may hold a job and reach a silent executor.
 
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -341,6 +341,10 @@
             if view.is_owned and address not in self._known
         )
 
+    def find_ended_since(self, address: str) -> float | None:
+        """Return the clock time in ms by which an executor's process has ended, None if unknown."""
+        return self.links.find_ended_since(Peer(address, ANY_INCARNATION))
+
     def find_silent_since(self, address: str) -> float | None:
         """Return the clock time in ms of a silent worker's last report.
 
--- a/geraniumspool/link.py
+++ b/geraniumspool/link.py
@@ -14,6 +14,7 @@
 
 from geraniumspool.clock import MS_PER_SECOND
 from geraniumspool.contracts import Clock, Counters
+from geraniumspool.end_probes import EndProbes
 from geraniumspool.inbound import InboundHandler, Receiver
 from geraniumspool.link_monitor import ReopenReason
 from geraniumspool.messages import Delivery, Message, Peer
@@ -220,6 +221,8 @@
         local_peer = Peer(advertised or _bound_address(self._socket, listen), incarnation)
         super().__init__(local_peer, clock, counters)
         self._inbound = InboundHandler(local_peer, counters, self.send, self._note_received)
+        self._is_translated = bool(advertised)
+        self._end_probes = EndProbes(clock)
         self._links: dict[str, _Link] = {}
         self._retired_links: set[_Link] = set()
         self._tasks: list = []
@@ -258,6 +261,17 @@
         link = self._links.get(peer.address)
         return link is not None and link.is_connection_closed
 
+    def find_ended_since(self, peer: Peer) -> float | None:
+        """Return by when the process at an address has ended; see :class:`~contracts.Links`.
+
+        Asked only while the link has lost its connection. Behind address translation a refused
+        connection tells nothing of the process.
+        """
+        if self._is_translated or not self.is_connection_closed(peer):
+            self._end_probes.forget(peer.address)
+            return None
+        return self._end_probes.find_refused_since(peer.address)
+
     def stop(self) -> None:
         """Close the inbox and all links after giving queued messages time to leave."""
         self._clock.sleep(FLUSH_MS)
--- a/geraniumspool/memory_link.py
+++ b/geraniumspool/memory_link.py
@@ -46,6 +46,8 @@
         self.partitioned: set[tuple[str, str]] = set()
         self.silent_links: set[tuple[str, str]] = set()
         self._unseen_ends: set[tuple[str, str]] = set()
+        # When a process first found that another one had ended.
+        self._found_ended_ms: dict[tuple[str, str], float] = {}
         self.held_messages: dict[str, list] = {}
         self.dropped_kinds: set[str] = set()
         self.duplicated_kinds: set[str] = set()
@@ -105,6 +107,14 @@
             self._unseen_ends.discard(link)
         return link not in self._unseen_ends
 
+    def find_ended_since(self, observer: str, address: str) -> float | None:
+        """Return when a process was first found to have ended, None if it is not known to have."""
+        link = (observer, address)
+        if address in self._inboxes or self._is_cut(observer, address):
+            self._found_ended_ms.pop(link, None)
+            return None
+        return self._found_ended_ms.setdefault(link, self.clock.now())
+
     def _is_cut(self, one: str, other: str) -> bool:
         return self.is_lost(one, other) or self.is_lost(other, one)
 
@@ -194,6 +204,10 @@
         """Return whether the end of the peer's process has closed the connection."""
         return self._network.is_connection_closed(self.local_peer.address, peer.address)
 
+    def find_ended_since(self, peer: Peer) -> float | None:
+        """Return by when the process at an address has ended, None if that is not known."""
+        return self._network.find_ended_since(self.local_peer.address, peer.address)
+
     def _replace_connection(self, peer: Peer, _reason: ReopenReason) -> None:
         self.reopened += 1
         self._network.reopen(self.local_peer.address, peer.address)
--- a/geraniumspool/reliable_links.py
+++ b/geraniumspool/reliable_links.py
@@ -17,6 +17,10 @@
         """Return that the connection is open."""
         return False
 
+    def find_ended_since(self, _peer: Peer) -> float | None:
+        """Return None: no process is known to have ended."""
+        return None
+
     def is_unconfirmed(self, _peer: Peer, _sent_ms: float) -> bool:
         """Return that everything was confirmed."""
         return False
--- a/geraniumspool/run_leases.py
+++ b/geraniumspool/run_leases.py
@@ -18,6 +18,9 @@
 # Time after which the runs of a silent dispatcher must be over: both leases, the time until a stop
 # counts as stuck, and the time that a stop takes.
 RUNS_OVER_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
+# Time after the end of an executor's process after which its runs must be over: the lease at the
+# minion, which nothing renews any more, and the time that a stop takes.
+ORPHANS_OVER_MS = MINION_LEASE_MS * (1 + CLOCK_DRIFT) + 150.0
 # A dispatcher that has had no contact with a quorum of the arbiters of a job for this long gives up
 # the job and stops its runs: arbiters that were restarted meanwhile do not know of its claim.
 CLAIM_CONTACT_MS = 2_000.0
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -21,7 +21,7 @@
 from geraniumspool.job_claims import HEDGE_MS, MAX_PAUSE_MS, JobClaims
 from geraniumspool.messages import Peer
 from geraniumspool.open_claim import OpenClaim
-from geraniumspool.run_leases import RUNS_OVER_MS
+from geraniumspool.run_leases import ORPHANS_OVER_MS, RUNS_OVER_MS
 from geraniumspool.run_messages import StartRuns
 from tests.dispatch_world import DispatchWorld, SimulatedDispatcher, make_spec
 
@@ -340,6 +340,15 @@
             clock.advance(STEP_MS)
             fences.request([claim])
         self.assertFalse(fences.is_complete(claim))
+        ended_ms = clock.now()
+        fences.find_ended_since = lambda _address: ended_ms
+        self.assertFalse(fences.is_complete(claim))
+        for _ in range(int(ORPHANS_OVER_MS // STEP_MS) + 1):
+            clock.advance(STEP_MS)
+            fences.request([claim])
+        self.assertTrue(fences.is_complete(claim))
+        fences.find_ended_since = lambda _address: None
+        self.assertFalse(fences.is_complete(claim))
         claim.fenced_by.add(WORKERS[1])
         self.assertTrue(fences.is_complete(claim))
 
