connection: chunks of a body take turns with other work

Cause: 4,096 lines of a body were read without a pause, forty times in a row. The limit is 1,024 lines, what the longest body of the configuration takes in chunks of 512 bytes, and others run after each 64.

--- a/geraniumspool/connection.py
+++ b/geraniumspool/connection.py
@@ -24,7 +24,9 @@
 # Limit of the line that precedes each chunk of a chunked body, in bytes.
 MAX_CHUNK_LINE = 1024
 # Limit of these lines in one body. Each takes about as much processor time as a kilobyte.
-MAX_CHUNK_LINES = 4_096
+MAX_CHUNK_LINES = 1_024
+# After so many of them other green threads run, as a client may send them without a pause.
+LINES_PER_TURN = 64
 # Limits for reading and discarding the rest of a rejected request before the connection is closed.
 LINGER_MS = 2_000.0
 LINGER_BYTES = 4 << 20
@@ -146,6 +148,8 @@
         self._lines += 1
         if self._lines > MAX_CHUNK_LINES:
             raise wsgi.ChunkReadError("the body has too many chunks")
+        if self._lines % LINES_PER_TURN == 0:
+            eventlet.sleep(0)
         line = self._source.readline(size)
         if len(line) >= MAX_CHUNK_LINE:
             raise wsgi.ChunkReadError("a chunk's line is too long")
