executor: name the order that a run comes from

A task that ran twice could not be traced to its orders: the end of a run did not say which order it came from, how old the order was when it arrived, or under which claim or fence it was given.

`run ended` and `run refused` now have the order's number, the age of the clock value that it echoed, its rank and the age of its claim. Orders whose echo is older than a dispatcher's lease have a line of their own, one for each message. `stop requested` names the dispatcher that has the task instead, for superseded and fenced runs.

No decision changes.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -41,7 +41,7 @@
     StopRuns,
     WorkerState,
 )
-from geraniumspool.run_table import KnownDispatcher, Run, RunTable
+from geraniumspool.run_table import KnownDispatcher, Run, RunTable, describe_order
 from geraniumspool.worker_reporter import WorkerReporter
 
 _LOG = logging.getLogger(__name__)
@@ -53,6 +53,8 @@
 # A start message whose echoed clock is older than this is answered with a report at once.
 STALE_ECHO_MS = 150.0
 FORGET_DISPATCHER_MS = 30_000.0
+# Most orders of one message that a log line names.
+MAX_LOGGED_ORDERS = 10
 
 
 class Executor:
@@ -169,6 +171,8 @@
         self._guard.evacuations.merge(message.evacuations, message.echo_ms)
         dispatcher = self._renew_lease(peer, message.echo_ms)
         now = self._clock.now()
+        if now - message.echo_ms > DISPATCHER_LEASE_MS:
+            self._log_old_clock(dispatcher, message, now)
         for order in message.orders:
             self._handle_order(dispatcher, order, message.echo_ms, now)
         self._starts.start_queued()
@@ -279,6 +283,25 @@
         over = self._started_ms + lease_ms * (1 + CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_MS
         return self._clock.now() > over
 
+    def _log_old_clock(self, dispatcher: KnownDispatcher, message: StartRuns, now: float) -> None:
+        """Log new orders of a message that is too old to renew its dispatcher's lease.
+
+        Their dispatcher may have given them up since.
+        """
+        orders = [order for order in message.orders if order.number > dispatcher.highest_number]
+        if not orders:
+            return
+        logged = orders[:MAX_LOGGED_ORDERS]
+        fields = (
+            ("dispatcher", dispatcher.peer.address),
+            ("echo_age_ms", round(now - message.echo_ms)),
+            ("lease_left_ms", round(dispatcher.lease_until_ms - now)),
+            ("orders", len(orders)),
+            ("numbers", ",".join(str(order.number) for order in logged)),
+            ("tasks", ",".join(order.task for order in logged)),
+        )
+        _LOG.warning("order with an old clock", extra={"fields": fields})
+
     def _handle_order(
         self, dispatcher: KnownDispatcher, order: RunOrder, echo_ms: float, now: float
     ) -> None:
@@ -294,17 +317,14 @@
                 ("task", order.task),
                 ("reason", refusal),
                 ("dispatcher", dispatcher.peer.address),
+                *describe_order(order, now - echo_ms),
             )
             if refusal == FENCED:
-                fields += (
-                    ("order_rank", order.fence_rank),
-                    ("claim_age_ms", round(order.claim_age_ms)),
-                    *self.job_fences.describe(order.task),
-                )
+                fields += self.job_fences.describe(order.task)
             _LOG.info("run refused", extra={"fields": fields})
             self._reporter.schedule_end_report(dispatcher)
             return
-        self._table.add(Run(dispatcher.peer, order, now))
+        self._table.add(Run(dispatcher.peer, order, now, echo_ms))
         if not self._run_added.ready():
             self._run_added.send()
 
@@ -328,7 +348,7 @@
         if other is not None:
             # The same job has arrived through another dispatcher, while a run of this task is
             # active.
-            self._stops.stop(other, "superseded")
+            self._stops.stop(other, "superseded", dispatcher.peer)
             return "task_active"
         return ""
 
--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -193,7 +193,7 @@
         for run in self._table:
             job_id = job_id_of(run.key.task)
             if job_id in job_ids and run.dispatcher != dispatcher:
-                self._stops.stop(run, FENCED)
+                self._stops.stop(run, FENCED, dispatcher)
                 if self._table.find(run.key) is run:
                     running.add(job_id)
         return running
--- a/geraniumspool/run_ends.py
+++ b/geraniumspool/run_ends.py
@@ -13,7 +13,7 @@
     RUN_STOPPED,
     RunEnd,
 )
-from geraniumspool.run_table import Run, RunState, RunTable, job_id_of
+from geraniumspool.run_table import Run, RunState, RunTable, describe_order, job_id_of
 from geraniumspool.worker_reporter import WorkerReporter
 
 _LOG = logging.getLogger(__name__)
@@ -66,6 +66,7 @@
                     ("how", end.how),
                     ("reason", end.reason),
                     ("dispatcher", run.dispatcher.address),
+                    *describe_order(run.order, run.echo_age_ms),
                     ("ran_ms", end.ran_ms),
                     ("stop_ms", round(stop_ms, 1)),
                     ("waited_ms", round((run.sent_ms or self._clock.now()) - run.arrived_ms, 1)),
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -8,6 +8,7 @@
 
 from geraniumspool.contracts import Clock, RunKey
 from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
+from geraniumspool.messages import Peer
 from geraniumspool.minion_life import IncarnationState
 from geraniumspool.minion_session import MinionSession
 from geraniumspool.run_ends import RunEnds
@@ -60,8 +61,11 @@
         self._end_life = end_life
         self._slots = Semaphore(MAX_STOP_CALLS)
 
-    def stop(self, run: Run, reason: str) -> None:
-        """Stop a run, or refuse it if its start was not sent; repeated calls have no effect."""
+    def stop(self, run: Run, reason: str, successor: Peer | None = None) -> None:
+        """Stop a run, or refuse it if its start was not sent; repeated calls have no effect.
+
+        :param successor: the dispatcher that runs the task instead, for the log
+        """
         is_unsent = run.state is RunState.STARTING and not run.sent_ms
         if run.state is RunState.QUEUED or is_unsent:
             self._ends.refuse(run, reason)
@@ -79,6 +83,8 @@
                     ("attempt", run.key.attempt),
                     ("reason", reason),
                     ("dispatcher", run.dispatcher.address),
+                    ("number", run.order.number),
+                    ("successor", successor.address if successor else ""),
                     ("state", run.state.value),
                     ("age_ms", round(run.stop_requested_ms - run.arrived_ms, 1)),
                 )
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -39,6 +39,7 @@
     :ivar dispatcher: the dispatcher that ordered the run
     :ivar key: task and attempt number under which the minion knows the run
     :ivar arrived_ms: when the order arrived
+    :ivar echo_age_ms: age of the clock value that the order's message echoed when it arrived
     :ivar sent_ms: when the latest start call was sent to the minion, 0 if none was
     :ivar fencing_token: fencing token of that call
     :ivar early_end: end that the minion listed before it answered that call; it belongs to this run
@@ -52,13 +53,17 @@
     :ivar stop_reason: why the stop was requested
     """
 
-    def __init__(self, dispatcher: Peer, order: RunOrder, now: float):
-        """Create a queued run from an order that has just arrived."""
+    def __init__(self, dispatcher: Peer, order: RunOrder, now: float, echo_ms: float):
+        """Create a queued run from an order that has just arrived.
+
+        :param echo_ms: clock value that the order's message echoes
+        """
         self.dispatcher = dispatcher
         self.order = order
         self.key = RunKey(order.task, order.attempt)
         self.state = RunState.QUEUED
         self.arrived_ms = now
+        self.echo_age_ms = now - echo_ms
         self.sent_ms = 0.0
         self.fencing_token = 0
         self.early_end: FinishedRun | None = None
@@ -85,6 +90,19 @@
         return now - self.confirmed_ms
 
 
+def describe_order(order: RunOrder, echo_age_ms: float) -> tuple[tuple[str, object], ...]:
+    """Return an order's number, age and claim, as fields of a log line.
+
+    :param echo_age_ms: age of the clock value that its message echoed when it arrived
+    """
+    return (
+        ("number", order.number),
+        ("echo_age_ms", round(echo_age_ms)),
+        ("order_rank", order.fence_rank),
+        ("claim_age_ms", round(order.claim_age_ms)),
+    )
+
+
 class KnownDispatcher:
     """What an executor tracks per dispatcher: its lease, its runs and their outcomes.
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -8,7 +8,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.contracts import RunKey, StartOutcome
 from geraniumspool.counters import MemoryCounters
-from geraniumspool.executor import Executor
+from geraniumspool.executor import MAX_LOGGED_ORDERS, Executor
 from geraniumspool.fleet import RUNS_LOST_AFTER_MS
 from geraniumspool.memory_minion import CallFault, MemoryMinion, ScriptedFault
 from geraniumspool.messages import Peer
@@ -37,6 +37,8 @@
 
 DISPATCHER = Peer("tcp://10.0.0.1:1", 7)
 OTHER_DISPATCHER = Peer("tcp://10.0.0.2:1", 8)
+ORDER_FIELDS = ("number", "echo_age_ms", "order_rank")
+OLD_CLOCK_FIELDS = ("echo_age_ms", "lease_left_ms", "orders")
 
 
 def make_order(number, task="j.0.0.0", cpu=4_000, run_ms=100, behavior="", **changes):
@@ -114,6 +116,77 @@
         return ends[-1].how if ends else None
 
 
+class OrderLogTest(ExecutorCase):
+    """A task that ran twice, of which the logs do not say which orders its runs came from."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock.advance(10_000)
+
+    def take_report(self, peer, report):
+        return isinstance(report, JobsFenced) or super().take_report(peer, report)
+
+    def read_lines(self, logs, message):
+        return [dict(line.fields) for line in logs.records if line.getMessage() == message]
+
+    def order(self, echo_age_ms, *orders):
+        """Send orders that echo an old clock value, and return what is logged until they end."""
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            message = StartRuns(self.clock.now() - echo_age_ms, orders)
+            self.executor.handle_start(DISPATCHER, message)
+            self.advance_renewing(400, *(order.number for order in orders))
+        return logs
+
+    def test_the_end_of_a_run_names_its_order(self):
+        order = make_order(3, fence_rank=0, claim_age_ms=20.4)
+        (line,) = self.read_lines(self.order(200, order), "run ended")
+        self.assertEqual((3, 200, 0), tuple(line[name] for name in ORDER_FIELDS))
+        self.assertEqual((RUN_DONE, 20), (line["how"], line["claim_age_ms"]))
+
+    def test_late_orders_of_a_renewed_dispatcher_are_logged_once(self):
+        """They arrive over a replaced connection, after newer messages have renewed the lease."""
+        self.renew()
+        age_ms = DISPATCHER_LEASE_MS + 1
+        orders = [make_order(n, f"j.0.0.{n}", cpu=100) for n in range(1, MAX_LOGGED_ORDERS + 3)]
+        logs = self.order(age_ms, *orders)
+        (line,) = self.read_lines(logs, "order with an old clock")
+        self.assertEqual((601, 600, 12), tuple(line[n] for n in OLD_CLOCK_FIELDS))
+        self.assertEqual("1,2,3,4,5,6,7,8,9,10", line["numbers"])
+        self.assertEqual(MAX_LOGGED_ORDERS, len(line["tasks"].split(",")))
+        self.assertEqual({RUN_DONE}, {self.outcome(order.number) for order in orders})
+        logs = self.order(age_ms, *orders, make_order(99))
+        (line,) = self.read_lines(logs, "order with an old clock")
+        self.assertEqual("99", line["numbers"])
+
+    def test_orders_with_a_valid_clock_are_not_logged(self):
+        logs = self.order(DISPATCHER_LEASE_MS, make_order(1))
+        self.assertEqual([], self.read_lines(logs, "order with an old clock"))
+
+    def test_a_superseded_run_names_the_dispatcher_of_the_order(self):
+        self.start(make_order(1, run_ms=900))
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            self.start(make_order(4), dispatcher=OTHER_DISPATCHER)
+        (line,) = self.read_lines(logs, "stop requested")
+        self.assertEqual(("superseded", 1), (line["reason"], line["number"]))
+        self.assertEqual(OTHER_DISPATCHER.address, line["successor"])
+        (line,) = self.read_lines(logs, "run refused")
+        self.assertEqual(("task_active", 4), (line["reason"], line["number"]))
+
+    def test_a_fenced_run_names_the_dispatcher_of_the_fence(self):
+        self.start(make_order(1, run_ms=900))
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            self.executor.job_fences.handle_fence_jobs(OTHER_DISPATCHER, FenceJobs(("j",), 5))
+        (line,) = self.read_lines(logs, "stop requested")
+        self.assertEqual((FENCED, OTHER_DISPATCHER.address), (line["reason"], line["successor"]))
+
+    def test_a_stop_by_the_dispatcher_itself_names_no_successor(self):
+        self.start(make_order(1, run_ms=900))
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            self.executor.handle_stop(DISPATCHER, StopRuns((1,)))
+        (line,) = self.read_lines(logs, "stop requested")
+        self.assertEqual(("asked", ""), (line["reason"], line["successor"]))
+
+
 class ClaimAgeTest(ExecutorCase):
     """Orders of jobs whose claims are older than the executor process.
 
@@ -147,6 +220,7 @@
         self.assertEqual(RUN_REFUSED, self.outcome(1))
         fields = dict(logs.records[-1].fields)
         self.assertEqual((310, 450), (fields["claim_age_ms"], fields["executor_age_ms"]))
+        self.assertEqual((1, 150, 0), tuple(fields[k] for k in ORDER_FIELDS))
 
     def test_an_order_whose_claim_is_younger_than_the_process_is_accepted(self):
         self.start_with_echo(300, make_order(1, claim_age_ms=290.0))
