dispatcher: log claims with the jobs that they end, and runs given up

Who held a job at which time could not be told: a grant had a line only if it took more than 50 ms, without who had granted it, and runs given up for a silent executor left no line where the job had ended before.

`job ended` and `all runs of ended job stopped` now have the claim's number, how, by whom and how long ago it was granted, and its rank. A fence names the executors with their incarnations, 16 at most, and has one line also where it was granted within 50 ms. `claim lost` says why, and what was lost. Runs that are given up have one line for a worker, with the age of its last report. `worker replaced` and `worker heard` have the incarnations.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -59,6 +59,8 @@
 SHUTDOWN_MARGIN_MS = 100.0
 # A scheduling pass stops after this many jobs could not be placed completely.
 MAX_PLACEMENT_FAILURES = 6
+# Most runs that a log line names.
+MAX_LOGGED_RUNS = 10
 
 # Reasons that mean that the minion crashed. A silent minion doesn't count: it may just be
 # unreachable.
@@ -654,12 +656,26 @@
     def _handle_late_run_end(self, job: DispatchJob) -> None:
         """Release the claim of an ended job once its last run has ended."""
         if not job.runs:
+            claim = dict(self._claims.describe(job))
             self._claims.release(job)
             took_ms = self._clock.now() - job.ended_ms
             self._counters.observe("job_stop_ms", took_ms, queue=job.queue.name)
-            log_job("all runs of ended job stopped", job, after_ms=round(took_ms, 1))
+            log_job("all runs of ended job stopped", job, after_ms=round(took_ms, 1), **claim)
 
     def _lose_runs(self, runs: list[OpenRun], reason: str) -> None:
+        """Take the runs of a silent worker for over."""
+        worker = runs[0].owner.worker
+        logged = runs[:MAX_LOGGED_RUNS]
+        fields = (
+            ("worker", worker.peer.address),
+            ("reason", reason),
+            ("silent_ms", round(self._clock.now() - worker.last_message_ms)),
+            ("runs", len(runs)),
+            ("ended_jobs", sum(run.owner.job.has_ended for run in runs)),
+            ("numbers", ",".join(str(run.number) for run in logged)),
+            ("tasks", ",".join(run.owner.job.task_name(run.owner.task) for run in logged)),
+        )
+        _LOG.warning("runs of silent worker given up", extra={"fields": fields})
         for run in runs:
             self._handle_run_end(run.owner, RunEnd(run.number, RUN_LAPSED, reason=reason))
 
@@ -692,6 +708,7 @@
         job.ended_ms = self._clock.now()
         del self._jobs[job.spec.job_id]
         self._pending.pop(job.spec.job_id, None)
+        claim = dict(self._claims.describe(job))
         if not job.runs:
             self._claims.release(job, result.outcome is not JobOutcome.SUCCEEDED)
         else:
@@ -709,6 +726,7 @@
             took_ms=round(took_ms, 1),
             objective_ms=round(job.timing.objective_ms),
             stopped=len(job.runs),
+            **claim,
         )
         job.finished.send()
 
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -411,6 +411,7 @@
                 extra={
                     "fields": (
                         ("worker", sender.address),
+                        ("incarnation", f"{sender.incarnation:x}"),
                         ("silent_ms", round(now - view.last_message_ms)),
                         ("instance", report.state.instance),
                     )
@@ -528,7 +529,13 @@
         The new process clears its minion of runs before it reports.
         """
         if view.peer.incarnation != ANY_INCARNATION:
-            _LOG.warning("worker replaced", extra={"fields": (("worker", sender.address),)})
+            fields = (
+                ("worker", sender.address),
+                ("former", f"{view.peer.incarnation:x}"),
+                ("incarnation", f"{sender.incarnation:x}"),
+                ("runs", len(view.runs)),
+            )
+            _LOG.warning("worker replaced", extra={"fields": fields})
         self.on_new_incarnation()
         view.peer = sender
         view.worker_clock_ms = 0.0
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -29,7 +29,12 @@
 from geraniumspool.contracts import Clock, Counters, Links
 from geraniumspool.fence_requests import FenceRequests
 from geraniumspool.messages import ANY_INCARNATION, Message, Peer
-from geraniumspool.open_claim import Claimant, OpenClaim
+from geraniumspool.open_claim import (
+    GRANTED_BY_ARBITERS,
+    GRANTED_BY_FENCE,
+    Claimant,
+    OpenClaim,
+)
 from geraniumspool.reliable_links import ReliableLinks
 from geraniumspool.run_leases import CLAIM_CONTACT_MS, RUNS_OVER_MS
 
@@ -62,6 +67,8 @@
 # If two dispatchers claim a job at the same time and each has some grants, the one with the higher
 # address gives up at once; the other one waits this long for it.
 YIELD_WAIT_MS = 90.0
+# Most jobs that a log line names.
+MAX_LOGGED_JOBS = 10
 
 
 class ClaimPeer(Protocol):
@@ -251,6 +258,13 @@
             return math.inf
         return claim.first_granted_ms
 
+    def describe(self, job: Claimant) -> tuple[tuple[str, object], ...]:
+        """Return the claim that a job has and how it was granted, as fields of a log line."""
+        claim = self._open.get(job.claim_id)
+        if claim is None or claim.job is not job:
+            return ()
+        return claim.describe(self._clock.now())
+
     def handle_claim_jobs(self, sender: Peer, message: ClaimJobs) -> None:
         """Answer another dispatcher's claims as an arbiter."""
         self._note_incarnation(sender)
@@ -286,7 +300,7 @@
         for foreign in claims:
             claim = self._open.get(foreign.job_id)
             if claim is not None and claim.is_granted and foreign.rank > claim.rank:
-                self._give_up(claim, sender.address)
+                self._give_up(claim, sender.address, "fenced")
 
     def _is_settled_for(self, sender: Peer) -> bool:
         return self.table.is_settled and self.table.is_synced(sender)
@@ -339,6 +353,7 @@
             if claim is None or claim.is_granted or claim.fence_rank != message.rank:
                 continue
             claim.fenced_by.add(sender.address)
+            claim.fence_incarnations[sender.address] = sender.incarnation
             claim.has_replaced_fence |= job_id in message.replaced
             if self.fences.is_complete(claim):
                 self._grant_by_fence(claim)
@@ -368,7 +383,11 @@
         granted = [claim for claim in self._by_number.values() if claim.is_granted]
         if not granted:
             return
-        fields = (("reason", reason), ("jobs", len(granted)))
+        fields = (
+            ("reason", reason),
+            ("jobs", len(granted)),
+            ("first_jobs", ",".join(claim.job_id for claim in granted[:MAX_LOGGED_JOBS])),
+        )
         _LOG.info("claims requested again", extra={"fields": fields})
         for claim in granted:
             self.on_suspended(claim.job)
@@ -422,10 +441,11 @@
             claim.update_contact(confirmed_ms)
             lost_ms = now - claim.contact_ms
             if lost_ms >= CLAIM_CONTACT_MS - CONTACT_CHECK_MS:
-                self._give_up(claim, "")
+                self._give_up(claim, "", "no_contact")
             elif claim.is_granted and lost_ms >= CONTACT_LIMIT_MS:
                 self._counters.add("job_claims", outcome="contact_lost")
                 fields = (("job", claim.job_id), ("lost_ms", round(lost_ms)))
+                fields += claim.describe(now)
                 _LOG.warning("contact with arbiters lost", extra={"fields": fields})
                 self.on_suspended(claim.job)
                 self._request_again(claim)
@@ -433,7 +453,7 @@
     def _check_claim(self, claim: OpenClaim, now: float) -> None:
         is_unanswered = now - claim.began_ms > ARBITER_TIMEOUT_MS and not claim.has_quorum
         if claim.is_contested and (claim.holder is not None or is_unanswered):
-            self._give_up(claim, claim.holder.address if claim.holder else "")
+            self._give_up(claim, claim.holder.address if claim.holder else "", "contested")
             return
         if claim.holder is not None:
             self._check_holder(claim, now)
@@ -515,7 +535,7 @@
             # An answer to a request from before executors fenced the holder off.
             return
         if claim.is_granted and verdict.holder:
-            self._give_up(claim, verdict.holder)
+            self._give_up(claim, verdict.holder, "held_elsewhere", address)
             return
         if not verdict.holder:
             claim.held_by.pop(address, None)
@@ -531,16 +551,25 @@
             _LOG.info("job held elsewhere", extra={"fields": fields})
         claim.held_by[address] = holder
 
-    def _give_up(self, claim: OpenClaim, holder: str) -> None:
+    def _give_up(self, claim: OpenClaim, holder: str, reason: str, arbiter: str = "") -> None:
         """Give up a claim, as the job was or may be granted to another dispatcher.
 
         :param holder: address of that dispatcher, empty if it is not known
+        :param reason: for the log
+        :param arbiter: address of the arbiter that has named the holder, for the log
         """
-        contact_age_ms = round(self._clock.now() - claim.contact_ms)
-        fields = (("job", claim.job_id), ("holder", holder), ("contact_age_ms", contact_age_ms))
+        now = self._clock.now()
+        fields = (
+            ("job", claim.job_id),
+            ("reason", reason),
+            ("holder", holder),
+            ("arbiter", arbiter),
+            ("contact_age_ms", round(now - claim.contact_ms)),
+            *claim.describe(now),
+        )
         _LOG.warning("claim lost", extra={"fields": fields})
         self._counters.add("job_claims", outcome="lost")
-        claim.discard_answers(self._clock.now())
+        claim.discard_answers(now)
         claim.is_contested = False
         claim.first_granted_ms = None
         self._undecided.pop(claim.number, None)
@@ -549,20 +578,24 @@
     def _grant_on_quorum(self, claim: OpenClaim) -> None:
         is_open = claim.number in self._undecided and not claim.needs_fence
         if is_open and claim.has_quorum:
-            self._grant(claim, "arbiters")
+            self._grant(claim, GRANTED_BY_ARBITERS)
 
     def _grant(self, claim: OpenClaim, how: str) -> None:
         now = self._clock.now()
         claim.is_granted = True
+        claim.record_grant(how, now)
         if claim.first_granted_ms is None:
             claim.first_granted_ms = now
         self._undecided.pop(claim.number, None)
         took_ms = now - claim.began_ms
         self._counters.add("job_claims", outcome=how)
         self._counters.observe("claim_ms", took_ms, how=how)
-        if took_ms > HEDGE_MS:
+        is_late = took_ms > HEDGE_MS
+        if is_late or how == GRANTED_BY_FENCE:
             fields = (("job", claim.job_id), ("how", how), ("took_ms", round(took_ms, 1)))
-            _LOG.info("claim granted late", extra={"fields": fields})
+            fields += claim.describe(now)
+            message = "claim granted late" if is_late else "claim granted by fence"
+            _LOG.info(message, extra={"fields": fields})
         self.on_granted(claim.job, claim.rank)
 
     def _release_claim(self, claim: OpenClaim) -> None:
@@ -659,7 +692,7 @@
         for address in claim.arbiters:
             self._ask_arbiter(claim, address, now)
         self._relays.add(claim, self._list_unreachable(claim, now))
-        self._grant(claim, "fence")
+        self._grant(claim, GRANTED_BY_FENCE)
 
     def _list_unreachable(self, claim: OpenClaim, now: float) -> list[str]:
         """Return the arbiters of a claim that are not expected to answer."""
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -4,11 +4,16 @@
 import math
 from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from geraniumspool.claim_table import quorum_of
 from geraniumspool.messages import Peer
 
+GRANTED_BY_ARBITERS = "arbiters"
+GRANTED_BY_FENCE = "fence"
+# Most arbiters or executors that a log line names.
+MAX_LOGGED_GRANTERS = 16
+
 
 class Claimant(Protocol):
     """A job that needs a granted claim before it may run.
@@ -24,6 +29,22 @@
         """Return the time within which every run of the job will have ended, in milliseconds."""
 
 
+class Grant(NamedTuple):
+    """How a claim was last granted, for logs.
+
+    :param how: by ``arbiters`` or by a ``fence``
+    :param by: addresses of the arbiters, or of the executors, each with its incarnation
+    :param granted_ms: reading of this process's clock at that time, in milliseconds
+    """
+
+    how: str = ""
+    by: tuple[str, ...] = ()
+    granted_ms: float = 0.0
+
+
+NO_GRANT = Grant()
+
+
 class OpenClaim:
     """A claim that was not released yet.
 
@@ -39,6 +60,7 @@
     :ivar first_granted_ms: when it was first granted, None if it was not or was lost since; a claim
         that is granted again keeps it
     :ivar is_granted: whether the job may run, by a quorum of arbiters or by a fence
+    :ivar grant: how it was last granted under the current number
     :ivar is_fenced: whether it was granted since all executors have set a fence
     :ivar is_contested: whether an executor has refused runs because of another dispatcher's fence
     :ivar granted_by: addresses of arbiters that have granted it and know every earlier claim
@@ -52,6 +74,7 @@
     :ivar held_by: other dispatcher that holds the job, by the arbiter that has last said so
     :ivar held_since_ms: when an arbiter first named the current holder
     :ivar fenced_by: addresses of executors that have set the fence
+    :ivar fence_incarnations: incarnations of these executors, by address
     :ivar has_replaced_fence: whether an executor ran the job for another dispatcher only, before it
         has set the fence
     :ivar fence_rank: rank of the fence that executors are or were asked for
@@ -73,6 +96,7 @@
         self.began_ms = now
         self.first_granted_ms: float | None = None
         self.is_granted = False
+        self.grant = NO_GRANT
         self.is_fenced = False
         self.is_contested = False
         self.granted_by: set[str] = set()
@@ -84,6 +108,7 @@
         self.held_by: dict[str, Peer] = {}
         self.held_since_ms = 0.0
         self.fenced_by: set[str] = set()
+        self.fence_incarnations: dict[str, int] = {}
         self.has_replaced_fence = False
         self.fence_rank = 0
         self.fence_asked_ms = -math.inf
@@ -153,6 +178,33 @@
         self.unsure_grants_by.discard(address)
         self.informed_grants_by.discard(address)
 
+    def record_grant(self, how: str, now: float) -> None:
+        """Record how the claim was granted.
+
+        :param how: by ``arbiters`` or by a ``fence``
+        :param now: current time in milliseconds
+        """
+        if how == GRANTED_BY_FENCE:
+            incarnations = self.fence_incarnations
+            by = [f"{name}/{incarnations.get(name, 0):x}" for name in sorted(self.fenced_by)]
+        else:
+            by = sorted(self.granted_by)
+        self.grant = Grant(how, tuple(by), now)
+
+    def describe(self, now: float) -> tuple[tuple[str, object], ...]:
+        """Return the claim and how it was granted, as fields of a log line.
+
+        :param now: current time in milliseconds
+        """
+        grant = self.grant
+        return (
+            ("claim", self.number),
+            ("granted_how", grant.how),
+            ("granted_by", ",".join(grant.by[:MAX_LOGGED_GRANTERS])),
+            ("claim_rank", self.rank),
+            ("grant_age_ms", round(now - grant.granted_ms) if grant.how else -1),
+        )
+
     def discard_answers(self, now: float) -> None:
         """Discard all answers of arbiters and executors, so that they must be asked again.
 
@@ -162,6 +214,7 @@
             # No contact was needed until now.
             self.contact_ms = now
         self.is_granted = False
+        self.grant = NO_GRANT
         self.is_fenced = False
         self.began_ms = now
         self.granted_by.clear()
@@ -171,3 +224,4 @@
         self.first_asked_ms.clear()
         self.held_by.clear()
         self.fenced_by.clear()
+        self.fence_incarnations.clear()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,6 +8,8 @@
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.daemon_settings import DispatcherSettings
 from geraniumspool.dispatch_entry import DispatcherProcess
+from geraniumspool.dispatcher import MAX_LOGGED_RUNS
+from geraniumspool.fleet import RUNS_LOST_AFTER_MS
 from geraniumspool.job_specs import JobOutcome, JobSpec, StepSpec
 from geraniumspool.memory_link import MemoryMessenger, MemoryNetwork
 from geraniumspool.memory_minion import CallFault, ScriptedFault
@@ -31,6 +33,7 @@
 KEYS = OperatorKeys("op/", "op/config", "op/evacuate/")
 
 TASK = "j1.0.0.0"
+GIVEN_UP_FIELDS = ("runs", "ended_jobs", "numbers", "tasks")
 # Delay after which a caller that lost its connection resubmits its job.
 RESEND_MS = 1_300.0
 
@@ -342,6 +345,83 @@
         self.assertEqual(UNKNOWN_SHARE, router.measure_busy_share())
 
 
+class ClaimLogTest(DispatchCase):
+    """A task that ran twice, of which the logs do not say under which claim, or since when over."""
+
+    dispatchers = 3
+
+    def read_lines(self, logs, message):
+        return [dict(line.fields) for line in logs.records if line.getMessage() == message]
+
+    def test_an_ended_job_names_its_claim(self):
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            self.dispatcher.submit(make_spec("j1"))
+            self.advance(300)
+        (line,) = self.read_lines(logs, "job ended")
+        self.assertEqual(("arbiters", 0), (line["granted_how"], line["claim_rank"]))
+        self.assertGreaterEqual(line["granted_by"].count("tcp://h"), 2)
+        self.assertLessEqual(100, line["grant_age_ms"])
+        self.assertLess(line["grant_age_ms"], line["took_ms"])
+        (run,) = self.read_lines(logs, "run ended")
+        self.assertEqual((0, 1), (run["order_rank"], run["number"]))
+
+    def test_a_job_that_ended_with_runs_names_its_claim_when_it_is_released(self):
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            caller = self.dispatcher.submit(make_spec("j1", run_ms=2_000))
+            self.advance(50)
+            self.dispatcher.dispatcher.cancel(caller.job.spec.job_id)
+            self.advance(100)
+        (ended,) = self.read_lines(logs, "job ended")
+        (stopped,) = self.read_lines(logs, "all runs of ended job stopped")
+        self.assertEqual(ended["claim"], stopped["claim"])
+        self.assertGreater(stopped["grant_age_ms"], ended["grant_age_ms"])
+
+    def give_up_runs(self, count, cancels):
+        """Run tasks on a worker that falls silent, and return the line when they are given up."""
+        with self.assertLogs("geraniumspool", "INFO") as logs:
+            caller = self.dispatcher.submit(
+                make_spec("j1", count=count, cpu=100, run_ms=2_000), timeout_ms=8_000.0
+            )
+            self.advance(50)
+            for worker in self.world.workers:
+                self.world.network.partition(self.dispatcher.address, worker.address)
+            if cancels:
+                self.dispatcher.dispatcher.cancel(caller.job.spec.job_id)
+            self.advance(2_000)
+        return self.read_lines(logs, "runs of silent worker given up")
+
+    def test_runs_of_a_silent_worker_are_named_when_they_are_given_up(self):
+        (line,) = self.give_up_runs(1, cancels=False)
+        self.assertEqual((1, 0, "1", TASK), tuple(line[name] for name in GIVEN_UP_FIELDS))
+        self.assertEqual("worker_silent", line["reason"])
+        self.assertLessEqual(RUNS_LOST_AFTER_MS, line["silent_ms"])
+        self.assertLess(line["silent_ms"], RUNS_LOST_AFTER_MS + 100)
+
+    def test_runs_of_an_ended_job_are_named_as_well(self):
+        (line,) = self.give_up_runs(1, cancels=True)
+        self.assertEqual((1, 1, "1", TASK), tuple(line[name] for name in GIVEN_UP_FIELDS))
+
+    def test_a_line_names_a_few_runs_only(self):
+        lines = self.give_up_runs(60, cancels=False)
+        self.assertEqual(60, sum(line["runs"] for line in lines))
+        for line in lines:
+            self.assertEqual(MAX_LOGGED_RUNS, len(line["tasks"].split(",")))
+            self.assertEqual(MAX_LOGGED_RUNS, len(line["numbers"].split(",")))
+
+    def test_a_replaced_worker_is_logged_with_both_incarnations(self):
+        self.dispatcher.submit(make_spec("j1", run_ms=900), timeout_ms=8_000.0)
+        self.advance(50)
+        worker = self.find_worker(TASK)
+        worker.kill()
+        with self.assertLogs("geraniumspool.fleet", "INFO") as logs:
+            replacement = SimulatedWorker(self.world, worker.name, 2, worker.minion, 2)
+            self.world.workers[self.world.workers.index(worker)] = replacement
+            self.advance(500)
+        line = self.read_lines(logs, "worker replaced")[0]
+        pair = [f"{part.messenger.local_peer.incarnation:x}" for part in (worker, replacement)]
+        self.assertEqual(pair, [line["former"], line["incarnation"]])
+
+
 class FaultsTest(DispatchCase):
     """Faults, during which no task may run twice at the same time."""
 
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -20,8 +20,8 @@
 from geraniumspool.fence_requests import FenceRequests
 from geraniumspool.job_claims import HEDGE_MS, MAX_PAUSE_MS, JobClaims
 from geraniumspool.messages import Peer
-from geraniumspool.open_claim import OpenClaim
-from geraniumspool.run_leases import ORPHANS_OVER_MS, RUNS_OVER_MS
+from geraniumspool.open_claim import GRANTED_BY_FENCE, MAX_LOGGED_GRANTERS, OpenClaim
+from geraniumspool.run_leases import CLAIM_CONTACT_MS, ORPHANS_OVER_MS, RUNS_OVER_MS
 from geraniumspool.run_messages import StartRuns
 from tests.dispatch_world import DispatchWorld, SimulatedDispatcher, make_spec
 
@@ -66,7 +66,7 @@
         return 100_000.0
 
 
-class ClaimsTest(unittest.TestCase):
+class ClaimsCase(unittest.TestCase):
     """A dispatcher that claims jobs; the test answers for the two other dispatchers."""
 
     def setUp(self):
@@ -110,6 +110,10 @@
         for peer in peers:
             self.claims.handle_claim_verdicts(peer, ClaimVerdicts((verdict,), is_sure))
 
+
+class ClaimsTest(ClaimsCase):
+    """Which claims are granted, kept and given up."""
+
     def test_a_job_is_granted_once_a_majority_of_its_arbiters_have_granted_it(self):
         job = Job("j")
         self.claims.claim(job)
@@ -245,6 +249,114 @@
                     self.assertFalse(self.find_sent(FenceJobs))
 
 
+class ClaimLogTest(ClaimsCase):
+    """A task that ran twice, of which the logs do not say who had granted the job to whom."""
+
+    def setUp(self):
+        super().setUp()
+        self.job = Job("j")
+        self.claims.claim(self.job)
+
+    def read_line(self, logs, message):
+        (line,) = [line for line in logs.records if line.getMessage() == message]
+        return dict(line.fields)
+
+    def grant(self):
+        self.advance()
+        self.answer_grant(ONE, OTHER)
+        self.clock.advance(70)
+
+    def fence(self, after_ms, incarnation=1):
+        """Have all executors set the fence; return its rank."""
+        self.advance(after_ms)
+        rank = self.find_sent(FenceJobs)[-1][1].rank
+        for worker in WORKERS:
+            peer = Peer(worker, incarnation)
+            self.claims.handle_jobs_fenced(peer, JobsFenced(("j",), rank))
+        self.assertEqual([(self.job, rank)], self.granted)
+        return rank
+
+    def test_a_claim_names_the_arbiters_that_have_granted_it(self):
+        self.assertEqual(-1, dict(self.claims.describe(self.job))["grant_age_ms"])
+        self.grant()
+        expected = {
+            "claim": self.last_claim_number(),
+            "granted_how": "arbiters",
+            "granted_by": f"{ONE.address},{OTHER.address}",
+            "claim_rank": 0,
+            "grant_age_ms": 70,
+        }
+        self.assertEqual(expected, dict(self.claims.describe(self.job)))
+        self.assertEqual((), self.claims.describe(Job("j", 2)))
+        self.claims.release(self.job)
+        self.assertEqual((), self.claims.describe(self.job))
+
+    def test_a_fence_names_the_executors_with_their_incarnations(self):
+        with self.assertLogs("geraniumspool.job_claims", "INFO") as logs:
+            rank = self.fence(600, 0xAB)
+        line = self.read_line(logs, "claim granted late")
+        self.assertEqual(("fence", rank), (line["granted_how"], line["claim_rank"]))
+        self.assertEqual("tcp://w0/ab,tcp://w1/ab", line["granted_by"])
+
+    def test_a_fence_at_once_has_a_line_as_well(self):
+        self.claims.release(self.job)
+        self.peers = []
+        self.claims.update_members()
+        self.claims.claim(self.job)
+        with self.assertLogs("geraniumspool.job_claims", "INFO") as logs:
+            rank = self.fence(STEP_MS)
+        self.assertEqual(rank, self.read_line(logs, "claim granted by fence")["claim_rank"])
+
+    def test_a_line_names_a_few_executors_only(self):
+        claim = self.claims._open["j"]
+        claim.fenced_by = {f"w{number}" for number in range(100)}
+        claim.record_grant(GRANTED_BY_FENCE, self.clock.now())
+        names = dict(self.claims.describe(self.job))["granted_by"].split(",")
+        self.assertEqual(MAX_LOGGED_GRANTERS, len(names))
+
+    def test_a_lost_claim_says_why_and_how_it_had_been_granted(self):
+        claimed = Claim(1, "j", 1_000.0, 9)
+        number = self.claims._open["j"].number
+        verdict = ClaimVerdicts((ClaimVerdict(number, ONE.address, 1),), True)
+        losses = {
+            "fenced": lambda: self.claims.handle_claim_jobs(ONE, ClaimJobs((claimed,), (), 1)),
+            "held_elsewhere": lambda: self.claims.handle_claim_verdicts(OTHER, verdict),
+        }
+        for reason, lose in losses.items():
+            with self.subTest(reason):
+                self.setUp()
+                self.grant()
+                with self.assertLogs("geraniumspool.job_claims", "INFO") as logs:
+                    lose()
+                line = self.read_line(logs, "claim lost")
+                self.assertEqual((reason, ONE.address), (line["reason"], line["holder"]))
+                arbiter = OTHER.address if reason == "held_elsewhere" else ""
+                self.assertEqual((arbiter, 70), (line["arbiter"], line["grant_age_ms"]))
+                self.assertEqual(f"{ONE.address},{OTHER.address}", line["granted_by"])
+
+    def test_a_claim_without_contact_says_how_it_had_been_granted(self):
+        self.grant()
+        self.peers = [peer._replace(confirmed_ms=0.0) for peer in self.peers]
+        self.claims.update_members()
+        with self.assertLogs("geraniumspool.job_claims", "INFO") as logs:
+            self.advance(CLAIM_CONTACT_MS)
+        line = self.read_line(logs, "contact with arbiters lost")
+        self.assertEqual("arbiters", line["granted_how"])
+        self.assertEqual("no_contact", self.read_line(logs, "claim lost")["reason"])
+
+    def test_claims_requested_again_name_a_few_jobs(self):
+        for number in range(20):
+            self.claims.claim(Job(f"j{number}"))
+        self.advance()
+        for number in range(1, 22):
+            self.answer_grant(ONE, OTHER, number=number)
+        with self.assertLogs("geraniumspool.job_claims", "INFO") as logs:
+            self.claims.renew_grants("executor_new")
+        line = self.read_line(logs, "claims requested again")
+        self.assertEqual(21, line["jobs"])
+        self.assertEqual(["j", *(f"j{n}" for n in range(9))], line["first_jobs"].split(","))
+
+
 class ContactTest(unittest.TestCase):
     """Since when a claim is without contact to its arbiters."""
 
