claim_table: log grants that replace another, and late claims

An arbiter logged nothing when it took a job from one dispatcher for another, or when it recorded a claim that its holder had released already, so that nobody could tell why two dispatchers held one job.

Each has one line now, with both claims. Claims that end only as they are below the lowest open one have one line for a message; those that are claimed anew with it are left out.

No decision changes, and ordinary grants and releases have no line.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -22,6 +22,7 @@
 )
 from geraniumspool.contracts import Clock
 from geraniumspool.messages import Peer
+from geraniumspool.released_claims import ReleasedClaims
 from geraniumspool.run_leases import CLAIMS_LAPSED_MS, CLOCK_DRIFT, RUNS_OVER_MS
 from geraniumspool.wire_versions import VERSION_LAPSING_CLAIMS, announced_version
 
@@ -35,6 +36,8 @@
 # without a clean exit may still run the jobs that it has claimed, and counts as an arbiter until
 # they must have ended.
 USUAL_CLAIM_MS = 15_000.0
+# Most claims that a log line names.
+MAX_LOGGED_CLAIMS = 10
 
 
 def choose_arbiters(job_id: str, members: Mapping[str, str]) -> list[str]:
@@ -93,6 +96,7 @@
     :ivar clean: addresses of dispatchers whose last incarnation it has seen exit with no run left
     :ivar has_lost_members: whether a dispatcher that it no longer finds in the store may run jobs
     :ivar heard_ms: when its last report arrived, before the first when it became the current one
+    :ivar released: claims that it has told to be released
     """
 
     def __init__(self, peer: Peer, heard_ms: float):
@@ -103,6 +107,7 @@
         self.clean: frozenset[str] = frozenset()
         self.has_lost_members = False
         self.heard_ms = heard_ms
+        self.released = ReleasedClaims()
 
 
 class _FormerMembers:
@@ -288,12 +293,40 @@
     def apply_claim_jobs(self, sender: Peer, message: ClaimJobs) -> list[ClaimVerdict]:
         """Apply a dispatcher's claims and releases; return the answers to the claims."""
         self.note_incarnation(sender)
+        released = self._dispatchers[sender.address].released
         for number in message.released:
             self.release(sender, number)
-        for number in [n for n in self._open_claims.get(sender, ()) if n < message.oldest]:
-            self.release(sender, number)
+            released.add(number)
+        released.add_below(message.oldest)
+        self._release_below(sender, message)
         return [self.decide(sender, claim) for claim in message.claims]
 
+    def _release_below(self, holder: Peer, message: ClaimJobs) -> None:
+        """Release the claims below the lowest open one of a message.
+
+        Unless they are claimed anew with it, their release was lost, or they were recorded after
+        it.
+        """
+        claims = self._open_claims.get(holder, {})
+        below = {number: claims[number] for number in claims if number < message.oldest}
+        if not below:
+            return
+        for number in below:
+            self.release(holder, number)
+        claimed = {claim.job_id for claim in message.claims}
+        unexpected = [(n, job_id) for n, job_id in below.items() if job_id not in claimed]
+        if not unexpected:
+            return
+        logged = unexpected[:MAX_LOGGED_CLAIMS]
+        fields = (
+            ("holder", holder.address),
+            ("lowest_open", message.oldest),
+            ("claims", len(unexpected)),
+            ("numbers", ",".join(str(number) for number, _ in logged)),
+            ("jobs", ",".join(job_id for _, job_id in logged)),
+        )
+        _LOG.info("claims below lowest open one released", extra={"fields": fields})
+
     def apply_open_claims(self, sender: Peer, message: OpenClaims) -> list[ClaimVerdict]:
         """Apply the complete list of a dispatcher's claims; return the answers to them.
 
@@ -315,11 +348,19 @@
     def apply_relayed_claims(self, message: RelayedClaims) -> None:
         """Apply claims, granted by a fence, of a dispatcher that may not reach this one."""
         holder = Peer(message.holder, message.holder_life)
+        state = self._find_state(holder)
         for number in message.released:
             self.release(holder, number)
+            if state is not None:
+                state.released.add(number)
         for claim in message.claims:
             if claim.number not in self._open_claims.get(holder, ()):
-                fields = (("job", claim.job_id), ("holder", holder.address), ("rank", claim.rank))
+                fields = (
+                    ("job", claim.job_id),
+                    ("holder", holder.address),
+                    ("number", claim.number),
+                    ("rank", claim.rank),
+                )
                 _LOG.info("relayed claim recorded", extra={"fields": fields})
             self.decide(holder, claim)
 
@@ -336,6 +377,7 @@
         if grant is not None and grant.holder == claimant and grant.number > claim.number:
             # A late message: the dispatcher has meanwhile repeated the claim with a new number.
             return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
+        self._log_unusual(claimant, claim, grant, is_held)
         if grant is not None:
             self.release(grant.holder, grant.number)
         until_ms = now + claim.left_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
@@ -343,6 +385,41 @@
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
         return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
+    def _log_unusual(
+        self, claimant: Peer, claim: Claim, former: _Grant | None, is_held: bool
+    ) -> None:
+        """Log a grant that replaces another dispatcher's, or of a claim that was released before.
+
+        :param former: the grant until now
+        :param is_held: whether it is another dispatcher's and in force
+        """
+        is_replaced = former is not None and former.holder != claimant
+        state = self._find_state(claimant)
+        is_late = state is not None and claim.number in state.released
+        if not is_replaced and not is_late:
+            return
+        fields = (
+            ("job", claim.job_id),
+            ("holder", claimant.address),
+            ("number", claim.number),
+            ("rank", claim.rank),
+            ("former_holder", former.holder.address if former else ""),
+            ("former_number", former.number if former else 0),
+            ("former_rank", former.rank if former else 0),
+            ("former_age_ms", round(self._clock.now() - former.granted_ms) if former else -1),
+        )
+        if is_replaced:
+            reason = ("reason", "rank" if is_held else "not_in_force")
+            _LOG.warning("grant replaced", extra={"fields": (*fields, reason)})
+        if is_late:
+            lowest_open = ("lowest_open", state.released.lowest_open)
+            _LOG.warning("released claim recorded", extra={"fields": (*fields, lowest_open)})
+
+    def _find_state(self, peer: Peer) -> _DispatcherState | None:
+        """Return what is known of another dispatcher, None if this incarnation is not known."""
+        state = self._dispatchers.get(peer.address)
+        return state if state is not None and state.peer == peer else None
+
     def note_report(self, sender: Peer) -> None:
         """Note that a report of a dispatcher has arrived."""
         self.note_incarnation(sender)
@@ -366,7 +443,11 @@
         silent_ms = now - max(grant.granted_ms, heard_ms)
         if silent_ms < CLAIMS_LAPSED_MS:
             return True
-        fields = (("holder", holder.address), ("silent_ms", round(silent_ms)))
+        fields = (
+            ("holder", holder.address),
+            ("number", grant.number),
+            ("silent_ms", round(silent_ms)),
+        )
         _LOG.warning("claim of silent dispatcher lapsed", extra={"fields": fields})
         return False
 
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -1,17 +1,20 @@
 """Tests of which claims an arbiter grants, and when it knows every earlier claim."""
 
 import itertools
+import logging
 import unittest
 
-from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims
+from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims, RelayedClaims
 from geraniumspool.claim_table import (
     ARBITER_COUNT,
+    MAX_LOGGED_CLAIMS,
     USUAL_CLAIM_MS,
     ClaimTable,
     choose_arbiters,
 )
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
+from geraniumspool.released_claims import MAX_NUMBERS, ReleasedClaims
 from geraniumspool.run_leases import (
     CLAIM_CONTACT_MS,
     CLAIMS_LAPSED_MS,
@@ -30,6 +33,7 @@
 # Interval between the reports of a dispatcher.
 REPORT_MS = 100.0
 JOB = "j"
+BELOW_FIELDS = ("holder", "lowest_open", "claims")
 
 
 def claim(number=1, job_id=JOB, rank=0):
@@ -57,6 +61,120 @@
         return self.table.apply_claim_jobs(peer, ClaimJobs(claims, released, oldest))
 
 
+class UnusualGrantTest(TableCase):
+    """A task that ran twice, of which the logs do not say how its arbiters came to grant it."""
+
+    def setUp(self):
+        super().setUp()
+        self.send_open_claims(ONE)
+        self.send_open_claims(OTHER)
+        self.assertTrue(self.table.is_settled)
+
+    def collect(self, action):
+        """Return the messages and fields that an action logs."""
+        with self.assertLogs("geraniumspool.claim_table", "INFO") as logs:
+            logging.getLogger("geraniumspool.claim_table").info("begin", extra={"fields": ()})
+            action()
+        return [(line.getMessage(), dict(line.fields)) for line in logs.records[1:]]
+
+    def test_a_grant_of_another_holder_that_a_fence_replaces_is_logged(self):
+        self.send_claims(ONE, claim(4))
+        self.clock.advance(30)
+        ((message, fields),) = self.collect(lambda: self.send_claims(OTHER, claim(7, rank=5)))
+        self.assertEqual("grant replaced", message)
+        expected = {
+            "job": JOB,
+            "holder": OTHER.address,
+            "number": 7,
+            "rank": 5,
+            "former_holder": ONE.address,
+            "former_number": 4,
+            "former_rank": 0,
+            "former_age_ms": 30,
+            "reason": "rank",
+        }
+        self.assertEqual(expected, fields)
+
+    def test_an_expired_grant_of_another_holder_that_is_replaced_is_logged(self):
+        self.send_claims(ONE, claim())
+        self.send_open_claims(ONE._replace(incarnation=2))
+        self.clock.advance(RUNS_OVER_MS)
+        self.table._last_removal_ms = self.clock.now()
+        ((message, fields),) = self.collect(lambda: self.send_claims(OTHER, claim()))
+        self.assertEqual(("grant replaced", "not_in_force"), (message, fields["reason"]))
+
+    def test_a_claim_that_arrives_after_its_release_is_logged(self):
+        """It arrives over a replaced connection, or through an executor."""
+        relayed = RelayedClaims(ONE.address, ONE.incarnation, (claim(3, rank=2),), ())
+        releases = {
+            "named": {"released": (3,), "oldest": 1},
+            "lowest open": {"oldest": 4},
+        }
+        arrivals = {
+            "directly": lambda: self.send_claims(ONE, claim(3, rank=2)),
+            "relayed": lambda: self.table.apply_relayed_claims(relayed),
+        }
+        for release, arrival in itertools.product(releases, arrivals):
+            with self.subTest(release=release, arrival=arrival):
+                self.setUp()
+                self.send_claims(ONE, **releases[release])
+                self.send_claims(OTHER, claim(9))
+                lines = dict(self.collect(arrivals[arrival]))
+                self.assertEqual((3, 2), self.read_claim(lines["released claim recorded"]))
+                self.assertEqual(OTHER.address, lines["released claim recorded"]["former_holder"])
+                self.assertEqual((3, 2), self.read_claim(lines["grant replaced"]))
+
+    def read_claim(self, fields):
+        return fields["number"], fields["rank"]
+
+    def test_a_claim_whose_release_was_relayed_is_logged(self):
+        self.table.apply_relayed_claims(RelayedClaims(ONE.address, ONE.incarnation, (), (3,)))
+        ((message, _),) = self.collect(lambda: self.send_claims(ONE, claim(3)))
+        self.assertEqual("released claim recorded", message)
+
+    def test_claims_below_the_lowest_open_one_are_logged_together(self):
+        claims = [claim(number, f"j{number}") for number in range(1, 31)]
+        self.send_claims(ONE, *claims)
+        ((message, fields),) = self.collect(lambda: self.send_claims(ONE, oldest=21))
+        self.assertEqual("claims below lowest open one released", message)
+        self.assertEqual((ONE.address, 21, 20), tuple(fields[name] for name in BELOW_FIELDS))
+        self.assertEqual([f"j{n}" for n in range(1, 11)], fields["jobs"].split(","))
+        self.assertEqual(MAX_LOGGED_CLAIMS, len(fields["numbers"].split(",")))
+        self.assertEqual(10, len(self.table))
+
+    def test_ordinary_grants_and_releases_are_not_logged(self):
+        def pass_through():
+            self.send_claims(ONE, claim(1), claim(2, "k"))
+            self.send_claims(ONE, claim(2, "k"), oldest=1)
+            self.send_claims(ONE, claim(3, "k"), released=(1,), oldest=3)
+            self.send_claims(ONE, claim(4, "k"), released=(3,), oldest=4)
+            self.send_claims(ONE, released=(4,), oldest=5)
+            self.send_claims(OTHER, claim(1), claim(2, "k"))
+
+        self.assertEqual([], self.collect(pass_through))
+
+
+class ReleasedClaimsTest(unittest.TestCase):
+    """Which claims an arbiter knows to have been released."""
+
+    def test_numbers_are_forgotten_beyond_the_limit(self):
+        released = ReleasedClaims()
+        for number in range(10, 11 + MAX_NUMBERS):
+            released.add(number)
+        self.assertNotIn(10, released)
+        self.assertIn(11, released)
+
+    def test_numbers_below_the_lowest_open_one_are_not_kept_one_by_one(self):
+        released = ReleasedClaims()
+        for number in (3, 5, 9):
+            released.add(number)
+        released.add_below(6)
+        released.add_below(4)
+        released.add(2)
+        self.assertEqual([True, True, False, True], [n in released for n in (2, 5, 6, 9)])
+        self.assertEqual([9], list(released._numbers))
+
+
 class GrantTest(TableCase):
     """A job is granted to one dispatcher at a time."""
 
