monitored_links: count and log messages that a later one has overtaken

Two connections from one process to another exist for a while after one was replaced. Whether a message over the older one arrived after a newer message was never told.

`LinkMonitor.find_overtaking` compares a message's number with the highest one received from the same incarnation. Such messages are counted in `messages_overtaken` by kind, and one for each peer and second is logged. They are handled as before.

--- a/geraniumspool/inbound.py
+++ b/geraniumspool/inbound.py
@@ -8,7 +8,6 @@
 from geraniumspool.messages import (
     ANY_INCARNATION,
     Delivery,
-    LinkStamp,
     Message,
     Peer,
     WrongIncarnation,
@@ -35,12 +34,12 @@
         local_peer: Peer,
         counters: Counters,
         send_reply: Callable[[Peer, Message], bool],
-        note_received: Callable[[Peer, LinkStamp], None],
+        note_received: Callable[[Delivery], None],
     ):
         """Store the collaborators.
 
         :param send_reply: sends a rejection
-        :param note_received: called with the sender and the stamp of each decoded message
+        :param note_received: called with each decoded message
         """
         self._local_peer = local_peer
         self._counters = counters
@@ -60,7 +59,7 @@
         except MalformedMessage:
             self._counters.add("messages_rejected", reason="malformed")
             return
-        self._note_received(delivery.sender, delivery.stamp)
+        self._note_received(delivery)
         if delivery.receiver not in (ANY_INCARNATION, self._local_peer.incarnation):
             self._reject(delivery)
             return
--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -146,6 +146,17 @@
             record.track_latest()
         return LinkStamp(self._last_number, record.received, record.generation)
 
+    def find_overtaking(self, sender: Peer, stamp: LinkStamp) -> int:
+        """Return the highest number received from a process if it is above a message's, else 0.
+
+        Called before :meth:`note_received`. Two connections between processes exist for a while
+        after one was replaced, and the older one may deliver its messages later.
+        """
+        record = self._records.get(sender.address)
+        if record is None or record.incarnation != sender.incarnation:
+            return 0
+        return record.received if 0 < stamp.number < record.received else 0
+
     def note_received(self, sender: Peer, stamp: LinkStamp) -> ReopenReason | None:
         """Record a message; return why the connection to its sender is dead, None if it is not."""
         record = self._find_or_add(sender.address)
--- a/geraniumspool/monitored_links.py
+++ b/geraniumspool/monitored_links.py
@@ -5,11 +5,22 @@
 
 from geraniumspool.contracts import Clock, Counters
 from geraniumspool.link_monitor import UNCONFIRMED_LIMIT_MS, LinkMonitor, ReopenReason
-from geraniumspool.messages import NO_STAMP, LinkStamp, Message, Peer, encode, is_readable
+from geraniumspool.messages import (
+    NO_STAMP,
+    Delivery,
+    Message,
+    Peer,
+    encode,
+    is_readable,
+    kind_name,
+)
 from geraniumspool.wire_versions import CURRENT_VERSION, VERSION_BASE, VERSION_STAMPED
 
 _LOG = logging.getLogger(__name__)
 
+# Shortest time between two log lines about overtaken messages of one peer.
+OVERTAKEN_LOG_INTERVAL_MS = 1_000.0
+
 
 class MonitoredLinks:
     """What messengers share of replacing connections; see :class:`~contracts.Links`.
@@ -37,6 +48,7 @@
         self._counters = counters
         self._unknown_version = unknown_version
         self._monitor = LinkMonitor(clock, local_peer.incarnation)
+        self._overtaken_logged_ms: dict[str, float] = {}
 
     def reset(self, peer: Peer) -> None:
         """Replace the connection to a peer."""
@@ -76,15 +88,42 @@
         stamp = self._monitor.make_stamp(peer.address) if is_stamped else NO_STAMP
         return encode(self.local_peer, peer.incarnation, message, stamp, version)
 
-    def _note_received(self, sender: Peer, stamp: LinkStamp) -> None:
+    def _note_received(self, delivery: Delivery) -> None:
+        sender = delivery.sender
+        overtaking_number = self._monitor.find_overtaking(sender, delivery.stamp)
+        if overtaking_number:
+            self._report_overtaken(delivery, overtaking_number)
         former_version = self._monitor.heard_version(sender)
-        reason = self._monitor.note_received(sender, stamp)
+        reason = self._monitor.note_received(sender, delivery.stamp)
         self._report_version(sender, former_version)
         if reason is ReopenReason.PEER_REOPENED:
             self._reopen(sender, reason)
         elif reason is not None:
             self._reopen_if_due(sender, reason)
 
+    def _report_overtaken(self, delivery: Delivery, overtaking_number: int) -> None:
+        """Count a message that arrived after a later one, and log one of a peer at a time."""
+        kind = kind_name(delivery.kind)
+        self._counters.add("messages_overtaken", kind=kind)
+        now = self._clock.now()
+        self._overtaken_logged_ms = {
+            address: logged_ms
+            for address, logged_ms in self._overtaken_logged_ms.items()
+            if now - logged_ms < OVERTAKEN_LOG_INTERVAL_MS
+        }
+        address = delivery.sender.address
+        if address in self._overtaken_logged_ms:
+            return
+        self._overtaken_logged_ms[address] = now
+        fields = (
+            ("peer", address),
+            ("incarnation", f"{delivery.sender.incarnation:x}"),
+            ("kind", kind),
+            ("number", delivery.stamp.number),
+            ("highest_received", overtaking_number),
+        )
+        _LOG.warning("message overtaken", extra={"fields": fields})
+
     def _report_version(self, sender: Peer, former_version: int | None) -> None:
         version = self._monitor.heard_version(sender)
         if version == former_version:
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -104,6 +104,17 @@
         self.one.note_received(Peer(TWO.address, 5), stamp)
         self.assertEqual(stamp.number, self.one.make_stamp(TWO.address).received)
 
+    def test_a_message_that_a_later_one_has_overtaken(self):
+        first, second, third = (self.one.make_stamp(TWO.address) for _ in range(3))
+        self.assertEqual(0, self.two.find_overtaking(ONE, first))
+        self.two.note_received(ONE, second)
+        self.assertEqual(second.number, self.two.find_overtaking(ONE, first))
+        for stamp in (second, third, NO_STAMP):
+            self.assertEqual(0, self.two.find_overtaking(ONE, stamp))
+        self.two.note_received(ONE, first)
+        self.assertEqual(second.number, self.two.find_overtaking(ONE, first))
+        self.assertEqual(0, self.two.find_overtaking(Peer(ONE.address, 5), first))
+
     def test_the_interval_between_reopenings_grows_until_something_is_confirmed(self):
         intervals_ms = []
         for _ in range(4):
--- a/tests/test_memory_link.py
+++ b/tests/test_memory_link.py
@@ -1,4 +1,4 @@
-"""Tests of the network in memory: what processes see of connections and of each other's end."""
+"""Tests of the network in memory: what processes see of connections, their order and their end."""
 
 import unittest
 
@@ -6,6 +6,9 @@
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.memory_link import MemoryMessenger, MemoryNetwork
 from geraniumspool.messages import Peer
+from geraniumspool.monitored_links import OVERTAKEN_LOG_INTERVAL_MS
+from geraniumspool.run_messages import StopRuns
+from geraniumspool.wire_versions import make_incarnation
 
 
 class ClosedConnectionsTest(unittest.TestCase):
@@ -49,5 +52,59 @@
         self.assertFalse(self.is_closed())
 
 
+class OvertakenMessagesTest(unittest.TestCase):
+    """Messages over a replaced connection, which arrive after later ones."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock)
+        self.counters = MemoryCounters()
+        self.received = []
+        self.receiver = self.attach("b", self.counters, self.received.append)
+
+    def attach(self, name, counters, receive):
+        peer = Peer(f"tcp://{name}", make_incarnation(1))
+        messenger = MemoryMessenger(self.network, peer, counters)
+        messenger.start(receive)
+        return messenger
+
+    def send(self, sender, delay_ms, number):
+        self.network.choose_delays = lambda _sender, _receiver: (delay_ms,)
+        sender.send(self.receiver.local_peer, StopRuns((number,)))
+
+    def count_overtaken(self):
+        return self.counters.get("messages_overtaken", kind="StopRuns")
+
+    def test_overtaken_messages_are_counted_and_one_of_a_peer_and_second_is_logged(self):
+        senders = [self.attach(name, MemoryCounters(), lambda _delivery: None) for name in "ac"]
+        with self.assertLogs("geraniumspool.monitored_links", "WARNING") as logs:
+            for sender in senders:
+                for number in range(5):
+                    self.send(sender, 100 + number, number)
+                self.send(sender, 1, 9)
+            self.clock.advance(200)
+        self.assertEqual(12, len(self.received))
+        self.assertEqual(10, self.count_overtaken())
+        lines = [dict(record.fields) for record in logs.records]
+        peers = [sender.local_peer.address for sender in senders]
+        self.assertEqual(peers, [line["peer"] for line in lines])
+        for line in lines:
+            self.assertEqual(
+                ("StopRuns", 5), (line["kind"], line["highest_received"] - line["number"])
+            )
+        with self.assertLogs("geraniumspool.monitored_links", "WARNING") as logs:
+            self.send(senders[0], OVERTAKEN_LOG_INTERVAL_MS, 1)
+            self.send(senders[0], 1, 2)
+            self.clock.advance(OVERTAKEN_LOG_INTERVAL_MS)
+        self.assertEqual(["message overtaken"], [line.getMessage() for line in logs.records])
+
+    def test_messages_in_order_are_not_counted(self):
+        sender = self.attach("a", MemoryCounters(), lambda _delivery: None)
+        for number in range(5):
+            self.send(sender, 1 + number, number)
+        self.clock.advance(50)
+        self.assertEqual((5, 0), (len(self.received), self.count_overtaken()))
+
+
 if __name__ == "__main__":
     unittest.main()
