executor: an order counts only by the clock value that it echoes

Cause: an order was taken while the lease of its dispatcher was valid, whatever had renewed it. A message that was sent over a connection replaced since may arrive after newer ones. A dispatcher gives up the runs of a worker that was silent for RUNS_OVER_MS, then hears the worker again and renews its lease; the order from before arrives, and the run is started beside the task's next one.

Change: an order whose own echo is over DISPATCHER_LEASE_MS old is refused as lease_over. The echoes of one dispatcher never decrease, so that nothing changes for orders that arrive in the order in which they were sent: the lease they find is the one that they state.

Tests failed before, at: three of OvertakenOrderTest; OrderAfterCutTest at 5 of 8 times of arrival (500, 700, 1100, 1300, 1500 ms after the cut), with two runs of one task at once. There the path to one worker is back, while the connection to another one is reopened, so that the dispatcher renews its lease twice within 600 ms.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -331,7 +331,10 @@
     def _refuse_reason(
         self, dispatcher: KnownDispatcher, order: RunOrder, echo_ms: float, now: float
     ) -> str:
-        if dispatcher.lease_until_ms <= now:
+        # Counts by the order's own echo too: its dispatcher may have given the run up before it
+        # sent the newer messages that have renewed the lease and overtaken the order.
+        is_current = echo_ms <= now < echo_ms + DISPATCHER_LEASE_MS
+        if not is_current or dispatcher.lease_until_ms <= now:
             return "lease_over"
         if self._guard.refusal_reason:
             return self._guard.refusal_reason
