fleet: the list of open runs covers those that were given up

Cause: a renewal covered numbers up to the highest run that it lists, so an empty list covered none. A run that its dispatcher has given up, or an order that arrives after that, was left alone by all further renewals, and renewals kept its lease valid to its end.

Change: a renewal covers all numbers below the first open run that it leaves out, else all numbers sent so far. Executors stop the runs up to it that are not listed, as before, and no longer start orders up to it that arrive afterwards: a listed one is reported as lapsed, as before. Numbers that are covered and not listed are not open at the dispatcher, so no wanted run is stopped.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -206,6 +206,8 @@
         for number in wanted:
             if number not in dispatcher.runs:
                 self._report_missing_run(dispatcher, number)
+        # Orders up to it that arrive later are reported as lapsed, or were given up.
+        dispatcher.highest_number = max(dispatcher.highest_number, message.upto)
         self._reporter.report_to(dispatcher)
 
     def run_poll_loop(self) -> None:
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -215,6 +215,8 @@
         self.on_new_incarnation: Callable[[], None] = _do_nothing
         self._known: Set[str] = frozenset()
         self._outbox: dict[Peer, list[RunOrder]] = {}
+        # Highest number of all orders, also to workers that were removed meanwhile.
+        self._last_number = 0
 
     @property
     def views(self) -> Iterable[WorkerView]:
@@ -368,6 +370,7 @@
         :param owner: object that the caller associates with the run
         """
         view.add(OpenRun(order.number, owner, order.need, self._clock.now()))
+        self._last_number = order.number
         self._outbox.setdefault(view.peer, []).append(order)
 
     def flush(self) -> None:
@@ -483,7 +486,9 @@
             self._send(view.peer, StopRuns(tuple(view.stopping)))
         listed_before = now - LISTED_AFTER_MS
         numbers = [run.number for run in view.runs.values() if run.sent_ms < listed_before]
-        upto = max(numbers, default=0)
+        # Covers the runs that were given up, also if no run is listed.
+        unlisted = view.runs.keys() - numbers
+        upto = min(unlisted) - 1 if unlisted else self._last_number
         evacuations = self._evacuations.to_message()
         message = RenewRuns(view.worker_clock_ms, tuple(numbers), upto, view.is_listed, evacuations)
         self._send(view.peer, message)
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -99,7 +99,8 @@
 
     :param echo_ms: latest clock value received from the executor, 0 if none
     :param numbers: order numbers of the runs without a known outcome
-    :param upto: highest order number that the list covers; later runs are left alone
+    :param upto: highest order number that the list covers, also if it is empty; later runs are left
+        alone
     :param is_listed: whether the executor is registered in the store as seen by the dispatcher
     :param evacuations: what the dispatcher knows about evacuated domains
     """
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -5,6 +5,7 @@
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
 from geraniumspool.run_messages import (
     RUN_REFUSED,
+    RenewRuns,
     StartRuns,
 )
 from tests.dispatch_world import DispatchWorld, make_spec
@@ -120,3 +121,46 @@
                 self.advance(300)
                 self.assertEqual(set(), self.twice)
                 self.assertEqual(1, self.world.start_count("j.0.0.0"))
+
+
+class UnknownRunTest(ExecutorCase):
+    """A run that its dispatcher has given up goes on, as no list of its runs covers it."""
+
+    def test_a_run_is_stopped_by_a_list_that_is_empty(self):
+        self.start(make_order(1, run_ms=LONG_MS))
+        self.executor.handle_renewal(DISPATCHER, RenewRuns(self.clock.now(), (), 1))
+        self.clock.advance(50)
+        self.assertEqual(set(), self.minion.running)
+
+    def test_an_order_that_a_list_has_left_out_is_not_started_later(self):
+        self.executor.handle_renewal(DISPATCHER, RenewRuns(self.clock.now(), (), 1))
+        self.start(make_order(1, run_ms=LONG_MS))
+        self.assertEqual([], self.minion.started)
+        self.start(make_order(2))
+        self.assertEqual(["j.0.0.0"], [key.task for key in self.minion.started])
+
+
+class UnknownRunInWorldTest(WorldCase):
+    """A dispatcher's renewals leave a run alone that it has given up."""
+
+    def test_a_run_that_was_given_up_is_stopped_once_its_worker_is_heard(self):
+        self.make_world(1, 1)
+        dispatcher, worker = self.world.dispatcher, self.world.workers[0]
+        dispatcher.submit(make_spec("j", run_ms=LONG_MS), timeout_ms=9_000)
+        self.advance(200)
+        view = next(iter(dispatcher.dispatcher.fleet.views))
+        self.assertEqual({"j.0.0.0"}, worker.minion.running)
+        view.runs.clear()
+        self.advance(700)
+        self.assertEqual(set(), worker.minion.running)
+
+    def test_runs_sent_a_moment_ago_are_left_alone(self):
+        self.make_world(1, 1)
+        worker = self.world.workers[0]
+        for number in range(20):
+            self.world.dispatcher.submit(
+                make_spec(f"j{number}", cpu=400, run_ms=LONG_MS), timeout_ms=20_000
+            )
+            self.advance(35)
+        self.assertEqual(20, len(worker.minion.running))
+        self.assertEqual(20, len(worker.minion.started))
