executor: an order for an active task is refused once the other run has ended

Cause: an executor that gets an order for a task which it still runs stops that run and refused the order at once. The dispatcher then starts the task on another worker, while the stop takes up to 50 ms, or longer if calls to the minion are lost: two runs at once. The same for any other refusal (evacuated, not accepting, too large) while a run of the task was active.

Change: the run is stopped and the order is refused once its end is known; until then it counts as open at its dispatcher, which is told nothing of it when it lists or stops it. The wait is bounded: a run that is stopped for this reason and does not end keeps the lease of the minion from being renewed, like the other reasons that dispatchers rely on. Whether the task is active is checked before the other refusals, but after the echo and the fence of the order: an order that counts no more, or that another dispatcher has shut out, stops nothing.

Callers are answered at their limit as before. The refusal is told later by the time that a stop takes, and only for tasks with a run that their dispatcher does not know.

Tests failed before: all of SupersededRunTest (two runs at once: with stops that take 50 ms, and with stop calls that are lost for 300 ms or for good) and of SupersededOrderTest.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -32,7 +32,7 @@
 from geraniumspool.run_messages import (
     FENCED,
     RUN_LAPSED,
-    RUN_REFUSED,
+    TASK_ACTIVE,
     UNKNOWN_DEPARTURE,
     RenewRuns,
     RunEnd,
@@ -41,7 +41,14 @@
     StopRuns,
     WorkerState,
 )
-from geraniumspool.run_table import KnownDispatcher, Run, RunTable, describe_order
+from geraniumspool.run_stops import SUPERSEDED
+from geraniumspool.run_table import (
+    BlockedOrder,
+    KnownDispatcher,
+    Run,
+    RunTable,
+    describe_order,
+)
 from geraniumspool.worker_reporter import WorkerReporter
 
 _LOG = logging.getLogger(__name__)
@@ -252,6 +259,8 @@
         """Report the outcome of a run that a dispatcher still lists but that is not active here."""
         end = dispatcher.ends.get(number)
         if end is None:
+            if self._table.is_blocked(dispatcher, number):
+                return
             if not self._are_earlier_runs_over():
                 return
             end = RunEnd(number, RUN_LAPSED, reason="unknown")
@@ -312,9 +321,6 @@
         dispatcher.highest_number = order.number
         refusal = self._refuse_reason(dispatcher, order, echo_ms, now)
         if refusal:
-            self._counters.add("runs_refused", reason=refusal)
-            end = RunEnd(order.number, RUN_REFUSED, reason=refusal)
-            dispatcher.record_end(end)
             fields = (
                 ("task", order.task),
                 ("reason", refusal),
@@ -324,7 +330,11 @@
             if refusal == FENCED:
                 fields += self.job_fences.describe(order.task)
             _LOG.info("run refused", extra={"fields": fields})
-            self._reporter.schedule_end_report(dispatcher)
+            if refusal == TASK_ACTIVE and self._table.find_task(order.task) is not None:
+                # Told once that run has ended: the dispatcher starts the task elsewhere then.
+                self._table.block(order.task, BlockedOrder(dispatcher, order.number))
+            else:
+                self._ends.refuse_order(dispatcher, order.number, refusal)
             return
         self._table.add(Run(dispatcher.peer, order, now, echo_ms))
         if not self._run_added.ready():
@@ -338,6 +348,16 @@
         is_current = echo_ms <= now < echo_ms + DISPATCHER_LEASE_MS
         if not is_current or dispatcher.lease_until_ms <= now:
             return "lease_over"
+        granted_ms = _earliest_grant_ms(order, echo_ms)
+        is_fenced = self.job_fences.excludes(
+            dispatcher.peer, order.task, order.fence_rank, granted_ms
+        )
+        other = self._table.find_task(order.task)
+        if other is not None and not is_fenced:
+            # The same job has arrived through another dispatcher, or its dispatcher does not know
+            # of the run. Checked first: the dispatcher starts the task elsewhere after any refusal.
+            self._stops.stop(other, SUPERSEDED, dispatcher.peer)
+            return TASK_ACTIVE
         if self._guard.refusal_reason:
             return self._guard.refusal_reason
         if not self._accepts():
@@ -346,15 +366,8 @@
             return "limit_passed"
         if not self._session.incarnation.report.resources.fits(order.need):
             return "too_large"
-        granted_ms = _earliest_grant_ms(order, echo_ms)
-        if self.job_fences.excludes(dispatcher.peer, order.task, order.fence_rank, granted_ms):
+        if is_fenced:
             return FENCED
-        other = self._table.find_task(order.task)
-        if other is not None:
-            # The same job has arrived through another dispatcher, while a run of this task is
-            # active.
-            self._stops.stop(other, "superseded", dispatcher.peer)
-            return "task_active"
         return ""
 
     def _accepts(self) -> bool:
--- a/geraniumspool/run_ends.py
+++ b/geraniumspool/run_ends.py
@@ -11,9 +11,17 @@
     RUN_LAPSED,
     RUN_REFUSED,
     RUN_STOPPED,
+    TASK_ACTIVE,
     RunEnd,
 )
-from geraniumspool.run_table import Run, RunState, RunTable, describe_order, job_id_of
+from geraniumspool.run_table import (
+    KnownDispatcher,
+    Run,
+    RunState,
+    RunTable,
+    describe_order,
+    job_id_of,
+)
 from geraniumspool.worker_reporter import WorkerReporter
 
 _LOG = logging.getLogger(__name__)
@@ -74,8 +82,16 @@
             },
         )
         self._reporter.schedule_end_report(dispatcher)
+        for blocked in self._table.pop_blocked(run.order.task):
+            self.refuse_order(blocked.dispatcher, blocked.number, TASK_ACTIVE)
         self._reporter.schedule_change_reports()
 
+    def refuse_order(self, dispatcher: KnownDispatcher, number: int, reason: str) -> None:
+        """Report that an order without a run is refused."""
+        self._counters.add("runs_refused", reason=reason)
+        dispatcher.record_end(RunEnd(number, RUN_REFUSED, reason=reason))
+        self._reporter.schedule_end_report(dispatcher)
+
     def refuse(self, run: Run, reason: str) -> None:
         """Finish a run that was never started and never will be."""
         self.finish(run, RunEnd(run.order.number, RUN_REFUSED, reason=reason))
--- a/geraniumspool/run_messages.py
+++ b/geraniumspool/run_messages.py
@@ -17,8 +17,10 @@
 RUN_LAPSED = "lapsed"
 RUN_REFUSED = "refused"
 
-# Value of ``RunEnd.reason``: a job fence reserves the job for another dispatcher.
+# Values of ``RunEnd.reason``. A job fence reserves the job for another dispatcher.
 FENCED = "fenced"
+# Another run of the task was active on the executor, and has ended since.
+TASK_ACTIVE = "task_active"
 
 # Value of ``WorkerState.departure_ms``: it is not known when the minion shuts down.
 UNKNOWN_DEPARTURE = -1.0
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -33,9 +33,13 @@
 # silent dispatcher are over.
 STOP_STUCK_MS = 100.0
 
+# Value of ``Run.stop_reason``: another dispatcher has ordered the task.
+SUPERSEDED = "superseded"
 # Stop reasons after which the dispatcher may be dead, or may presume after a fixed time that the
 # runs are over.
-_PRESUMED_OVER_REASONS = frozenset({"asked", "not_wanted", "dispatcher_silent", "process_stops"})
+_PRESUMED_OVER_REASONS = frozenset(
+    {"asked", "not_wanted", "dispatcher_silent", "process_stops", SUPERSEDED}
+)
 
 
 class RunStops:
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from geraniumspool.contracts import FinishedRun, RunKey
 from geraniumspool.messages import Peer
@@ -135,6 +136,17 @@
             del self.ends[next(iter(self.ends))]
 
 
+class BlockedOrder(NamedTuple):
+    """Order for a task that still has a run, to be refused once that run has ended.
+
+    :param dispatcher: who has sent the order
+    :param number: number of the order
+    """
+
+    dispatcher: KnownDispatcher
+    number: int
+
+
 class RunTable:
     """All runs at one executor, indexed by dispatcher, by run key and by task.
 
@@ -147,6 +159,7 @@
         self.dispatchers: dict[Peer, KnownDispatcher] = {}
         self._by_key: dict[RunKey, Run] = {}
         self._by_task: dict[str, Run] = {}
+        self._blocked: dict[str, list[BlockedOrder]] = {}
         self.used_capacity: Resources = NO_RESOURCES
         self.queued_capacity: Resources = NO_RESOURCES
 
@@ -206,6 +219,19 @@
         else:
             self.used_capacity = self.used_capacity.subtract(run.order.need)
 
+    def block(self, task: str, order: BlockedOrder) -> None:
+        """Add an order for a task that has a run."""
+        self._blocked.setdefault(task, []).append(order)
+
+    def is_blocked(self, dispatcher: KnownDispatcher, number: int) -> bool:
+        """Return whether an order waits for the end of another run of its task."""
+        order = BlockedOrder(dispatcher, number)
+        return any(order in orders for orders in self._blocked.values())
+
+    def pop_blocked(self, task: str) -> list[BlockedOrder]:
+        """Remove and return the orders that wait for the end of a task's run."""
+        return self._blocked.pop(task, [])
+
     def queued_runs(self) -> list[Run]:
         """Return the queued runs, those with the earliest latest start time first."""
         queued = [run for run in self._by_key.values() if run.state is RunState.QUEUED]
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -2,11 +2,14 @@
 
 import unittest
 
+from geraniumspool.messages import Peer
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
 from geraniumspool.run_messages import (
+    RUN_DONE,
     RUN_REFUSED,
     RenewRuns,
     StartRuns,
+    StopRuns,
 )
 from tests.dispatch_world import DispatchWorld, make_spec
 from tests.test_executor import DISPATCHER, OTHER_DISPATCHER, ExecutorCase, make_order
@@ -164,3 +167,108 @@
             self.advance(35)
         self.assertEqual(20, len(worker.minion.running))
         self.assertEqual(20, len(worker.minion.started))
+
+
+class SupersededRunTest(WorldCase):
+    """An order for a task that still runs here is refused before that run has ended.
+
+    Its dispatcher then starts the task on another worker.
+    """
+
+    UNKNOWN = Peer("tcp://unknown:1", 99)
+
+    def setUp(self):
+        """Have the only worker with free capacity run the task for an unknown dispatcher."""
+        self.make_world(2, 1)
+        self.busy, self.first = self.world.workers
+        now = self.world.clock.now()
+        order = make_order(1, run_ms=LONG_MS)
+        self.first.executor.handle_start(self.UNKNOWN, StartRuns(now, (order,)))
+        self.advance(20)
+        self.assertEqual({"j.0.0.0"}, self.first.minion.running)
+
+    def submit(self, fill_ms, ahead_ms):
+        self.world.dispatcher.submit(make_spec("fill", cpu=10_000, run_ms=fill_ms))
+        self.advance(fill_ms - ahead_ms)
+        self.assertEqual({"fill.0.0.0"}, self.busy.minion.running)
+        self.caller = self.world.dispatcher.submit(make_spec("j", run_ms=100))
+        self.advance(ahead_ms)
+
+    def check_served_once_at_a_time(self):
+        self.advance(1_500)
+        self.assertEqual(set(), self.twice)
+        self.assertEqual("succeeded", self.caller.outcome.value)
+
+    def test_a_run_that_takes_long_to_stop(self):
+        self.first.minion.stop_ms = 50.0
+        self.submit(fill_ms=100, ahead_ms=20)
+        self.check_served_once_at_a_time()
+
+    def test_a_run_whose_stops_are_lost_for_a_while(self):
+        self.first.minion.ignored_calls.add("stop")
+        self.submit(fill_ms=100, ahead_ms=20)
+        self.advance(300)
+        self.first.minion.ignored_calls.clear()
+        self.check_served_once_at_a_time()
+
+    def test_a_run_whose_stops_are_all_lost(self):
+        self.first.minion.ignored_calls.add("stop")
+        self.submit(fill_ms=100, ahead_ms=20)
+        self.check_served_once_at_a_time()
+
+
+class SupersededOrderTest(ExecutorCase):
+    """The answer to an order for a task that still runs is complete, and not given too early."""
+
+    def setUp(self):
+        super().setUp()
+        self.start(make_order(1, run_ms=LONG_MS), dispatcher=OTHER_DISPATCHER)
+        self.minion.ignored_calls.add("stop")
+        self.start(make_order(5))
+
+    def test_it_is_refused_once_the_other_run_has_ended(self):
+        self.clock.advance(60)
+        self.assertIsNone(self.outcome(5))
+        self.minion.ignored_calls.clear()
+        self.advance_renewing(300, 5)
+        self.assertEqual((RUN_REFUSED, "task_active"), self.ends[DISPATCHER, 5][0][1::2])
+        self.assertEqual(set(), self.minion.running)
+
+    def test_it_counts_as_open_while_it_is_listed(self):
+        self.renew(5)
+        self.clock.advance(60)
+        self.assertIsNone(self.outcome(5))
+        self.assertEqual({"j.0.0.0"}, self.minion.running)
+
+    def test_its_dispatchers_stop_does_not_end_it_earlier(self):
+        self.stop(5)
+        self.clock.advance(60)
+        self.assertIsNone(self.outcome(5))
+        self.minion.ignored_calls.clear()
+        self.advance_renewing(300)
+        self.assertEqual(RUN_REFUSED, self.outcome(5))
+
+    def test_it_is_refused_once_the_lease_of_the_minion_is_over(self):
+        self.advance_renewing(900, 5)
+        self.assertEqual(set(), self.minion.running)
+        self.assertEqual(RUN_REFUSED, self.outcome(5))
+
+    def test_further_orders_for_the_task_are_refused_with_it(self):
+        self.start(make_order(6))
+        self.clock.advance(60)
+        self.assertIsNone(self.outcome(6))
+        self.minion.ignored_calls.clear()
+        self.advance_renewing(300, 5, 6)
+        self.assertEqual([RUN_REFUSED] * 2, [self.outcome(5), self.outcome(6)])
+        self.start(make_order(7))
+        self.advance_renewing(200, 7)
+        self.assertEqual(RUN_DONE, self.outcome(7))
+
+    def test_a_leaving_executor_refuses_it_no_earlier(self):
+        self.executor.leave()
+        self.start(make_order(6))
+        self.clock.advance(60)
+        self.assertIsNone(self.outcome(6))
+
+    def stop(self, *numbers):
+        self.executor.handle_stop(DISPATCHER, StopRuns(numbers))
