executor: runs of a silent dispatcher end within the time that others count on

Cause: RUNS_OVER_MS counts both leases, 100 ms until a stop counts as stuck, and 50 ms. It left out the executor's tick (40 ms), the poll that renews the lease just before the stop counts as stuck, and the minion's checks of its lease (80 ms). Two more: start calls renewed the lease of the minion also while a stop was stuck, and a run that was being stopped for another reason (stalled, fenced, its limit) never counted as stuck once its dispatcher fell silent.

Change: leases of dispatchers are enforced when they end, not with the next tick. The lease of the minion, by polls and starts alike, is not extended beyond 556 ms after a stop on which dispatchers rely, in place of no renewal after 100 ms. It is noted for runs that are being stopped already. RUNS_OVER_MS is as before.

Stops that take 50 ms, one each 40 ms, end no other run, as before.

--- a/geraniumspool/executor.py
+++ b/geraniumspool/executor.py
@@ -55,7 +55,7 @@
 
 TICK_MS = 40.0
 # Interval while no run is here: only silent links need to be detected then. The first run ends it,
-# because its lease or its time limit may be nearly over.
+# because its time limit may be nearly over.
 IDLE_TICK_MS = 200.0
 # A start message whose echoed clock is older than this is answered with a report at once.
 STALE_ECHO_MS = 150.0
@@ -111,7 +111,8 @@
             clock, send, self._table, self._stops, self._are_earlier_runs_over
         )
         self._started_ms = clock.now() if started_ms is None else started_ms
-        self._run_added = Event()
+        self._check_due = Event()
+        self._next_check_ms = self._started_ms
         self.is_leaving = False
 
     @property
@@ -224,11 +225,10 @@
     def run_periodic_checks(self) -> None:
         """Enforce time limits periodically, forever."""
         while True:
-            if self.is_idle:
-                self._run_added = Event()
-                self._clock.wait(self._run_added, IDLE_TICK_MS)
-            else:
-                self._clock.sleep(TICK_MS)
+            now = self._clock.now()
+            self._next_check_ms = self._find_next_check(now)
+            self._check_due = Event()
+            self._clock.wait(self._check_due, self._next_check_ms - now)
             self._guard.refresh()
             self._enforce_limits(self._clock.now())
 
@@ -337,8 +337,26 @@
                 self._ends.refuse_order(dispatcher, order.number, refusal)
             return
         self._table.add(Run(dispatcher.peer, order, now, echo_ms))
-        if not self._run_added.ready():
-            self._run_added.send()
+        if dispatcher.lease_until_ms < self._next_check_ms or len(self._table) == 1:
+            self._request_check()
+
+    def _find_next_check(self, now: float) -> float:
+        """Return when limits are checked next: with each lease that ends, others with a delay.
+
+        Dispatchers count from the end of their leases until the runs must be over.
+        """
+        if self.is_idle:
+            return now + IDLE_TICK_MS
+        ends = [
+            dispatcher.lease_until_ms
+            for dispatcher in self._table.dispatchers.values()
+            if dispatcher.runs and dispatcher.lease_until_ms > now
+        ]
+        return min([now + TICK_MS, *ends])
+
+    def _request_check(self) -> None:
+        if not self._check_due.ready():
+            self._check_due.send()
 
     def _refuse_reason(
         self, dispatcher: KnownDispatcher, order: RunOrder, echo_ms: float, now: float
@@ -435,7 +453,7 @@
                     )
                 },
             )
-        for run in active:
+        for run in list(dispatcher.runs.values()):
             self._stops.stop(run, "dispatcher_silent")
 
 
--- a/geraniumspool/minion_life.py
+++ b/geraniumspool/minion_life.py
@@ -54,13 +54,14 @@
         """Return a lower bound of the minion's clock at time ``now``."""
         return self.clock_ms + (now - self.clock_received_ms) * (1 - CLOCK_DRIFT)
 
-    def grant_lease(self, now: float) -> float:
+    def grant_lease(self, now: float, until_ms: float) -> float:
         """Record that a call which renews the lease is about to be sent.
 
+        :param until_ms: end of the new lease, by the clock of this process
         :returns: end of the new lease, by the minion's clock
         """
         self.lease_sent_ms = now
-        return self.clock_lower_bound(now) + MINION_LEASE_MS
+        return self.clock_lower_bound(now) + until_ms - now
 
     def assume_longest_lease(self, now: float) -> None:
         """Account for leases computed with the clock of an earlier incarnation.
--- a/geraniumspool/minion_watch.py
+++ b/geraniumspool/minion_watch.py
@@ -85,8 +85,9 @@
         is_responsive = now - incarnation.answered_ms <= RENEW_WITHIN_MS
         lease = None
         is_renewing = incarnation.is_free_of_orphans and is_responsive and not incarnation.has_left
-        if is_renewing and not self._stops.is_stuck(now):
-            lease = incarnation.grant_lease(now)
+        until_ms = self._stops.find_lease_end(now)
+        if is_renewing and until_ms > now:
+            lease = incarnation.grant_lease(now, until_ms)
         wait_ms = (
             self._choose_wait(incarnation)
             if incarnation.is_free_of_orphans and is_responsive
--- a/geraniumspool/run_starts.py
+++ b/geraniumspool/run_starts.py
@@ -112,7 +112,7 @@
                     incarnation.report,
                     run.key,
                     run.order.payload,
-                    incarnation.grant_lease(now),
+                    incarnation.grant_lease(now, self._stops.find_lease_end(now)),
                     fence,
                 )
             except MinionDown:
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -9,9 +9,15 @@
 from geraniumspool.contracts import Clock, RunKey
 from geraniumspool.errors import Fenced, MinionReplaced, MinionSilent
 from geraniumspool.messages import Peer
-from geraniumspool.minion_life import IncarnationState
+from geraniumspool.minion_life import LEASE_EXPIRY_MARGIN_MS, IncarnationState
 from geraniumspool.minion_session import MinionSession
 from geraniumspool.run_ends import RunEnds
+from geraniumspool.run_leases import (
+    CLOCK_DRIFT,
+    DISPATCHER_LEASE_MS,
+    MINION_LEASE_MS,
+    RUNS_OVER_MS,
+)
 from geraniumspool.run_table import Run, RunState, RunTable
 
 _LOG = logging.getLogger(__name__)
@@ -28,10 +34,12 @@
 # Number of stop calls for an orphaned run without an answer, after which the run is stopped again
 # only if a poll still lists it. The minion's lease is over by then.
 MAX_ORPHAN_STOPS = 8
-# If a run is still active this long after its stop was requested, the minion's lease is not
-# renewed. The run then ends within the time after which dispatchers presume that the runs of a
-# silent dispatcher are over.
-STOP_STUCK_MS = 100.0
+# The minion's lease is not renewed beyond this time after a stop on which dispatchers rely. A run
+# that no stop reaches then ends before it is presumed over, by the faster one of two clocks.
+# Longer than a lease, so that stops which take as long as they may do not shorten it much.
+STOP_LEASE_MS = (
+    RUNS_OVER_MS / (1 + CLOCK_DRIFT) - DISPATCHER_LEASE_MS - LEASE_EXPIRY_MARGIN_MS
+) * (1 - CLOCK_DRIFT)
 
 # Value of ``Run.stop_reason``: another dispatcher has ordered the task.
 SUPERSEDED = "superseded"
@@ -66,7 +74,9 @@
         self._slots = Semaphore(MAX_STOP_CALLS)
 
     def stop(self, run: Run, reason: str, successor: Peer | None = None) -> None:
-        """Stop a run, or refuse it if its start was not sent; repeated calls have no effect.
+        """Stop a run, or refuse it if its start was not sent.
+
+        Repeated calls only note whether dispatchers rely on the stop.
 
         :param successor: the dispatcher that runs the task instead, for the log
         """
@@ -74,6 +84,8 @@
         if run.state is RunState.QUEUED or is_unsent:
             self._ends.refuse(run, reason)
             return
+        if reason in _PRESUMED_OVER_REASONS and not run.presumed_over_ms:
+            run.presumed_over_ms = self._clock.now()
         if run.is_stopping:
             return
         run.is_stopping = True
@@ -123,19 +135,16 @@
         )
         eventlet.spawn_n(self._stop_orphan, incarnation, key)
 
-    def is_stuck(self, now: float) -> bool:
-        """Return whether a stopped run is still active although dispatchers soon presume it over.
+    def find_lease_end(self, now: float) -> float:
+        """Return up to when the minion's lease may be renewed, by the clock of this process.
 
-        In that case the minion's lease is no longer renewed. It covers all runs, so all of them end
-        when it expires.
+        The lease covers all runs, so all of them end if a stop does not reach its run until then.
         """
-        return any(
-            run.is_stopping
-            and run.confirmed_ms
-            and run.stop_reason in _PRESUMED_OVER_REASONS
-            and now - run.stop_requested_ms > STOP_STUCK_MS
-            for run in self._table
-        )
+        until_ms = now + MINION_LEASE_MS
+        for run in self._table:
+            if run.presumed_over_ms:
+                until_ms = min(until_ms, run.presumed_over_ms + STOP_LEASE_MS)
+        return until_ms
 
     def _hedge(self, incarnation: IncarnationState | None, run: Run) -> None:
         """Send a second stop if the first has no answer yet, as its call may have been lost.
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from geraniumspool.memory_minion import MemoryMinion
 from geraniumspool.messages import Peer
-from geraniumspool.run_leases import DISPATCHER_LEASE_MS
+from geraniumspool.minion_life import LEASE_EXPIRY_MARGIN_MS
+from geraniumspool.run_leases import CLOCK_DRIFT, DISPATCHER_LEASE_MS, RUNS_OVER_MS
 from geraniumspool.run_messages import (
     RUN_DONE,
     RUN_REFUSED,
@@ -272,3 +274,86 @@
 
     def stop(self, *numbers):
         self.executor.handle_stop(DISPATCHER, StopRuns(numbers))
+
+
+class SlowClock:
+    """Clock that runs slower than another one, by the difference that leases allow for."""
+
+    RATE = 1 - CLOCK_DRIFT
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._started_ms = clock.now()
+
+    def now(self):
+        return self._started_ms + (self._clock.now() - self._started_ms) * self.RATE
+
+    def sleep(self, delay_ms):
+        self._clock.sleep(delay_ms / self.RATE)
+
+    def after(self, delay_ms, callback):
+        return self._clock.after(delay_ms / self.RATE, callback)
+
+
+class OutlivingRunTest(ExecutorCase):
+    """A run outlives the time after which its silent dispatcher presumes it over.
+
+    The minion hears no stop, and its clock is slow; the dispatcher's is fast.
+    """
+
+    PRESUMED_OVER_MS = RUNS_OVER_MS / (1 + CLOCK_DRIFT)
+    # Times between the last message and the next check of limits, or the next poll.
+    PHASES_MS = range(0, 130, 10)
+
+    def check(self, wait, ahead=lambda: None):
+        """Check when the run of a dispatcher ends that is silent.
+
+        :param wait: called for each millisecond without the dispatcher, with the time since then
+        :param ahead: called after the dispatcher's last message
+        """
+        for phase_ms in self.PHASES_MS:
+            with self.subTest(phase_ms=phase_ms):
+                self.minion = MemoryMinion(SlowClock(self.clock))
+                self.executor = self.make_executor()
+                self.start(make_order(1, run_ms=LONG_MS, limit_ms=LONG_MS))
+                self.advance_renewing(300, 1)
+                self.clock.advance(phase_ms)
+                self.renew(1)
+                reported_ms = self.clock.now()
+                self.minion.ignored_calls.add("stop")
+                ahead()
+                while "j.0.0.0" in self.minion.running and self.clock.now() < reported_ms + 3_000:
+                    self.clock.advance(1)
+                    wait(round(self.clock.now() - reported_ms))
+                ran_ms = self.clock.now() - reported_ms + LEASE_EXPIRY_MARGIN_MS
+                self.assertLessEqual(ran_ms, self.PRESUMED_OVER_MS)
+
+    def test_a_run_that_is_stopped_as_its_dispatcher_is_silent(self):
+        self.check(lambda _silent_ms: None)
+
+    def test_starts_for_another_dispatcher_do_not_keep_it_alive(self):
+        def start_other(silent_ms):
+            if silent_ms % 50 == 0:
+                order = make_order(silent_ms, f"k{silent_ms}.0.0.0", cpu=100, run_ms=20)
+                self.start(order, dispatcher=OTHER_DISPATCHER)
+
+        self.check(start_other)
+
+    def test_a_run_that_is_being_stopped_for_another_reason(self):
+        def pass_limit():
+            run = next(iter(self.executor._table))
+            self.executor._stops.stop(run, "stalled")
+
+        self.check(lambda _silent_ms: None, pass_limit)
+
+    def test_stops_that_take_as_long_as_they_may_end_no_other_run(self):
+        """Each of them counts on the lease of the minion, which other runs need."""
+        self.minion.stop_ms = 50.0
+        self.start(make_order(1, run_ms=LONG_MS))
+        for number in range(2, 60):
+            self.start(make_order(number, f"k{number}.0.0.0", cpu=400, run_ms=LONG_MS))
+            self.clock.advance(25)
+            self.executor.handle_stop(DISPATCHER, StopRuns((number,)))
+            self.clock.advance(15)
+            self.renew(1)
+        self.assertIn("j.0.0.0", self.minion.running)
