forwarded_jobs: a job that newer messages have overtaken is not taken

A forwarded job was taken while the lease of its entry dispatcher was valid, whatever had renewed it, and also if a newer list of that dispatcher's jobs no longer had it. Claims keep it from running beside another run of the task; it ran once more for nobody, until the next list dropped it.

Change: the message counts by its own echo, and a job is ignored that a list covered and that is not known. In the order in which messages are sent nothing changes.

Tests failed before: two of test_job_router.LateForwardTest (the job was started once).

--- a/geraniumspool/forwarded_jobs.py
+++ b/geraniumspool/forwarded_jobs.py
@@ -43,6 +43,8 @@
     :ivar results: results of its last jobs by their numbers
     :ivar rejected_numbers: numbers of jobs that are not accepted any more: it was told that their
         messages had not arrived, or has dropped them before they arrived
+    :ivar covered_upto: number up to which one of its lists was complete: an unknown job up to it
+        was dropped, or counts as lost
     """
 
     def __init__(self, peer: Peer):
@@ -53,11 +55,12 @@
         self.jobs: dict[int, DispatchJob] = {}
         self.results: dict[int, JobResult] = {}
         self.rejected_numbers: dict[int, None] = {}
+        self.covered_upto = 0
         self._highest_forgotten = 0
 
     def knows(self, number: int) -> bool:
         """Return whether a job is unfinished, has ended, counts as lost, or may be forgotten."""
-        if number <= self._highest_forgotten:
+        if number <= max(self._highest_forgotten, self.covered_upto):
             return True
         return number in self.jobs or number in self.results or number in self.rejected_numbers
 
@@ -125,7 +128,11 @@
         number = message.number
         if entry.knows(number):
             return
-        if entry.lease_until_ms <= self._clock.now():
+        now = self._clock.now()
+        # Counts by the message's own echo too: the job may have been given to another dispatcher
+        # before the newer messages that have renewed the lease.
+        is_current = message.echo_ms <= now < message.echo_ms + DISPATCHER_LEASE_MS
+        if not is_current or entry.lease_until_ms <= now:
             self._answer(entry, number, JobResult(JobOutcome.REFUSED, LEASE_OVER))
             return
         submitted = self._dispatcher.submit(
@@ -164,6 +171,7 @@
                 self._drop_job(entry, number)
         for number in wanted - entry.jobs.keys():
             self._send(entry.peer, ForwardedEnd(number, entry.find_result(number)))
+        entry.covered_upto = max(entry.covered_upto, report.upto)
 
     def expire_leases(self, now: float) -> None:
         """End the jobs of entry dispatchers whose leases have expired.
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -6,6 +6,7 @@
 from geraniumspool.fleet import RUNS_LOST_AFTER_MS
 from geraniumspool.forwarded_jobs import MAX_KEPT_RESULTS, NOT_RECEIVED
 from geraniumspool.forwarded_jobs import EntryDispatcher as ForwardedEntry
+from geraniumspool.job_messages import ForwardJob
 from geraniumspool.job_specs import JobOutcome, JobResult
 from geraniumspool.messages import Peer
 from geraniumspool.run_leases import DISPATCHER_LEASE_MS
@@ -217,6 +218,44 @@
         self.assertEqual(JobOutcome.SUCCEEDED, request.outcome)
 
 
+class LateForwardTest(RouterCase):
+    """A job is started for an entry dispatcher that has dropped it before its message arrives."""
+
+    def forward_into_cut(self):
+        """Cut the owner off, forward a job to it, and return the lost message."""
+        self.partition(self.entry, self.owner)
+        sent = len(self.world.network.sent)
+        self.request = self.entry.submit(make_spec("j", run_ms=3_000), timeout_ms=9_000.0)
+        self.advance(20)
+        forwarded = [m for _, _, m in self.world.network.sent[sent:] if type(m) is ForwardJob]
+        self.assertEqual(1, len(forwarded))
+        return forwarded[0]
+
+    def deliver_after(self, cut_ms, message):
+        """Hang up, end the cut, and deliver the message after newer ones."""
+        self.entry.router.remove_waiter(self.request.job)
+        self.advance(cut_ms)
+        self.world.network.heal()
+        self.advance(400)
+        self.owner.router.handle_forward_job(self.entry.messenger.local_peer, message)
+        self.advance(300)
+
+    def test_a_message_from_before_a_long_cut(self):
+        self.deliver_after(2_500, self.forward_into_cut())
+        self.assertEqual(0, self.world.start_count(TASK))
+
+    def test_a_message_that_a_newer_list_has_overtaken(self):
+        self.deliver_after(100, self.forward_into_cut())
+        self.assertEqual(0, self.world.start_count(TASK))
+
+    def test_a_job_that_is_still_wanted_is_served_after_a_cut(self):
+        self.forward_into_cut()
+        self.advance(300)
+        self.world.network.heal()
+        self.advance(4_000)
+        self.assertEqual(JobOutcome.SUCCEEDED, self.request.outcome)
+
+
 class TwoOwnersTest(RouterCase):
     """Two dispatchers that own a worker each, and an entry dispatcher without workers."""
 
