memory_link: connections that stall and deliver after they were replaced

MemoryNetwork lost what was sent over a silent connection. A real one keeps it: TCP sends it again, and a connection that was replaced may deliver after the new one has.

stall_links has the connections between chosen pairs keep what is sent over them until their senders open new ones; release_links delivers what was kept. Nothing changes without a call of stall_links.

The new tests pass; they test the network alone.

--- a/geraniumspool/memory_link.py
+++ b/geraniumspool/memory_link.py
@@ -1,7 +1,7 @@
 """Message transport in memory, with faults, for tests."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import eventlet
 
@@ -23,6 +23,8 @@
     :ivar partitioned: pairs of sender's and receiver's address between which messages are lost
     :ivar silent_links: pairs of sender's and receiver's address between which messages are lost
         until the sender opens a new connection
+    :ivar stalled_links: pairs of sender's and receiver's address whose open connection keeps what
+        is sent over it, also after the sender has opened a new one, until it is released
     :ivar held_messages: undelivered messages of each address whose process is paused
     :ivar dropped_kinds: names of message types to lose
     :ivar duplicated_kinds: names of message types to deliver twice
@@ -45,6 +47,9 @@
         self.duplicate_delay_ms = 50.0
         self.partitioned: set[tuple[str, str]] = set()
         self.silent_links: set[tuple[str, str]] = set()
+        self.stalled_links: set[tuple[str, str]] = set()
+        # What stalled connections have kept, by sender's and receiver's address.
+        self._kept_messages: dict[tuple[str, str], list[bytes]] = {}
         self._unseen_ends: set[tuple[str, str]] = set()
         # When a process first found that another one had ended.
         self._found_ended_ms: dict[tuple[str, str], float] = {}
@@ -77,9 +82,28 @@
         addresses = self._inboxes.keys()
         self.silent_links = {(one, other) for one in addresses for other in addresses}
 
+    def stall_links(self, links: Iterable[tuple[str, str]]) -> None:
+        """Have the connections that may be open now keep what is sent over them.
+
+        :param links: pairs of sender's and receiver's address
+        """
+        self.stalled_links.update(links)
+
+    def release_links(self) -> None:
+        """Deliver what stalled connections have kept, each in order, and end all stalls.
+
+        A connection delivers also after its sender has opened a new one.
+        """
+        self.stalled_links.clear()
+        kept, self._kept_messages = self._kept_messages, {}
+        for (_sender, receiver), messages in kept.items():
+            for data in messages:
+                self._schedule(receiver, self.delay_ms, data)
+
     def reopen(self, sender: str, receiver: str) -> None:
         """Open a new connection between two addresses."""
         self.silent_links.discard((sender, receiver))
+        self.stalled_links.discard((sender, receiver))
 
     def heal(self) -> None:
         """Remove all partitions."""
@@ -128,11 +152,14 @@
         if kind in self.dropped_kinds or self.is_lost(sender.address, receiver.address):
             return
         address = receiver.address
+        link = (sender.address, address)
+        if link in self.stalled_links:
+            self._kept_messages.setdefault(link, []).append(data)
+            return
         for delay_ms in self.choose_delays(sender.address, address):
-            self.clock.after(delay_ms, lambda: self._deliver(address, data))
+            self._schedule(address, delay_ms, data)
         if kind in self.duplicated_kinds:
-            duplicate_ms = self.delay_ms + self.duplicate_delay_ms
-            self.clock.after(duplicate_ms, lambda: self._deliver(address, data))
+            self._schedule(address, self.delay_ms + self.duplicate_delay_ms, data)
 
     def is_lost(self, sender: str, receiver: str) -> bool:
         """Return whether messages between two addresses are lost."""
@@ -142,6 +169,9 @@
     def _delay_once(self, _sender: str, _receiver: str) -> Sequence[float]:
         return (self.delay_ms,)
 
+    def _schedule(self, address: str, delay_ms: float, data: bytes) -> None:
+        self.clock.after(delay_ms, lambda: self._deliver(address, data))
+
     def _deliver(self, address: str, data: bytes) -> None:
         if address in self.held_messages:
             self.held_messages[address].append(data)
--- a/tests/test_memory_link.py
+++ b/tests/test_memory_link.py
@@ -106,5 +106,53 @@
         self.assertEqual((5, 0), (len(self.received), self.count_overtaken()))
 
 
+class LateDeliveryTest(unittest.TestCase):
+    """Connections that stall, are replaced, and deliver what was sent over them afterwards."""
+
+    LINK = ("tcp://a", "tcp://b")
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock)
+        self.counters = MemoryCounters()
+        self.received = []
+        self.sender = self.attach("tcp://a", 1, MemoryCounters(), lambda _delivery: None)
+        self.receiver = self.attach("tcp://b", 2, self.counters, self.note)
+
+    def attach(self, address, number, counters, receive):
+        peer = Peer(address, make_incarnation(number))
+        messenger = MemoryMessenger(self.network, peer, counters)
+        messenger.start(receive)
+        return messenger
+
+    def note(self, delivery):
+        self.received.extend(delivery.message.numbers)
+
+    def send(self, *numbers):
+        for number in numbers:
+            self.sender.send(self.receiver.local_peer, StopRuns((number,)))
+        self.clock.advance(1)
+
+    def reopen(self):
+        self.clock.advance(1_000)
+        now = self.clock.now()
+        self.assertTrue(self.sender.reopen_unconfirmed(self.receiver.local_peer, now))
+
+    def test_a_stalled_connection_delivers_in_order_once_it_is_released(self):
+        self.network.stall_links([self.LINK])
+        self.send(1, 2)
+        self.assertEqual([], self.received)
+        self.network.release_links()
+        self.send(3)
+        self.assertEqual([1, 2, 3], self.received)
+
+    def test_a_replaced_connection_does_not_hold_back_the_new_one(self):
+        self.network.stall_links([self.LINK])
+        self.send(1)
+        self.reopen()
+        self.send(2)
+        self.assertEqual([2], self.received)
+
+
 if __name__ == "__main__":
     unittest.main()
