link_monitor, inbound: messages that newer ones have overtaken count as lost

Cause: a connection that is replaced stays open for a second, and the kernel delivers what it has accepted also after that. Messages over it arrived after newer ones over the new connection and were handled: orders that their dispatcher had given up, releases and claims that had been superseded. The code of dispatchers and executors assumes that messages between two processes arrive in order or not at all.

Change: a message of dispatchers and executors whose number is below the highest received from the same incarnation is not handed on, and counted in messages_rejected with the reason overtaken. It tells nothing of the link either: it confirms nothing of late, so a working connection was replaced for it. Kinds of entries and agents are taken as before: they are matched by numbers and versions.

OvertakenMessagesTest expected overtaken orders to be handled, as they were when they were only counted; it now expects that exactly the latest are.

Seen to fail without the change to inbound and monitored_links: both test_link.SilentLinkTest tests of overtaken messages, test_memory_link.LateDeliveryTest (2) and OvertakenMessagesTest (1).

--- a/benchmarks/soak_processes.py
+++ b/benchmarks/soak_processes.py
@@ -57,6 +57,8 @@
 
     :ivar address: host and port that it listens on
     :ivar is_stalled: whether data is held back, in both directions
+    :ivar stalled_ports: ports of clients whose connections hold back data, in both directions, and
+        deliver it afterwards, also if the client has closed its connection meanwhile
     :ivar is_cut: returns whether the connection from a port is cut: its data is held back, and
         neither side learns that the other one has closed it
     """
@@ -66,6 +68,7 @@
         self._listener = eventlet.listen(("127.0.0.1", 0), backlog=512)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.is_stalled = False
+        self.stalled_ports: set[int] = set()
         self.is_cut: Callable[[int], bool] = _never_cut
         self._connections: set[_ProxiedConnection] = set()
         self._task = eventlet.spawn(self._accept)
@@ -84,6 +87,13 @@
             if to_client:
                 connection.silent_sources.add(connection.far)
 
+    def stall_open(self) -> None:
+        """Hold back the data of the connections that are open now.
+
+        Connections opened later work.
+        """
+        self.stalled_ports = {connection.port for connection in self._connections}
+
     def reset(self) -> None:
         """Reset all open connections."""
         for connection in list(self._connections):
@@ -139,7 +149,7 @@
         sink.close()
 
     def _wait_while_held(self, port: int) -> None:
-        while self.is_stalled or self.is_cut(port):
+        while self.is_stalled or port in self.stalled_ports or self.is_cut(port):
             eventlet.sleep(HELD_CHECK_S)
 
 
--- a/geraniumspool/inbound.py
+++ b/geraniumspool/inbound.py
@@ -12,6 +12,7 @@
     Peer,
     WrongIncarnation,
     decode,
+    is_ordered,
     kind_name,
 )
 
@@ -34,12 +35,13 @@
         local_peer: Peer,
         counters: Counters,
         send_reply: Callable[[Peer, Message], bool],
-        note_received: Callable[[Delivery], None],
+        note_received: Callable[[Delivery], bool],
     ):
         """Store the collaborators.
 
         :param send_reply: sends a rejection
-        :param note_received: called with each decoded message
+        :param note_received: called with each decoded message; returns whether a later message of
+            the same process has arrived before
         """
         self._local_peer = local_peer
         self._counters = counters
@@ -59,10 +61,13 @@
         except MalformedMessage:
             self._counters.add("messages_rejected", reason="malformed")
             return
-        self._note_received(delivery)
+        is_overtaken = self._note_received(delivery)
         if delivery.receiver not in (ANY_INCARNATION, self._local_peer.incarnation):
             self._reject(delivery)
             return
+        if is_overtaken and is_ordered(delivery.message):
+            self._counters.add("messages_rejected", reason="overtaken")
+            return
         self._counters.add("messages_received", kind=kind_name(delivery.kind))
         if delivery.is_newer:
             self._counters.add("messages_newer", kind=kind_name(delivery.kind))
--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -8,6 +8,10 @@
 
 A process that replaces its connection to a peer raises the generation of both directions: the
 peer learns by the next message that it should replace its own as well, which is likely dead too.
+
+A connection that was replaced may still deliver what was sent over it, after newer messages over
+the new one. Where a protocol relies on the order, a message that was overtaken counts as lost: all
+of these repeat or reconcile what is lost, which a message that its receiver takes late undoes.
 """
 
 from enum import Enum
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -586,6 +586,29 @@
 )
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
+# The protocols of dispatchers and executors rely on the order of their messages, which are repeated
+# or reconciled if they are lost. Those of entries and agents have numbers and versions of their
+# own, and take a message however late it is.
+_ORDERED_TYPES = frozenset(
+    (
+        StartRuns,
+        StopRuns,
+        RenewRuns,
+        WorkerReport,
+        ForwardJob,
+        ForwardedEnd,
+        DropJobs,
+        DispatcherReport,
+        ClaimJobs,
+        OpenClaims,
+        ClaimVerdicts,
+        EndClaims,
+        FenceJobs,
+        JobsFenced,
+        RelayClaims,
+        RelayedClaims,
+    )
+)
 # How many fields the types that have grown since the base version had in it.
 _BASE_LENGTHS: dict[type, int] = {
     DispatcherReport: 8,
@@ -639,6 +662,11 @@
     return _MESSAGE_TYPES[kind].__name__
 
 
+def is_ordered(message: Message) -> bool:
+    """Return whether a message must not be taken after a newer one of its sender."""
+    return type(message) in _ORDERED_TYPES
+
+
 def is_readable(message: Message, version: int) -> bool:
     """Return whether processes of a version know a message's kind."""
     return version >= VERSION_EXTENSIBLE or _KIND_BY_TYPE[type(message)] < _BASE_KINDS
--- a/geraniumspool/monitored_links.py
+++ b/geraniumspool/monitored_links.py
@@ -88,11 +88,14 @@
         stamp = self._monitor.make_stamp(peer.address) if is_stamped else NO_STAMP
         return encode(self.local_peer, peer.incarnation, message, stamp, version)
 
-    def _note_received(self, delivery: Delivery) -> None:
+    def _note_received(self, delivery: Delivery) -> bool:
+        """Record a message; return whether a later one has overtaken it."""
         sender = delivery.sender
         overtaking_number = self._monitor.find_overtaking(sender, delivery.stamp)
         if overtaking_number:
+            # It tells nothing of how the link is now.
             self._report_overtaken(delivery, overtaking_number)
+            return True
         former_version = self._monitor.heard_version(sender)
         reason = self._monitor.note_received(sender, delivery.stamp)
         self._report_version(sender, former_version)
@@ -100,6 +103,7 @@
             self._reopen(sender, reason)
         elif reason is not None:
             self._reopen_if_due(sender, reason)
+        return False
 
     def _report_overtaken(self, delivery: Delivery, overtaking_number: int) -> None:
         """Count a message that arrived after a later one, and log one of a peer at a time."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -25,6 +25,7 @@
     encode,
     kind_number,
 )
+from geraniumspool.run_messages import StopRuns
 from geraniumspool.wire_versions import make_incarnation
 
 ONE, TWO, THREE, FOUR = map(make_incarnation, (11, 22, 33, 44))
@@ -380,6 +381,37 @@
         self.proxies[FOUR].is_stalled = False
         self.wait(lambda: 7 in self.requests(FOUR))
 
+    def overtake(self):
+        """Have a message overtake two others, whose connection stalls and is replaced."""
+        self.deliveries[FOUR].clear()
+        self.proxies[FOUR].stall_open()
+        for number in (7, 8):
+            self.one.send(self.two.local_peer, StopRuns((number,)))
+        self.assertTrue(self.one.reopen_unconfirmed(self.two.local_peer, self.clock.now()))
+        self.one.send(self.two.local_peer, StopRuns((9,)))
+        self.wait(lambda: self.deliveries[FOUR])
+
+    def assert_late_messages_dropped(self):
+        """Have the stalled connection deliver what it holds, and check that none of it is taken."""
+        self.proxies[FOUR].stalled_ports.clear()
+        self.wait(lambda: self.counts[FOUR].get("messages_rejected/overtaken") == 2)
+        received = [delivery.message for delivery in self.deliveries[FOUR]]
+        self.assertEqual([StopRuns((9,))], received)
+        self.exchange()
+
+    def test_messages_that_newer_ones_have_overtaken_are_dropped(self):
+        """Their connection was slow, and they were handled after newer ones."""
+        self.overtake()
+        self.assert_late_messages_dropped()
+
+    def test_messages_that_arrive_after_their_connection_was_closed_are_dropped(self):
+        """What was handed to the kernel is delivered after the socket was closed."""
+        with mock.patch.object(link, "RETIRED_LINK_MS", 50.0):
+            self.overtake()
+        self.wait(lambda: not self.one._retired_links)
+        eventlet.sleep(0.2)
+        self.assert_late_messages_dropped()
+
 
 class ForeignThreadsTest(unittest.TestCase):
     """Locks that the main thread shares with nng's own threads."""
--- a/tests/test_memory_link.py
+++ b/tests/test_memory_link.py
@@ -5,7 +5,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.memory_link import MemoryMessenger, MemoryNetwork
-from geraniumspool.messages import Peer
+from geraniumspool.messages import Inquire, Peer
 from geraniumspool.monitored_links import OVERTAKEN_LOG_INTERVAL_MS
 from geraniumspool.run_messages import StopRuns
 from geraniumspool.wire_versions import make_incarnation
@@ -83,7 +83,7 @@
                     self.send(sender, 100 + number, number)
                 self.send(sender, 1, 9)
             self.clock.advance(200)
-        self.assertEqual(12, len(self.received))
+        self.assertEqual([StopRuns((9,))] * 2, [delivery.message for delivery in self.received])
         self.assertEqual(10, self.count_overtaken())
         lines = [dict(record.fields) for record in logs.records]
         peers = [sender.local_peer.address for sender in senders]
@@ -138,6 +138,9 @@
         now = self.clock.now()
         self.assertTrue(self.sender.reopen_unconfirmed(self.receiver.local_peer, now))
 
+    def count_overtaken(self):
+        return self.counters.get("messages_rejected", reason="overtaken")
+
     def test_a_stalled_connection_delivers_in_order_once_it_is_released(self):
         self.network.stall_links([self.LINK])
         self.send(1, 2)
@@ -146,6 +149,52 @@
         self.send(3)
         self.assertEqual([1, 2, 3], self.received)
 
+    def test_a_message_that_newer_ones_have_overtaken_is_dropped(self):
+        """It was handled, although its receiver knew newer ones already."""
+        self.network.stall_links([self.LINK])
+        self.send(1, 2)
+        self.reopen()
+        self.send(3)
+        self.network.release_links()
+        self.send(4)
+        self.assertEqual([3, 4], self.received)
+        self.assertEqual(2, self.count_overtaken())
+
+    def test_messages_over_a_replaced_connection_are_taken_while_none_came_over_the_new_one(self):
+        self.network.stall_links([self.LINK])
+        self.send(1, 2)
+        self.reopen()
+        self.network.release_links()
+        self.send(3)
+        self.assertEqual([1, 2, 3], self.received)
+        self.assertEqual(0, self.count_overtaken())
+
+    def test_a_message_that_is_right_however_late_is_taken(self):
+        """Entries and agents match answers by number: a late one saves a repetition."""
+        taken = []
+        self.receiver.start(taken.append)
+        self.network.stall_links([self.LINK])
+        self.sender.send(self.receiver.local_peer, Inquire(1, "t"))
+        self.reopen()
+        self.send(2)
+        self.network.release_links()
+        self.clock.advance(1)
+        self.assertEqual([StopRuns((2,)), Inquire(1, "t")], [one.message for one in taken])
+
+    def test_a_message_that_was_overtaken_does_not_have_a_connection_replaced(self):
+        """It confirms nothing of late, and looked like proof that its sender receives nothing."""
+        self.network.stall_links([self.LINK])
+        self.send(1)
+        self.reopen()
+        self.send(2)
+        self.receiver.send(self.sender.local_peer, StopRuns((3,)))
+        self.clock.advance(1_000)
+        reopened = self.receiver.reopened
+        self.network.release_links()
+        self.clock.advance(1)
+        self.assertEqual(reopened, self.receiver.reopened)
+        self.assertEqual(1, self.count_overtaken())
+
     def test_a_replaced_connection_does_not_hold_back_the_new_one(self):
         self.network.stall_links([self.LINK])
         self.send(1)
