link_monitor: a late message of a former incarnation does not make it current

Cause: a message of a process that another one has replaced at its address made it the current one there until the next message of the living process. Dispatchers took a worker for replaced twice more, an arbiter forgot that the living dispatcher had sent its claims, and the highest number received from the living process was forgotten, so that overtaken messages of it were taken.

Change: of two processes at an address, the one that has received a message which was sent after the other was heard is the later one, as only one of them at a time receives there. What the other one sends is not taken any more, but for kinds of entries and agents that are right however late. Until that is known, the one heard last is current, as before. A living process that was wrongly taken for a former one is heard again once it confirms a later message. WrongIncarnation is now among the kinds that are not taken late.

Counted in messages_rejected with the reason former_incarnation.

Seen to fail without the check in monitored_links: test_silent_links.LateReportTest (worker replaced 3 times, 1 expected). test_link_monitor.FormerIncarnationTest plays 300 mixes of late messages and confirmations in which the living process is never ignored.

No messages rejected in calm (CalmTest checks that).

--- a/geraniumspool/inbound.py
+++ b/geraniumspool/inbound.py
@@ -5,6 +5,7 @@
 
 from geraniumspool.contracts import Counters
 from geraniumspool.errors import MalformedMessage, UnknownKind
+from geraniumspool.link_monitor import OutdatedReason
 from geraniumspool.messages import (
     ANY_INCARNATION,
     Delivery,
@@ -35,13 +36,13 @@
         local_peer: Peer,
         counters: Counters,
         send_reply: Callable[[Peer, Message], bool],
-        note_received: Callable[[Delivery], bool],
+        note_received: Callable[[Delivery], OutdatedReason | None],
     ):
         """Store the collaborators.
 
         :param send_reply: sends a rejection
-        :param note_received: called with each decoded message; returns whether a later message of
-            the same process has arrived before
+        :param note_received: called with each decoded message; returns why it is outdated, None if
+            it is not
         """
         self._local_peer = local_peer
         self._counters = counters
@@ -61,12 +62,12 @@
         except MalformedMessage:
             self._counters.add("messages_rejected", reason="malformed")
             return
-        is_overtaken = self._note_received(delivery)
+        outdated = self._note_received(delivery)
         if delivery.receiver not in (ANY_INCARNATION, self._local_peer.incarnation):
             self._reject(delivery)
             return
-        if is_overtaken and is_ordered(delivery.message):
-            self._counters.add("messages_rejected", reason="overtaken")
+        if outdated is not None and is_ordered(delivery.message):
+            self._counters.add("messages_rejected", reason=outdated.value)
             return
         self._counters.add("messages_received", kind=kind_name(delivery.kind))
         if delivery.is_newer:
--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -34,6 +34,9 @@
 # Shortest and longest time between two reopenings of a link that remains unconfirmed.
 MIN_REOPEN_INTERVAL_MS = 250.0
 MAX_REOPEN_INTERVAL_MS = 900.0
+# Incarnations remembered for each address besides the current one; beyond, the one that was heard
+# longest ago is forgotten.
+MAX_OTHER_INCARNATIONS = 8
 # Bits of the first number of a process, which is drawn from its incarnation: numbers that a peer
 # has received from an earlier process at the same address rarely match.
 FIRST_NUMBER_BITS = 30
@@ -57,6 +60,15 @@
         return self in (ReopenReason.UNCONFIRMED, ReopenReason.NOT_RECEIVED)
 
 
+class OutdatedReason(Enum):
+    """Why a message is older than what is known from others already."""
+
+    # A message that its sender sent later has arrived before.
+    OVERTAKEN = "overtaken"
+    # Another process has replaced its sender.
+    FORMER_INCARNATION = "former_incarnation"
+
+
 class LinkState(NamedTuple):
     """What is known about the link to one peer, for logs.
 
@@ -68,6 +80,22 @@
     silent_ms: float
 
 
+class _OtherIncarnation:
+    """A process at a peer's address that another one has replaced, or seems to have.
+
+    :ivar received: highest number received from it
+    :ivar heard_sent: number of the latest message to the address before it was last heard
+    :ivar is_former: whether another one is known to be later
+    """
+
+    __slots__ = ("heard_sent", "is_former", "received")
+
+    def __init__(self, received: int = 0, heard_sent: int = 0):
+        self.received = received
+        self.heard_sent = heard_sent
+        self.is_former = False
+
+
 class _PeerRecord:
     """Messages exchanged with one peer; times are the clock's, in milliseconds."""
 
@@ -83,6 +111,8 @@
         "generation",
         "reopened_ms",
         "reopen_interval_ms",
+        "heard_sent",
+        "others",
     )
 
     def __init__(self):
@@ -100,19 +130,54 @@
         self.generation = 0
         self.reopened_ms: float | None = None
         self.reopen_interval_ms = 0.0
+        # Latest message that was sent to the address before the incarnation was last heard.
+        self.heard_sent = 0
+        # Other incarnations heard at the address, the one heard last at the end.
+        self.others: dict[int, _OtherIncarnation] = {}
 
     def note_incarnation(self, sender: Peer, stamp: LinkStamp) -> None:
         """Record which process has sent a message, and the version that it reads."""
         if self.incarnation != sender.incarnation:
+            known = self.others.pop(sender.incarnation, _OtherIncarnation())
+            if self.incarnation != ANY_INCARNATION:
+                self._keep_incarnation()
             self.incarnation = sender.incarnation
             self.version = announced_version(sender.incarnation)
-            self.received = 0
+            self.received = known.received
+        self.heard_sent = self.sent
         if stamp.number:
             self.version = max(self.version, VERSION_STAMPED)
         if self.version == VERSION_BASE:
             # The peer confirms nothing.
             self.unconfirmed = 0
 
+    def is_former(self, incarnation: int, received: int) -> bool:
+        """Return whether an incarnation that was heard again is known to be a former one.
+
+        :param received: highest number that it has received, by its message
+        """
+        other = self.others.get(incarnation)
+        if other is None or not other.is_former:
+            return False
+        # Nothing but a count that a process before this one has left may have misled.
+        return not self.heard_sent < received <= self.sent
+
+    def find_former(self, received: int) -> None:
+        """Find out which incarnations the current one has replaced, by what it has received.
+
+        It has received a message that was sent after another incarnation was heard. Only one
+        process at a time receives at an address, so the other one had ended before.
+        """
+        if received > self.sent:
+            return
+        for other in self.others.values():
+            other.is_former |= other.heard_sent < received
+
+    def _keep_incarnation(self) -> None:
+        self.others[self.incarnation] = _OtherIncarnation(self.received, self.heard_sent)
+        if len(self.others) > MAX_OTHER_INCARNATIONS:
+            del self.others[next(iter(self.others))]
+
     def track_latest(self) -> None:
         """Track the latest message until it is confirmed."""
         self.unconfirmed = self.sent
@@ -161,6 +226,16 @@
             return 0
         return record.received if 0 < stamp.number < record.received else 0
 
+    def is_former(self, sender: Peer, stamp: LinkStamp) -> bool:
+        """Return whether another process is known to have replaced the sender of a message.
+
+        Called before :meth:`note_received`. What a process has sent may arrive after its successor
+        was heard. Which of two came first is known once one of them has received a message that was
+        sent after the other one was heard; until then, whichever was heard last is current.
+        """
+        record = self._records.get(sender.address)
+        return record is not None and record.is_former(sender.incarnation, stamp.received)
+
     def note_received(self, sender: Peer, stamp: LinkStamp) -> ReopenReason | None:
         """Record a message; return why the connection to its sender is dead, None if it is not."""
         record = self._find_or_add(sender.address)
@@ -169,6 +244,7 @@
         if not stamp.number:
             return None
         record.received = max(record.received, stamp.number)
+        record.find_former(stamp.received)
         if record.unconfirmed:
             record.confirm(stamp.received)
         if stamp.generation > record.generation:
--- a/geraniumspool/memory_link.py
+++ b/geraniumspool/memory_link.py
@@ -64,6 +64,11 @@
         address = messenger.local_peer.address
         self._inboxes[address] = messenger
         self._unseen_ends = {link for link in self._unseen_ends if link[1] != address}
+        # What a former process at the address has sent may still arrive, what was sent to it won't.
+        self.stalled_links = {link for link in self.stalled_links if address not in link}
+        self._kept_messages = {
+            link: kept for link, kept in self._kept_messages.items() if link[1] != address
+        }
 
     def detach(self, messenger: "MemoryMessenger") -> None:
         """Stop delivery to a messenger, as if its process had died."""
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -607,6 +607,7 @@
         JobsFenced,
         RelayClaims,
         RelayedClaims,
+        WrongIncarnation,
     )
 )
 # How many fields the types that have grown since the base version had in it.
--- a/geraniumspool/monitored_links.py
+++ b/geraniumspool/monitored_links.py
@@ -4,7 +4,12 @@
 import math
 
 from geraniumspool.contracts import Clock, Counters
-from geraniumspool.link_monitor import UNCONFIRMED_LIMIT_MS, LinkMonitor, ReopenReason
+from geraniumspool.link_monitor import (
+    UNCONFIRMED_LIMIT_MS,
+    LinkMonitor,
+    OutdatedReason,
+    ReopenReason,
+)
 from geraniumspool.messages import (
     NO_STAMP,
     Delivery,
@@ -88,14 +93,16 @@
         stamp = self._monitor.make_stamp(peer.address) if is_stamped else NO_STAMP
         return encode(self.local_peer, peer.incarnation, message, stamp, version)
 
-    def _note_received(self, delivery: Delivery) -> bool:
-        """Record a message; return whether a later one has overtaken it."""
+    def _note_received(self, delivery: Delivery) -> OutdatedReason | None:
+        """Record a message, unless it is outdated; return why it is, None if it is not."""
         sender = delivery.sender
+        if self._monitor.is_former(sender, delivery.stamp):
+            return OutdatedReason.FORMER_INCARNATION
         overtaking_number = self._monitor.find_overtaking(sender, delivery.stamp)
         if overtaking_number:
             # It tells nothing of how the link is now.
             self._report_overtaken(delivery, overtaking_number)
-            return True
+            return OutdatedReason.OVERTAKEN
         former_version = self._monitor.heard_version(sender)
         reason = self._monitor.note_received(sender, delivery.stamp)
         self._report_version(sender, former_version)
@@ -103,7 +110,7 @@
             self._reopen(sender, reason)
         elif reason is not None:
             self._reopen_if_due(sender, reason)
-        return False
+        return None
 
     def _report_overtaken(self, delivery: Delivery, overtaking_number: int) -> None:
         """Count a message that arrived after a later one, and log one of a peer at a time."""
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -1,16 +1,19 @@
 """Tests of the confirmation of messages between processes."""
 
+import itertools
+import random
 import unittest
 
 from geraniumspool.clock import ManualClock
 from geraniumspool.link_monitor import (
     CONFIRMATION_LIMIT_MS,
+    MAX_OTHER_INCARNATIONS,
     MAX_REOPEN_INTERVAL_MS,
     MIN_REOPEN_INTERVAL_MS,
     LinkMonitor,
     ReopenReason,
 )
-from geraniumspool.messages import NO_STAMP, Peer
+from geraniumspool.messages import NO_STAMP, LinkStamp, Peer
 
 ONE, TWO = Peer("one", 11), Peer("two", 22)
 LATE_MS = CONFIRMATION_LIMIT_MS + 1
@@ -146,5 +149,99 @@
         self.assertFalse(self.one.is_unconfirmed(TWO.address, self.clock.now()))
 
 
+class FormerIncarnationTest(unittest.TestCase):
+    """Messages of a process that arrive after another one at its address was heard."""
+
+    FORMER, LATER = Peer("one", 1_011), Peer("one", 2_011)
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.receiver = LinkMonitor(self.clock, TWO.incarnation)
+        self.monitors = {
+            peer: LinkMonitor(self.clock, peer.incarnation) for peer in (self.FORMER, self.LATER)
+        }
+
+    def make_message(self, sender):
+        return sender, self.monitors[sender].make_stamp(TWO.address)
+
+    def hear(self, sender, stamp):
+        """Take a message, unless its sender is known to be a former one; return whether it is."""
+        is_former = self.receiver.is_former(sender, stamp)
+        if not is_former:
+            self.receiver.note_received(sender, stamp)
+        return is_former
+
+    def send_to(self, receiver):
+        """Send a message to the address, which one of its processes receives."""
+        stamp = self.receiver.make_stamp(receiver.address)
+        self.monitors[receiver].note_received(TWO, stamp)
+
+    def test_a_late_message_of_a_former_process_is_recognized(self):
+        """It made the former process the current one for a moment."""
+        late = self.make_message(self.FORMER)
+        self.assertFalse(self.hear(*self.make_message(self.FORMER)))
+        self.assertFalse(self.hear(*self.make_message(self.LATER)))
+        self.send_to(self.LATER)
+        self.assertFalse(self.hear(*self.make_message(self.LATER)))
+        self.assertTrue(self.hear(*late))
+        self.assertTrue(self.hear(*self.make_message(self.FORMER)))
+        self.assertFalse(self.hear(*self.make_message(self.LATER)))
+
+    def test_a_living_process_is_heard_whichever_was_heard_first(self):
+        """Without a confirmation it is not known which of two processes came first."""
+        orders = itertools.product((self.FORMER, self.LATER), repeat=5)
+        for order in orders:
+            with self.subTest(order=order):
+                self.setUp()
+                for sender in order:
+                    self.assertFalse(self.hear(*self.make_message(sender)))
+
+    def test_a_living_process_is_heard_at_any_mix_of_late_messages_and_confirmations(self):
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                self.setUp()
+                drawn = random.Random(seed)
+                late = []
+                for _ in range(drawn.randrange(10)):
+                    if drawn.random() < 0.5:
+                        self.send_to(self.FORMER)
+                    late.append(self.make_message(self.FORMER))
+                for _ in range(30):
+                    act = drawn.random()
+                    if act < 0.3 and late:
+                        self.hear(*late.pop(drawn.randrange(len(late))))
+                    elif act < 0.6:
+                        self.send_to(self.LATER)
+                    else:
+                        self.assertFalse(self.hear(*self.make_message(self.LATER)))
+
+    def test_a_process_that_was_wrongly_taken_for_a_former_one_is_heard_again(self):
+        """A count that an earlier process at this address has left may look like a confirmation."""
+        self.hear(*self.make_message(self.LATER))
+        self.receiver.make_stamp(self.LATER.address)
+        sent = self.receiver.make_stamp(self.LATER.address).number
+        self.receiver.note_received(self.FORMER, LinkStamp(1_500, sent))
+        self.assertTrue(self.hear(*self.make_message(self.LATER)))
+        self.send_to(self.LATER)
+        self.assertFalse(self.hear(*self.make_message(self.LATER)))
+        self.assertTrue(self.hear(*self.make_message(self.FORMER)))
+
+    def test_overtaken_messages_are_known_after_a_former_process_was_heard(self):
+        """The highest number that was received from the later one was forgotten."""
+        late = self.make_message(self.LATER)
+        self.hear(*self.make_message(self.LATER))
+        self.hear(*self.make_message(self.FORMER))
+        latest = self.make_message(self.LATER)
+        self.hear(*latest)
+        self.assertEqual(latest[1].number, self.receiver.find_overtaking(*late))
+
+    def test_a_limited_number_of_former_processes_is_remembered(self):
+        for number in range(1, 100):
+            self.receiver.note_received(Peer("one", number), LinkStamp(number))
+        record = self.receiver._records["one"]
+        self.assertEqual(MAX_OTHER_INCARNATIONS, len(record.others))
+        self.assertIn(98, record.others)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -5,9 +5,10 @@
 import unittest
 
 from geraniumspool.job_specs import JobOutcome
+from geraniumspool.link_monitor import OutdatedReason
 from geraniumspool.queues import Queue
 from geraniumspool.run_messages import RenewRuns
-from tests.dispatch_world import DispatchWorld, make_spec
+from tests.dispatch_world import DispatchWorld, SimulatedWorker, make_spec
 
 # Within the deadline of a typical caller.
 DEADLINE_MS = 1_500.0
@@ -147,6 +148,34 @@
         self.assertIs(JobOutcome.SUCCEEDED, lost.outcome)
 
 
+class LateReportTest(SilentLinksCase):
+    """Reports of an executor's process that arrive after its next process was heard."""
+
+    def test_a_former_process_does_not_become_the_current_one_again(self):
+        """Each time, the worker was taken for replaced, and was not used until it had reported."""
+        self.world = DispatchWorld(1, 1)
+        self.addCleanup(self.world.close)
+        dispatcher, former = self.world.dispatcher, self.world.workers[0]
+        dispatcher.submit(make_spec("j", cpu=1_000, run_ms=900), QUEUE, 3_000.0)
+        self.advance(100)
+        self.world.network.stall_links([(former.address, dispatcher.address)])
+        self.advance(400)
+        former.kill()
+        with self.assertLogs("geraniumspool.fleet", "INFO") as logs:
+            later = SimulatedWorker(self.world, former.name, 2, former.minion, 2)
+            self.world.workers[0] = later
+            self.advance(1_500)
+            self.world.network.release_links()
+            self.advance(500)
+        replaced = [line for line in logs.records if line.getMessage() == "worker replaced"]
+        self.assertEqual(1, len(replaced))
+        counters = dispatcher.counters
+        self.assertLess(0, counters.get("messages_rejected", reason="former_incarnation"))
+        caller = dispatcher.submit(make_spec("k", cpu=1_000, run_ms=RUN_MS), QUEUE, DEADLINE_MS)
+        self.advance(DEADLINE_MS)
+        self.assertIs(JobOutcome.SUCCEEDED, caller.outcome)
+
+
 class CalmTest(SilentLinksCase):
     """Links that work."""
 
@@ -162,6 +191,12 @@
                     part.messenger for part in (*self.world.workers, *self.world.dispatchers)
                 ]
                 self.assertEqual([0] * 6, [messenger.reopened for messenger in messengers])
+                rejected = [
+                    part.counters.get("messages_rejected", reason=reason.value)
+                    for part in (*self.world.workers, *self.world.dispatchers)
+                    for reason in OutdatedReason
+                ]
+                self.assertEqual([0] * 12, rejected)
 
     def test_idle_workers_are_renewed_at_the_idle_interval(self):
         self.start()
