soak: connections that deliver late, one-way cuts, resets during cuts, restless callers

The soak cut dispatchers from each other, always both ways and with new connections held back as well, so that nothing old arrived after something new.

LinkCuts holds several cuts at a time, so that they overlap.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -43,6 +43,7 @@
     EARLY_CALLERS,
     EVACUATIONS,
     FAULTS,
+    LATE_DELIVERIES,
     MORE_FAULTS,
     SILENCES,
     Faults,
@@ -61,11 +62,13 @@
 MAX_PAUSES_S = (0.4, 0.8, 1.2)
 DOMAINS = ("north", "south")
 # Later seeds draw more kinds of faults; earlier ones draw the same as before, so that they repeat.
+LATE_DELIVERIES_FIRST_SEED = 8_000
 CUTS_FIRST_SEED = 7_000
 SHARING_FIRST_SEED = 6_000
 SILENCES_FIRST_SEED = 5_000
 EARLY_CALLERS_FIRST_SEED = 4_000
 FAULTS_BY_FIRST_SEED = (
+    (LATE_DELIVERIES_FIRST_SEED, LATE_DELIVERIES),
     (CUTS_FIRST_SEED, CUTS),
     (SHARING_FIRST_SEED, DEPARTURES),
     (SILENCES_FIRST_SEED, SILENCES),
@@ -164,7 +167,8 @@
         endpoints = self._deployment.endpoints
         if self._has_early_callers:
             run_ms = CUTS_RUN_MS if self._has_cuts else LONGEST_RUN_MS
-            return EagerCallers(endpoints, self.checker, self._seed, run_ms)
+            is_restless = self._seed >= LATE_DELIVERIES_FIRST_SEED
+            return EagerCallers(endpoints, self.checker, self._seed, run_ms, is_restless)
         return PatientCallers(endpoints)
 
     def _call(self, job: str, number: int) -> None:
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -30,6 +30,11 @@
 MAX_WAIT_BEFORE_DISCONNECT_S = 0.25
 RECONNECT_S = 0.3
 MAX_DUPLICATE_DELAY_S = 4.0
+# Restless callers hang up while runs are at work, and are back elsewhere within a second.
+HANG_UP_S = (0.05, 1.0)
+MAX_AWAY_S = 0.9
+HANG_UPS = (1, 4)
+RESTLESS_WEIGHT = 80
 # Pause after a refusal of a caller that keeps its connection.
 REFUSAL_PAUSE_S = 0.3
 # Statuses of tries without an HTTP status: no response, and closed by the caller.
@@ -195,11 +200,13 @@
         checker: GuaranteeChecker,
         seed: int,
         longest_ms: int = LONGEST_RUN_MS,
+        is_restless: bool = False,
     ):
         """Take the dispatchers to call.
 
         :param seed: determines the behavior of the callers
         :param longest_ms: about how long tasks run at most, in milliseconds
+        :param is_restless: whether many callers hang up and are back at another dispatcher
         """
         self._longest_ms = longest_ms
         self._dispatchers = dispatchers
@@ -213,6 +220,8 @@
             (self._call_two_dispatchers, 15),
             (self._send_duplicates, 15),
         )
+        if is_restless:
+            self._behaviors += ((self._return_elsewhere, RESTLESS_WEIGHT),)
 
     def call(self, job_id: str, number: int) -> Outcome:
         """Hand one job in; see :class:`Callers`."""
@@ -292,6 +301,20 @@
             dispatcher = rng.choice((dispatcher, self._draw_dispatcher(rng)))
         self._wait_for_answer(job, rng, dispatcher)
 
+    def _return_elsewhere(self, job: Job, rng: random.Random) -> None:
+        """Hang up a few times, each time to be back at another dispatcher, then wait."""
+        dispatcher = self._draw_dispatcher(rng)
+        for _ in range(rng.randint(*HANG_UPS)):
+            connection = _Connection(dispatcher)
+            status = self._try(connection, job, rng.uniform(*HANG_UP_S))
+            connection.close(resets=rng.random() < 0.5)
+            if status not in (DISCONNECTED, *RETRIED):
+                return
+            eventlet.sleep(rng.uniform(0.0, MAX_AWAY_S))
+            others = [other for other in self._dispatchers if other is not dispatcher]
+            dispatcher = rng.choice(others)
+        self._wait_for_answer(job, rng, dispatcher)
+
     def _call_two_dispatchers(self, job: Job, rng: random.Random) -> None:
         """Submit the job to two dispatchers at the same time and wait for both."""
         pool = eventlet.GreenPool()
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -52,6 +52,27 @@
     "silence_links",
     "reset_minion",
 )
+LATE_DELIVERIES = (
+    *CUTS,
+    *("stall_links",) * 5,
+    *("stall_sender",) * 3,
+    *("cut_one_way",) * 3,
+    *("reset_during_cut",) * 3,
+    "pause_often",
+)
+# Least and greatest length of a stall of open connections, and most pairs of processes whose
+# connections stall at a time.
+STALL_S = (0.15, 3.5)
+MAX_STALLED_PAIRS = 4
+# Number of stalls in a series, and the longest time between two of them.
+STALL_COUNTS = (1, 3)
+MAX_STALL_PAUSE_S = 0.5
+# Least and greatest length of a cut of one pair, one way.
+ONE_WAY_CUT_S = (0.2, 2.5)
+# Least and greatest length of a cut of one process during which its connections are reset, and
+# number of resets.
+RESET_CUT_S = (0.4, 2.0)
+RESET_COUNTS = (1, 3)
 # Least and greatest length of a cut between dispatchers, and share of the executors that hear one
 # side only.
 CUT_S = (0.5, 4.0)
@@ -256,9 +277,57 @@
                 unheard = self._random.choice((side, other_side))
                 pairs += [(executor.name, name) for name in unheard]
         self._deployment.checker.log.write("cut begins", pairs=pairs)
-        self._deployment.cuts.cut(pairs)
+        cut = self._deployment.cuts.cut(pairs)
         eventlet.sleep(self._random.uniform(*CUT_S))
-        self._deployment.cuts.heal()
+        self._deployment.cuts.heal(cut)
+        self._deployment.checker.log.write("cut ends")
+
+    def _do_stall_links(self) -> None:
+        """Have open connections of some pairs deliver late, after newer ones, in series."""
+        names = [process.name for process in self._processes]
+        for _ in range(self._random.randint(*STALL_COUNTS)):
+            count = self._random.randint(1, MAX_STALLED_PAIRS)
+            self._stall([tuple(self._random.sample(names, 2)) for _ in range(count)])
+            eventlet.sleep(self._random.uniform(0.0, MAX_STALL_PAUSE_S))
+
+    def _do_stall_sender(self) -> None:
+        """Have all open connections over which one process sends deliver late."""
+        sender = self._random.choice(self._processes).name
+        others = [process.name for process in self._processes if process.name != sender]
+        self._stall([(sender, other) for other in others])
+
+    def _stall(self, pairs: list[tuple[str, str]]) -> None:
+        self._deployment.checker.log.write("stall begins", pairs=pairs)
+        stall = self._deployment.cuts.stall(pairs)
+        eventlet.sleep(self._random.uniform(*STALL_S))
+        self._deployment.cuts.release(stall)
+        self._deployment.checker.log.write("stall ends", pairs=pairs)
+
+    def _do_cut_one_way(self) -> None:
+        """Cut what one process sends to another one, over new connections as well."""
+        pair = tuple(self._random.sample([process.name for process in self._processes], 2))
+        self._deployment.checker.log.write("cut one way begins", pair=pair)
+        cut = self._deployment.cuts.cut([pair], one_way=True)
+        eventlet.sleep(self._random.uniform(*ONE_WAY_CUT_S))
+        self._deployment.cuts.heal(cut)
+        self._deployment.checker.log.write("cut one way ends", pair=pair)
+
+    def _do_reset_during_cut(self) -> None:
+        """Cut one process from some others, and reset the connections to it meanwhile."""
+        names = [process.name for process in self._processes]
+        receiver = self._random.choice(names)
+        others = [name for name in names if name != receiver and self._random.random() < 0.5]
+        total_s = self._random.uniform(*RESET_CUT_S)
+        self._deployment.checker.log.write(
+            "cut begins", pairs=[(receiver, name) for name in others]
+        )
+        cut = self._deployment.cuts.cut((receiver, name) for name in others)
+        count = self._random.randint(*RESET_COUNTS)
+        for _ in range(count):
+            eventlet.sleep(total_s / (count + 1))
+            self._deployment.link_proxies[receiver].reset()
+        eventlet.sleep(total_s / (count + 1))
+        self._deployment.cuts.heal(cut)
         self._deployment.checker.log.write("cut ends")
 
     def _do_silence_inbox(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 EARLY_CALLERS_SEED = 4_000
 SHARING_SEED = 6_000
 CUTS_SEED = 7_000
+LATE_DELIVERIES_SEED = 8_000
 
 
 class ShortSoakTest(unittest.TestCase):
@@ -35,6 +36,9 @@
     def test_no_task_runs_twice_while_dispatchers_are_cut_from_each_other(self):
         self.play(CUTS_SEED)
 
+    def test_no_task_runs_twice_while_connections_deliver_late(self):
+        self.play(LATE_DELIVERIES_SEED)
+
 
 if __name__ == "__main__":
     unittest.main()
