--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -234,7 +234,9 @@
         sent after the other one was heard; until then, whichever was heard last is current.
         """
         record = self._records.get(sender.address)
-        return record is not None and record.is_former(sender.incarnation, stamp.received)
+        if record is None or not record.others:
+            return False
+        return record.is_former(sender.incarnation, stamp.received)
 
     def note_received(self, sender: Peer, stamp: LinkStamp) -> ReopenReason | None:
         """Record a message; return why the connection to its sender is dead, None if it is not."""
@@ -244,7 +246,8 @@
         if not stamp.number:
             return None
         record.received = max(record.received, stamp.number)
-        record.find_former(stamp.received)
+        if record.others:
+            record.find_former(stamp.received)
         if record.unconfirmed:
             record.confirm(stamp.received)
         if stamp.generation > record.generation:
