claim_table: a late claim by a fence does not forget the grant below it

Cause: an arbiter that recorded a claim by a fence removed the grant of the dispatcher that held the job until then. If connections of the fence's holder had stalled, its claim and its release could arrive after the job had gone to another dispatcher: the claim removed that one's grant, the release freed the job, and a third dispatcher was granted it while the second one ran it. Nothing in such messages tells that they are late, as they arrive in order.

Change: the arbiter keeps the grants that a fence outranks, and the last of them is in force again once the claim by the fence is released. Grants that have lapsed are dropped as before.

No message and no wait is added.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -150,7 +150,9 @@
         self._clock = clock
         self.me = me
         self._started_ms = started_ms
-        self._grants: dict[str, _Grant] = {}
+        # The last grant of a job is the one in force. It has a fence of higher rank than those
+        # before it, which are in force again once it is released.
+        self._grants: dict[str, list[_Grant]] = {}
         self._open_claims: dict[Peer, dict[int, str]] = {}
         self._dispatchers: dict[str, _DispatcherState] = {}
         # The last incarnation of each address that has exited with no run left.
@@ -369,19 +371,22 @@
         now = self._clock.now()
         self.note_length(claim.left_ms)
         self._remove_expired(now)
-        grant = self._grants.get(claim.job_id)
-        is_held = grant is not None and grant.holder != claimant and self._is_in_force(grant, now)
-        if is_held and claim.rank <= grant.rank:
-            holder = grant.holder
+        others = self._list_others(claimant, claim.job_id, now)
+        if others and claim.rank <= others[-1].rank:
+            holder = others[-1].holder
             return ClaimVerdict(claim.number, holder.address, holder.incarnation)
-        if grant is not None and grant.holder == claimant and grant.number > claim.number:
+        own = self._find_grant(claimant, claim.job_id)
+        if own is not None and own.number > claim.number:
             # A late message: the dispatcher has meanwhile repeated the claim with a new number.
             return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
-        self._log_unusual(claimant, claim, grant, is_held)
-        if grant is not None:
+        grants = self._list_grants(claim.job_id)
+        self._log_unusual(claimant, claim, grants[-1] if grants else None, bool(others))
+        for grant in [grant for grant in grants if grant not in others]:
             self.release(grant.holder, grant.number)
         until_ms = now + claim.left_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
-        self._grants[claim.job_id] = _Grant(claimant, claim, now, until_ms)
+        # A claim by a fence may be a late message, whose release is late as well. The jobs of other
+        # holders are theirs until they release them.
+        self._grants[claim.job_id] = [*others, _Grant(claimant, claim, now, until_ms)]
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
         return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
@@ -420,6 +425,20 @@
         state = self._dispatchers.get(peer.address)
         return state if state is not None and state.peer == peer else None
 
+    def _list_grants(self, job_id: str) -> list[_Grant]:
+        return self._grants.get(job_id, [])
+
+    def _find_grant(self, holder: Peer, job_id: str) -> _Grant | None:
+        return next((grant for grant in self._list_grants(job_id) if grant.holder == holder), None)
+
+    def _list_others(self, claimant: Peer, job_id: str, now: float) -> list[_Grant]:
+        """Return the grants of a job that other dispatchers may rely on, the last one in force."""
+        return [
+            grant
+            for grant in self._list_grants(job_id)
+            if grant.holder != claimant and self._is_in_force(grant, now)
+        ]
+
     def note_report(self, sender: Peer) -> None:
         """Note that a report of a dispatcher has arrived."""
         self.note_incarnation(sender)
@@ -458,7 +477,16 @@
     def release(self, holder: Peer, number: int) -> None:
         """Remove the grant of a released or expired claim; does nothing if there is none."""
         job_id = self._open_claims.get(holder, {}).pop(number, None)
-        if job_id is not None:
+        if job_id is None:
+            return
+        grants = [
+            grant
+            for grant in self._grants[job_id]
+            if (grant.holder, grant.number) != (holder, number)
+        ]
+        if grants:
+            self._grants[job_id] = grants
+        else:
             del self._grants[job_id]
 
     def _is_sure(self, job_id: str) -> bool:
@@ -540,7 +568,7 @@
         until_ms = self._clock.now() + RUNS_OVER_MS
         job_ids = self._open_claims.get(ended, {}).values()
         for job_id in job_ids:
-            grant = self._grants[job_id]
+            grant = self._find_grant(ended, job_id)
             grant.until_ms = min(grant.until_ms, until_ms)
         fields = (("peer", ended.address), ("jobs", len(job_ids)))
         _LOG.info("claims of ended dispatcher expire", extra={"fields": fields})
@@ -550,5 +578,7 @@
         if now - self._last_removal_ms < SWEEP_MS:
             return
         self._last_removal_ms = now
-        for grant in [grant for grant in self._grants.values() if grant.until_ms <= now]:
-            self.release(grant.holder, grant.number)
+        all_grants = [grant for grants in self._grants.values() for grant in grants]
+        for grant in all_grants:
+            if grant.until_ms <= now:
+                self.release(grant.holder, grant.number)
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -2,10 +2,12 @@
 
 import unittest
 
-from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims
-from geraniumspool.claim_table import ClaimTable
+from geraniumspool.claim_messages import Claim, ClaimJobs, OpenClaims, RelayedClaims
+from geraniumspool.claim_table import ClaimTable, choose_arbiters
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
+from tests.dispatch_world import SimulatedWorker, make_spec
+from tests.test_claim_gaps import PEERS_SILENT_MS, ClaimGapCase
 
 DOMAIN = "north"
 # Time since all processes started; runs of former incarnations have ended by then.
@@ -13,25 +15,130 @@
 # Time within which all runs of the claimed job end.
 LEFT_MS = 5_000.0
 NO_OPEN_CLAIMS = OpenClaims((), 0, UPTIME_MS, True, ())
+RANK = 7
 
 
-class LateClaimsTest(unittest.TestCase):
-    """An arbiter and two other dispatchers that claim the same job."""
+class LateClaimsCase(unittest.TestCase):
+    """An arbiter and three other dispatchers that claim the same job."""
 
     def setUp(self):
-        clock = ManualClock()
-        self.holder, self.other = Peer("tcp://h1", 1), Peer("tcp://h2", 2)
-        self.table = ClaimTable(clock, "tcp://h0", clock.now() - UPTIME_MS)
-        addresses = ("tcp://h0", self.holder.address, self.other.address)
+        self.clock = ManualClock()
+        self.holder, self.other, self.third = (Peer(f"tcp://h{n}", n) for n in (1, 2, 3))
+        peers = (self.holder, self.other, self.third)
+        self.table = ClaimTable(self.clock, "tcp://h0", self.clock.now() - UPTIME_MS)
+        addresses = ("tcp://h0", *(peer.address for peer in peers))
         self.table.set_members(dict.fromkeys(addresses, DOMAIN))
-        for peer in (self.holder, self.other):
+        for peer in peers:
             self.table.apply_open_claims(peer, NO_OPEN_CLAIMS)
 
-    def send_claim(self, peer, number=1):
-        message = ClaimJobs((Claim(number, "j", LEFT_MS),), (), number)
+    def send_claim(self, peer, number=1, rank=0):
+        message = ClaimJobs((Claim(number, "j", LEFT_MS, rank),), (), number)
         return self.table.apply_claim_jobs(peer, message)[0]
 
+    def send_release(self, peer, number=1):
+        self.table.apply_claim_jobs(peer, ClaimJobs((), (number,), number + 1))
+
+    def relay(self, peer, claims=(), released=()):
+        self.table.apply_relayed_claims(RelayedClaims(*peer, claims, released))
+
+
+class LateClaimsTest(LateClaimsCase):
+    """Claims that an arbiter learns of late keep those that it has granted."""
+
     def test_a_list_of_open_claims_from_before_a_claim_does_not_release_it(self):
         self.assertEqual("", self.send_claim(self.holder).holder)
         self.table.apply_open_claims(self.holder, NO_OPEN_CLAIMS)
         self.assertEqual(self.holder.address, self.send_claim(self.other).holder)
+
+
+class LateFenceTest(LateClaimsCase):
+    """A dispatcher's claim by a fence, and its release, arrive after another one's grant.
+
+    An arbiter that forgets the grant for the late claim gives the job to a third dispatcher.
+    """
+
+    def test_a_grant_is_in_force_again_once_a_late_claim_by_a_fence_is_released(self):
+        self.assertEqual("", self.send_claim(self.holder, 9).holder)
+        self.assertEqual("", self.send_claim(self.other, 5, RANK).holder)
+        self.assertEqual(self.other.address, self.send_claim(self.third).holder)
+        self.send_release(self.other, 5)
+        self.assertEqual(self.holder.address, self.send_claim(self.third).holder)
+        self.send_release(self.holder, 9)
+        self.assertEqual("", self.send_claim(self.third).holder)
+
+    def test_a_grant_that_was_released_meanwhile_is_not_in_force_again(self):
+        self.send_claim(self.holder, 9)
+        self.send_claim(self.other, 5, RANK)
+        self.send_release(self.holder, 9)
+        self.send_release(self.other, 5)
+        self.assertEqual("", self.send_claim(self.third).holder)
+        self.assertEqual(1, len(self.table))
+
+    def test_a_holder_that_asks_again_is_told_of_the_fence(self):
+        self.send_claim(self.holder, 9)
+        self.send_claim(self.other, 5, RANK)
+        self.assertEqual(self.other.address, self.send_claim(self.holder, 10).holder)
+        self.assertEqual("", self.send_claim(self.holder, 11, RANK + 1).holder)
+        self.send_release(self.other, 5)
+        self.assertEqual(self.holder.address, self.send_claim(self.third).holder)
+
+
+class LateFenceWorldTest(ClaimGapCase):
+    """Connections of a dispatcher stall, and deliver after the job has gone to another one."""
+
+    workers = dispatchers = 5
+
+    def test_a_job_is_not_granted_twice_by_late_claims_and_releases(self):
+        for number in range(12):
+            name = f"j{number}"
+            members = {dispatcher.address: "north" for dispatcher in self.all_dispatchers}
+            arbiters = choose_arbiters(name, members)
+            if not {f"tcp://h{index}" for index in (0, 1)}.intersection(arbiters):
+                with self.subTest(name):
+                    self.doCleanups()
+                    self.setUp()
+                    self.check(name, arbiters)
+
+    def replace_executors(self):
+        """Replace the executors, whose fences would go on refusing all other dispatchers."""
+        for index, worker in enumerate(self.world.workers):
+            worker.kill()
+            self.world.workers[index] = SimulatedWorker(
+                self.world, worker.name, 2, worker.minion, fence=100
+            )
+            for dispatcher in self.all_dispatchers:
+                dispatcher.handle_key_written(worker.address)
+        self.advance(700)
+
+    def check(self, name, arbiters):
+        """Have a dispatcher run a job by a fence while its arbiters don't hear it."""
+        late, holder = self.all_dispatchers[:2]
+        self.assertNotIn(holder.address, arbiters)
+        # Nor do they hear it through executors.
+        self.world.network.dropped_kinds = {"RelayedClaims"}
+        self.partition(late.address, arbiters)
+        self.advance(PEERS_SILENT_MS)
+        self.place(0, make_spec(name, count=1, cpu=4_000, run_ms=100))
+        self.advance(3_000)
+        self.assertEqual(1, self.world.start_count(f"{name}.0.0.0"))
+        stalled = [
+            (sender, receiver, message)
+            for sender, receiver, message in self.world.network.sent
+            if sender.address == late.address
+            and receiver.address in arbiters
+            and isinstance(message, ClaimJobs)
+        ]
+        self.replace_executors()
+        spec = make_spec(name, count=1, cpu=4_000, run_ms=4_000, declared_ms=500)
+        self.place(1, spec)
+        self.advance(600)
+        self.assertEqual(2, self.world.start_count(f"{name}.0.0.0"))
+        self.assertTrue(self.all_dispatchers[1].claims._open[name].is_granted)
+        claims = {other.address: other.claims for other in self.all_dispatchers}
+        for sender, receiver, message in stalled:
+            claims[receiver.address].handle_claim_jobs(sender, message)
+        index = next(n for n in (2, 3, 4) if self.all_dispatchers[n].address in arbiters)
+        self.place(index, spec)
+        self.advance(1_000)
+        self.assertEqual(set(), self.ran_twice)
+        self.assertEqual(2, self.world.start_count(f"{name}.0.0.0"))
