claim_table: a claim that arrives after its release is not recorded

Cause: an arbiter forgot a claim with its release. A request for it that arrived later, over another connection, through an executor, in a list of open claims, or in one message with its release, was recorded anew. Nobody released it then until the holder's `oldest` had passed it: callers were sent to a dispatcher that did not have the job, or waited for fences; with a fence's rank it also outranked the dispatcher that held the job by then, and an arbiter of its own job gave it up.

Change: arbiters remember for each incarnation of a dispatcher below which number all claims are released (`oldest`), and which are above it (`released`, direct or relayed; `EndClaims`: all). Late claims are neither recorded nor answered. `OpenClaims.upto` does not tell a release: a claim may be missing from a list because its arbiters have changed.

No message and no wait is added.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -96,7 +96,6 @@
     :ivar clean: addresses of dispatchers whose last incarnation it has seen exit with no run left
     :ivar has_lost_members: whether a dispatcher that it no longer finds in the store may run jobs
     :ivar heard_ms: when its last report arrived, before the first when it became the current one
-    :ivar released: claims that it has told to be released
     """
 
     def __init__(self, peer: Peer, heard_ms: float):
@@ -107,7 +106,6 @@
         self.clean: frozenset[str] = frozenset()
         self.has_lost_members = False
         self.heard_ms = heard_ms
-        self.released = ReleasedClaims()
 
 
 class _FormerMembers:
@@ -154,6 +152,7 @@
         # before it, which are in force again once it is released.
         self._grants: dict[str, list[_Grant]] = {}
         self._open_claims: dict[Peer, dict[int, str]] = {}
+        self._released = ReleasedClaims()
         self._dispatchers: dict[str, _DispatcherState] = {}
         # The last incarnation of each address that has exited with no run left.
         self._clean_exits: dict[str, Peer] = {}
@@ -262,6 +261,7 @@
         """Note that a dispatcher exits with no run left, and release its claims."""
         self.note_incarnation(peer)
         self._clean_exits[peer.address] = peer
+        self._released.add_all(peer)
         for former in self._former_members:
             if former.unannounced.get(peer.address) == peer:
                 del former.unannounced[peer.address]
@@ -295,13 +295,11 @@
     def apply_claim_jobs(self, sender: Peer, message: ClaimJobs) -> list[ClaimVerdict]:
         """Apply a dispatcher's claims and releases; return the answers to the claims."""
         self.note_incarnation(sender)
-        released = self._dispatchers[sender.address].released
+        self._released.add(sender, message.released, message.oldest)
         for number in message.released:
             self.release(sender, number)
-            released.add(number)
-        released.add_below(message.oldest)
         self._release_below(sender, message)
-        return [self.decide(sender, claim) for claim in message.claims]
+        return self._decide_all(sender, message.claims)
 
     def _release_below(self, holder: Peer, message: ClaimJobs) -> None:
         """Release the claims below the lowest open one of a message.
@@ -345,17 +343,15 @@
         for number in list(self._open_claims.get(sender, ())):
             if number <= message.upto and number not in listed:
                 self.release(sender, number)
-        return [self.decide(sender, claim) for claim in message.claims]
+        return self._decide_all(sender, message.claims)
 
     def apply_relayed_claims(self, message: RelayedClaims) -> None:
         """Apply claims, granted by a fence, of a dispatcher that may not reach this one."""
         holder = Peer(message.holder, message.holder_life)
-        state = self._find_state(holder)
+        self._released.add(holder, message.released)
         for number in message.released:
             self.release(holder, number)
-            if state is not None:
-                state.released.add(number)
-        for claim in message.claims:
+        for claim in self._list_recordable(holder, message.claims):
             if claim.number not in self._open_claims.get(holder, ()):
                 fields = (
                     ("job", claim.job_id),
@@ -366,6 +362,30 @@
                 _LOG.info("relayed claim recorded", extra={"fields": fields})
             self.decide(holder, claim)
 
+    def list_open(self, holder: Peer, claims: Iterable[Claim]) -> list[Claim]:
+        """Return those of a dispatcher's claims that it is not known to have released."""
+        return self._released.list_open(holder, claims)
+
+    def _decide_all(self, claimant: Peer, claims: Iterable[Claim]) -> list[ClaimVerdict]:
+        """Decide the claims that are open; late messages about others are not answered."""
+        return [self.decide(claimant, claim) for claim in self._list_recordable(claimant, claims)]
+
+    def _list_recordable(self, holder: Peer, claims: Iterable[Claim]) -> list[Claim]:
+        """Return the claims that are open, and log the others: they are late messages."""
+        claims = list(claims)
+        recordable = self.list_open(holder, claims)
+        if len(recordable) < len(claims):
+            late = [claim for claim in claims if claim not in recordable][:MAX_LOGGED_CLAIMS]
+            fields = (
+                ("holder", holder.address),
+                ("claims", len(claims) - len(recordable)),
+                ("numbers", ",".join(str(claim.number) for claim in late)),
+                ("jobs", ",".join(claim.job_id for claim in late)),
+                ("ranks", ",".join(str(claim.rank) for claim in late)),
+            )
+            _LOG.info("released claims ignored", extra={"fields": fields})
+        return recordable
+
     def decide(self, claimant: Peer, claim: Claim) -> ClaimVerdict:
         """Grant a claim, or answer with the dispatcher that holds the job."""
         now = self._clock.now()
@@ -380,7 +400,8 @@
             # A late message: the dispatcher has meanwhile repeated the claim with a new number.
             return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
         grants = self._list_grants(claim.job_id)
-        self._log_unusual(claimant, claim, grants[-1] if grants else None, bool(others))
+        if grants and grants[-1].holder != claimant:
+            self._log_replaced(claimant, claim, grants[-1], bool(others))
         for grant in [grant for grant in grants if grant not in others]:
             self.release(grant.holder, grant.number)
         until_ms = now + claim.left_ms * (1 + CLOCK_DRIFT) + RUNS_OVER_MS
@@ -390,40 +411,24 @@
         self._open_claims.setdefault(claimant, {})[claim.number] = claim.job_id
         return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
 
-    def _log_unusual(
-        self, claimant: Peer, claim: Claim, former: _Grant | None, is_held: bool
-    ) -> None:
-        """Log a grant that replaces another dispatcher's, or of a claim that was released before.
+    def _log_replaced(self, claimant: Peer, claim: Claim, former: _Grant, is_held: bool) -> None:
+        """Log that a grant comes in place of another dispatcher's.
 
         :param former: the grant until now
-        :param is_held: whether it is another dispatcher's and in force
+        :param is_held: whether it is in force
         """
-        is_replaced = former is not None and former.holder != claimant
-        state = self._find_state(claimant)
-        is_late = state is not None and claim.number in state.released
-        if not is_replaced and not is_late:
-            return
         fields = (
             ("job", claim.job_id),
             ("holder", claimant.address),
             ("number", claim.number),
             ("rank", claim.rank),
-            ("former_holder", former.holder.address if former else ""),
-            ("former_number", former.number if former else 0),
-            ("former_rank", former.rank if former else 0),
-            ("former_age_ms", round(self._clock.now() - former.granted_ms) if former else -1),
+            ("former_holder", former.holder.address),
+            ("former_number", former.number),
+            ("former_rank", former.rank),
+            ("former_age_ms", round(self._clock.now() - former.granted_ms)),
+            ("reason", "rank" if is_held else "not_in_force"),
         )
-        if is_replaced:
-            reason = ("reason", "rank" if is_held else "not_in_force")
-            _LOG.warning("grant replaced", extra={"fields": (*fields, reason)})
-        if is_late:
-            lowest_open = ("lowest_open", state.released.lowest_open)
-            _LOG.warning("released claim recorded", extra={"fields": (*fields, lowest_open)})
-
-    def _find_state(self, peer: Peer) -> _DispatcherState | None:
-        """Return what is known of another dispatcher, None if this incarnation is not known."""
-        state = self._dispatchers.get(peer.address)
-        return state if state is not None and state.peer == peer else None
+        _LOG.warning("grant replaced", extra={"fields": fields})
 
     def _list_grants(self, job_id: str) -> list[_Grant]:
         return self._grants.get(job_id, [])
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -297,7 +297,7 @@
 
     def _yield_to_fences(self, sender: Peer, claims: Iterable[Claim]) -> None:
         """Give up granted claims on jobs that executors have fenced for another dispatcher."""
-        for foreign in claims:
+        for foreign in self.table.list_open(sender, claims):
             claim = self._open.get(foreign.job_id)
             if claim is not None and claim.is_granted and foreign.rank > claim.rank:
                 self._give_up(claim, sender.address, "fenced")
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -6,6 +6,7 @@
 from geraniumspool.claim_table import ClaimTable, choose_arbiters
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
+from geraniumspool.released_claims import MAX_INCARNATIONS, MAX_NUMBERS
 from tests.dispatch_world import SimulatedWorker, make_spec
 from tests.test_claim_gaps import PEERS_SILENT_MS, ClaimGapCase
 
@@ -83,6 +84,77 @@
         self.assertEqual(self.holder.address, self.send_claim(self.third).holder)
 
 
+class ReleasedClaimTest(LateClaimsCase):
+    """A claim that arrives after its release, over another connection or through an executor.
+
+    Nobody releases it again: it would make its former holder the job's holder, or free the job of
+    the dispatcher that holds it now.
+    """
+
+    def release(self):
+        self.table.apply_claim_jobs(self.other, ClaimJobs((), (5,), 3))
+
+    def raise_oldest(self):
+        self.table.apply_claim_jobs(self.other, ClaimJobs((), (), 6))
+
+    def relay_release(self):
+        self.relay(self.other, released=(5,))
+
+    def exit_cleanly(self):
+        self.table.note_clean_exit(self.other)
+
+    def send_late(self, rank):
+        message = ClaimJobs((Claim(5, "j", LEFT_MS, rank),), (), 3)
+        self.table.apply_claim_jobs(self.other, message)
+
+    def relay_late(self, rank):
+        self.relay(self.other, (Claim(5, "j", LEFT_MS, rank),))
+
+    def list_late(self, rank):
+        message = OpenClaims((Claim(5, "j", LEFT_MS, rank),), 5, UPTIME_MS, True, ())
+        self.table.apply_open_claims(self.other, message)
+
+    def test_a_released_claim_is_not_recorded_again(self):
+        releases = (self.release, self.raise_oldest, self.relay_release, self.exit_cleanly)
+        for release in releases:
+            for send in (self.send_late, self.relay_late, self.list_late):
+                for rank in (0, RANK):
+                    with self.subTest(release.__name__, send=send.__name__, rank=rank):
+                        self.setUp()
+                        release()
+                        send(rank)
+                        self.assertEqual("", self.send_claim(self.third).holder)
+
+    def test_the_holder_keeps_a_job_that_a_released_claim_arrives_for(self):
+        self.send_claim(self.other, 5, RANK)
+        self.release()
+        self.assertEqual("", self.send_claim(self.holder, 9).holder)
+        for send in (self.send_late, self.relay_late, self.list_late):
+            send(RANK)
+            self.assertEqual(self.holder.address, self.send_claim(self.third).holder)
+
+    def test_a_late_claim_is_not_answered(self):
+        """Nor is the message of a former incarnation whose claims were released."""
+        self.release()
+        self.table.note_incarnation(self.other._replace(incarnation=99))
+        message = ClaimJobs((Claim(5, "j", LEFT_MS),), (), 3)
+        self.assertEqual([], self.table.apply_claim_jobs(self.other, message))
+
+    def test_later_claims_are_granted(self):
+        self.release()
+        self.assertEqual("", self.send_claim(self.other, 6).holder)
+        self.assertEqual(self.other.address, self.send_claim(self.third).holder)
+
+    def test_the_memory_of_releases_is_bounded(self):
+        for number in range(5, 3 * MAX_NUMBERS):
+            self.table.apply_claim_jobs(self.other, ClaimJobs((), (number,), 3))
+        for incarnation in range(100, 100 + 3 * MAX_INCARNATIONS):
+            self.relay(Peer(self.other.address, incarnation), released=(5,))
+        lives = self.table._released._by_address[self.other.address]
+        self.assertEqual(MAX_INCARNATIONS, len(lives))
+        self.assertLessEqual(max(len(life._numbers) for life in lives.values()), MAX_NUMBERS)
+
+
 class LateFenceWorldTest(ClaimGapCase):
     """Connections of a dispatcher stall, and deliver after the job has gone to another one."""
 
