claim_table: a late request does not take the fence from a claim

Cause: a request from before a claim was granted by a fence has the same number as the claim with the fence's rank. Arriving after it, over another connection or beside a relayed claim, it replaced the grant by one of rank 0. That one lapses after 3.3 s of silence, though a holder by a fence gives up nothing when it is out of contact, and fences of lower rank replace it.

Change: a repeated claim keeps the highest rank that it was seen with. A claim with a new number is a new request, and may have none.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -391,11 +391,14 @@
         now = self._clock.now()
         self.note_length(claim.left_ms)
         self._remove_expired(now)
+        own = self._find_grant(claimant, claim.job_id)
+        if own is not None and own.number == claim.number:
+            # The message may be from before the claim was granted by a fence.
+            claim = claim._replace(rank=max(own.rank, claim.rank))
         others = self._list_others(claimant, claim.job_id, now)
         if others and claim.rank <= others[-1].rank:
             holder = others[-1].holder
             return ClaimVerdict(claim.number, holder.address, holder.incarnation)
-        own = self._find_grant(claimant, claim.job_id)
         if own is not None and own.number > claim.number:
             # A late message: the dispatcher has meanwhile repeated the claim with a new number.
             return ClaimVerdict(claim.number, is_sure=self._is_sure(claim.job_id))
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -7,6 +7,8 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
 from geraniumspool.released_claims import MAX_INCARNATIONS, MAX_NUMBERS
+from geraniumspool.run_leases import CLAIMS_LAPSED_MS
+from geraniumspool.wire_versions import make_incarnation
 from tests.dispatch_world import SimulatedWorker, make_spec
 from tests.test_claim_gaps import PEERS_SILENT_MS, ClaimGapCase
 
@@ -155,6 +157,41 @@
         self.assertLessEqual(max(len(life._numbers) for life in lives.values()), MAX_NUMBERS)
 
 
+class LateRequestTest(LateClaimsCase):
+    """A request from before the fence arrives after the claim by the fence.
+
+    Its holder, which may be out of contact with all arbiters, doesn't give up the job.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.fenced = Peer(self.holder.address, make_incarnation(1))
+        self.table.apply_open_claims(self.fenced, NO_OPEN_CLAIMS)
+
+    def test_a_claim_by_a_fence_does_not_lapse_after_a_late_request(self):
+        self.send_claim(self.fenced, 5, RANK)
+        self.assertEqual("", self.send_claim(self.fenced, 5).holder)
+        self.clock.advance(CLAIMS_LAPSED_MS + 10)
+        self.assertEqual(self.fenced.address, self.send_claim(self.third).holder)
+
+    def test_a_fence_of_lower_rank_does_not_replace_it(self):
+        self.send_claim(self.fenced, 5, RANK)
+        self.send_claim(self.fenced, 5)
+        self.assertEqual(self.fenced.address, self.send_claim(self.third, 1, RANK - 1).holder)
+
+    def test_it_stays_granted_where_it_outranks_another_claim(self):
+        self.send_claim(self.other, 2)
+        self.send_claim(self.fenced, 5, RANK)
+        self.assertEqual("", self.send_claim(self.fenced, 5).holder)
+        self.assertEqual(self.fenced.address, self.send_claim(self.third).holder)
+
+    def test_a_claim_with_a_new_number_may_have_no_fence_any_more(self):
+        self.send_claim(self.fenced, 5, RANK)
+        self.send_claim(self.fenced, 6)
+        self.clock.advance(CLAIMS_LAPSED_MS + 10)
+        self.assertEqual("", self.send_claim(self.third).holder)
+
+
 class LateFenceWorldTest(ClaimGapCase):
     """Connections of a dispatcher stall, and deliver after the job has gone to another one."""
 
