job_claims: a claim's former grants last until its release

Cause: a claim that is requested again gets a new number, and each message told arbiters that all numbers below the lowest current one were released. A message about another job that overtook the request, or followed it where it was lost, so ended the grant under which runs went on; the arbiter gave the job to the next dispatcher until the request was repeated, 100 ms later. After a claim was lost the opposite was true: the list of those asked was cleared, and its release told nobody. The release of a claim that was relayed under two numbers named the last one only.

Change: a claim keeps its former numbers and all arbiters that it was ever sent to. `oldest` is the lowest number of an open claim, former ones included; the release names all numbers and goes to all of them.

Cost: none while claims are granted once; an arbiter of a lost claim gets its release.

--- a/geraniumspool/claim_relays.py
+++ b/geraniumspool/claim_relays.py
@@ -83,6 +83,9 @@
         """
         due_ms = self._clock.now()
         relayed = _RelayedClaim(claim, due_ms)
+        former = self._relayed.get(claim.job_id)
+        if former is not None:
+            relayed.relayed_to |= former.relayed_to
         if not relayed.list_missing().intersection(unreachable):
             relayed.due_ms += ANSWER_LIMIT_MS
         self._relayed[claim.job_id] = relayed
@@ -91,7 +94,7 @@
         """Remove a claim that is released; arbiters that it was relayed to are told."""
         relayed = self._relayed.pop(claim.job_id, None)
         if relayed is not None and relayed.relayed_to:
-            self._released.append(relayed.number)
+            self._released.extend(claim.numbers)
             self._told_arbiters |= relayed.relayed_to
 
     def run_checks(self) -> None:
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -404,6 +404,7 @@
         now = self._clock.now()
         del self._by_number[claim.number]
         self._undecided.pop(claim.number, None)
+        claim.former_numbers.append(claim.number)
         claim.discard_answers(now)
         self._assign_number(claim)
         self._ask_all_due(claim, now)
@@ -514,6 +515,7 @@
     def _ask_arbiter(self, claim: OpenClaim, address: str, now: float) -> None:
         claim.asked_ms[address] = now
         claim.first_asked_ms.setdefault(address, now)
+        claim.told_arbiters.add(address)
         left_ms = claim.job.remaining_claim_ms(now)
         self.table.note_length(left_ms)
         message = Claim(claim.number, claim.job_id, left_ms, claim.rank)
@@ -603,11 +605,12 @@
         del self._by_number[claim.number]
         self._relays.remove(claim)
         self._undecided.pop(claim.number, None)
-        for address in claim.asked_ms:
+        for address in sorted(claim.told_arbiters):
             if address == self._me.address:
-                self.table.release(self._me, claim.number)
+                for number in claim.numbers:
+                    self.table.release(self._me, number)
             elif address in self._peers:
-                self._queue_for(self._peers[address].peer).released.append(claim.number)
+                self._queue_for(self._peers[address].peer).released.extend(claim.numbers)
 
     def _queue_for(self, peer: Peer) -> _QueuedParts:
         return self._outbox.setdefault(peer, _QueuedParts())
@@ -626,7 +629,13 @@
             self._send(peer, message)
 
     def _find_oldest(self) -> int:
-        return next(iter(self._by_number), self._next_number)
+        """Return the lowest number that an open claim has, or has had.
+
+        A request under a new number may be lost. Until the claim is released, its runs go on under
+        the grants that arbiters have recorded before.
+        """
+        oldest = next(iter(self._open.values()), None)
+        return self._next_number if oldest is None else oldest.numbers[0]
 
     def _send_open_claims(self, peer: Peer) -> None:
         """Send a new arbiter the complete list of the claims that it decides on."""
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -52,6 +52,8 @@
 
     :ivar number: identifies the claim in messages; replaced by a higher one each time that all
         arbiters have to grant the claim again, so that answers to earlier requests do not count
+    :ivar former_numbers: its earlier numbers, under which arbiters may have recorded it; only its
+        release ends these grants
     :ivar job: the job that it is for
     :ivar resent_job: the same job, sent again while the runs of ``job`` are being stopped
     :ivar arbiter_sets: addresses of the dispatchers that decide on it, chosen from the members now
@@ -71,6 +73,7 @@
     :ivar contact_ms: latest time at which a quorum of arbiters is known to have recorded it
     :ivar asked_ms: when each arbiter was last asked
     :ivar first_asked_ms: when each arbiter was first asked
+    :ivar told_arbiters: addresses of all arbiters that may have recorded it, under any number
     :ivar held_by: other dispatcher that holds the job, by the arbiter that has last said so
     :ivar held_since_ms: when an arbiter first named the current holder
     :ivar fenced_by: addresses of executors that have set the fence
@@ -90,6 +93,7 @@
         :param now: current time in milliseconds
         """
         self.number = 0
+        self.former_numbers: list[int] = []
         self.job = job
         self.arbiter_sets = arbiter_sets
         self.resent_job: Claimant | None = None
@@ -105,6 +109,7 @@
         self.contact_ms = now
         self.asked_ms: dict[str, float] = {}
         self.first_asked_ms: dict[str, float] = {}
+        self.told_arbiters: set[str] = set()
         self.held_by: dict[str, Peer] = {}
         self.held_since_ms = 0.0
         self.fenced_by: set[str] = set()
@@ -118,6 +123,11 @@
         """Return the id of the claimed job."""
         return self.job.claim_id
 
+    @property
+    def numbers(self) -> list[int]:
+        """Return all its numbers, the lowest one first."""
+        return [*self.former_numbers, self.number]
+
     @property
     def holder(self) -> Peer | None:
         """Return another dispatcher that holds the job, None if no arbiter has named one."""
--- a/tests/test_claim_relays.py
+++ b/tests/test_claim_relays.py
@@ -119,6 +119,17 @@
         release = RelayClaims((), (3,), ARBITERS[1:])
         self.assertEqual([(address, release) for address in EXECUTORS], self.take_sent())
 
+    def test_the_release_of_a_claim_that_was_relayed_under_two_numbers_names_both(self):
+        self.relays.add(self.claim, ARBITERS[1:])
+        self.advance(0)
+        self.claim.former_numbers, self.claim.number = [3], 4
+        self.relays.add(self.claim, ARBITERS[1:2])
+        self.take_sent()
+        self.relays.remove(self.claim)
+        self.advance(RELAY_INTERVAL_MS)
+        release = RelayClaims((), (3, 4), ARBITERS[1:])
+        self.assertEqual([(address, release) for address in EXECUTORS], self.take_sent())
+
 
 class ArbiterTest(unittest.TestCase):
     """An arbiter that learns of a claim through an executor."""
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -15,6 +15,7 @@
     JobsFenced,
     OpenClaims,
 )
+from geraniumspool.claim_table import ClaimTable
 from geraniumspool.clock import ManualClock
 from geraniumspool.counters import MemoryCounters
 from geraniumspool.fence_requests import FenceRequests
@@ -507,5 +508,68 @@
         self.assertTrue(ranks and all(ranks), ranks)
 
 
+class RenewedClaimTest(ClaimsCase):
+    """A claim that is requested again while its runs go on, and messages that are lost.
+
+    Arbiters that forget the former grant before they know of the new request give the job to
+    another dispatcher.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.job = Job("j")
+        self.claims.claim(self.job)
+        self.advance()
+        self.answer_grant(ONE, OTHER)
+        self.arbiter = ClaimTable(self.clock, ONE.address, self.clock.now() - LONG_AGO_MS)
+        self.arbiter.set_members({peer.address: "north" for peer in (ME, ONE, OTHER)})
+        self.deliver()
+
+    def deliver(self):
+        """Have an arbiter apply what was sent to it, and nothing that was sent before."""
+        for peer, message in self.find_sent(ClaimJobs):
+            if peer == ONE:
+                self.arbiter.apply_claim_jobs(ME, message)
+        self.sent.clear()
+
+    def find_holder(self, job_id="j"):
+        """Return who holds a job that another dispatcher claims."""
+        claim = Claim(1, job_id, 1_000.0)
+        return self.arbiter.apply_claim_jobs(OTHER, ClaimJobs((claim,), (), 1))[0].holder
+
+    def lose_sent(self):
+        eventlet.sleep(0)
+        self.sent.clear()
+
+    def test_its_former_grant_lasts_until_arbiters_know_of_the_new_request(self):
+        self.claims.renew_grants("executor_new")
+        self.lose_sent()
+        self.claims.claim(Job("k"))
+        eventlet.sleep(0)
+        self.deliver()
+        self.assertEqual(ME.address, self.find_holder())
+
+    def test_its_release_ends_the_former_grant(self):
+        first = self.claims._open["j"].number
+        self.claims.claim(Job("k"))
+        self.claims.renew_grants("executor_new")
+        self.lose_sent()
+        self.claims.release(self.job)
+        eventlet.sleep(0)
+        released = [m.released for peer, m in self.find_sent(ClaimJobs) if peer == ONE]
+        self.assertIn(first, released[-1])
+        self.deliver()
+        self.assertEqual("", self.find_holder())
+
+    def test_the_release_of_a_claim_that_was_lost_is_told_to_its_arbiters(self):
+        """Its answers were discarded, and with them who had been asked."""
+        verdict = ClaimVerdict(self.claims._open["j"].number, OTHER.address, OTHER.incarnation)
+        self.claims.handle_claim_verdicts(OTHER, ClaimVerdicts((verdict,), True))
+        self.claims.release(self.job)
+        eventlet.sleep(0)
+        self.deliver()
+        self.assertEqual("", self.find_holder())
+
+
 if __name__ == "__main__":
     unittest.main()
