job_claims: late answers to earlier requests for a fence do not count

Cause: answers of executors count by the rank of the request. A claim whose answers were discarded (an executor replaced, a pause, contact lost) was requested with the same rank again, so that late answers to the first requests, which are repeated every 50 ms, completed a fence that executors may have lost since. A claim that was given up for another dispatcher's fence was granted again by them.

Change: a new request has a higher rank than the discarded one, and answers count only for claims that are not decided. Other requests under way start over with the higher rank, as they do when an executor has kept a fence.

ClaimsTest.test_a_replaced_fence_that_an_executor_reports_is_kept_with_the_claim passed another job object than it had claimed, so that its refusal was ignored, and marked the decided claim as not granted by hand. It now goes the real way, with the same checks and one more. Cost: one round of requests more where a fence is needed twice; none in calm.

--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -91,6 +91,7 @@
         interval_ms = ROUND_INTERVAL_PER_EXECUTOR_MS * len(executors)
         if now - self._round_ms < min(interval_ms, MAX_ROUND_INTERVAL_MS):
             return []
+        self.rank = max(self.rank, 1 + max(claim.spent_rank for claim in claims))
         job_ids_by_executor: dict[str, list[str]] = {}
         fenced = []
         for claim in claims:
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -350,7 +350,9 @@
         self.fences.handle_answer(sender, message)
         for job_id in message.job_ids:
             claim = self._open.get(job_id)
-            if claim is None or claim.is_granted or claim.fence_rank != message.rank:
+            if claim is None or claim.number not in self._undecided:
+                continue
+            if claim.fence_rank != message.rank:
                 continue
             claim.fenced_by.add(sender.address)
             claim.fence_incarnations[sender.address] = sender.incarnation
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -80,7 +80,10 @@
     :ivar fence_incarnations: incarnations of these executors, by address
     :ivar has_replaced_fence: whether an executor ran the job for another dispatcher only, before it
         has set the fence
-    :ivar fence_rank: rank of the fence that executors are or were asked for
+    :ivar fence_rank: rank of the fence that executors are or were asked for, 0 if they were not
+        asked since the answers were discarded
+    :ivar spent_rank: highest rank of the requests whose answers were discarded; late ones of them
+        must not count for another request
     :ivar fence_asked_ms: when executors were last asked for the fence
     """
 
@@ -116,6 +119,7 @@
         self.fence_incarnations: dict[str, int] = {}
         self.has_replaced_fence = False
         self.fence_rank = 0
+        self.spent_rank = 0
         self.fence_asked_ms = -math.inf
 
     @property
@@ -235,3 +239,5 @@
         self.held_by.clear()
         self.fenced_by.clear()
         self.fence_incarnations.clear()
+        self.spent_rank = max(self.spent_rank, self.fence_rank)
+        self.fence_rank = 0
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -133,13 +133,14 @@
 
     def test_a_replaced_fence_that_an_executor_reports_is_kept_with_the_claim(self):
         """The executor may be restarted before the fence is requested again."""
-        self.claims.claim(Job("j"))
+        job = Job("j")
+        self.claims.claim(job)
         self.advance()
         self.answer_grant(ONE, OTHER)
-        self.claims.handle_foreign_fence(Job("j"))
+        self.claims.handle_foreign_fence(job)
         claim = self.claims._open["j"]
+        self.assertFalse(claim.is_granted)
         for replaced in (("j",), ()):
-            claim.is_granted = False
             claim.fence_rank = 5
             self.claims.handle_jobs_fenced(
                 Peer(WORKERS[0], 1), JobsFenced(("j",), 5, replaced=replaced)
@@ -358,6 +359,49 @@
         self.assertEqual(["j", *(f"j{n}" for n in range(9))], line["first_jobs"].split(","))
 
 
+class LateFenceAnswerTest(ClaimsCase):
+    """Answers of executors to requests for a fence that the claim no longer relies on.
+
+    An executor may have lost that fence since, or run the job for another dispatcher.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.held = []
+        self.claims.on_held_elsewhere = lambda job, _holder: self.held.append(job)
+        self.job = Job("j")
+        self.claims.claim(self.job)
+        self.advance(600)
+        self.rank = self.find_sent(FenceJobs)[-1][1].rank
+        self.answer_fence(self.rank)
+        self.assertEqual([(self.job, self.rank)], self.granted)
+        self.granted.clear()
+        self.sent.clear()
+
+    def answer_fence(self, rank):
+        for number, worker in enumerate(WORKERS):
+            self.claims.handle_jobs_fenced(Peer(worker, number + 1), JobsFenced(("j",), rank))
+
+    def test_late_answers_do_not_grant_a_claim_that_is_requested_again(self):
+        self.claims.renew_grants("executor_new")
+        self.advance(600)
+        self.answer_fence(self.rank)
+        self.assertEqual([], self.granted)
+        rank = self.find_sent(FenceJobs)[-1][1].rank
+        self.assertGreater(rank, self.rank)
+        self.answer_fence(rank)
+        self.assertEqual([(self.job, rank)], self.granted)
+
+    def test_late_answers_do_not_grant_a_claim_that_was_given_up(self):
+        foreign = Claim(1, "j", 1_000.0, self.rank + 1)
+        self.claims.handle_claim_jobs(ONE, ClaimJobs((foreign,), (), 1))
+        self.assertEqual([self.job], self.held)
+        self.answer_fence(self.rank)
+        self.advance(600)
+        self.answer_fence(self.rank)
+        self.assertEqual([], self.granted)
+
+
 class ContactTest(unittest.TestCase):
     """Since when a claim is without contact to its arbiters."""
 
