fence_requests: an executor's answer counts for the process that gave it

Cause: a dispatcher that collects a fence counted the answers by address. An executor that was replaced after its answer had lost the fence: its next process ran the job for a dispatcher that arbiters had granted it, and the fence was completed without it, so that the job ran twice. That a replaced executor reported to the requester made it request granted claims again, but not those whose fence was not complete; without such a report nothing showed it. A late answer of the former process counted as well.

Change: once another process is heard at an executor's address, in a report or an answer, the answers collected before do not count, and the next requests have a higher rank, which late answers lack. Executors that have answered are asked again every 250 ms until the fence is complete, which a process that is not heard otherwise answers.

Cost: requests to executors that have answered, four a second while a fence is incomplete; a round of requests when an executor was replaced; none in calm. Open: an executor that is replaced less than 250 ms before the fence is complete, and runs the job by a claim of that time.

--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -118,7 +118,7 @@
         self._clock = clock
         self._counters = counters
         self.fleet = Fleet(clock, send, self._lose_runs, evacuations)
-        self.fleet.on_new_incarnation = lambda: claims.renew_grants("executor_new")
+        self.fleet.on_new_incarnation = claims.handle_new_executor
         self._jobs: dict[str, DispatchJob] = {}
         # Jobs with tasks that are ready to be placed, so that a scheduling pass doesn't
         # iterate over all jobs.
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -18,6 +18,9 @@
 
 # Interval at which requests are repeated, as executors may be starting.
 REQUEST_PERIOD_MS = 50.0
+# Interval at which executors that have set a fence are asked again until it is complete: another
+# process at their address, which this one may not hear otherwise, does not have it.
+CHECK_PERIOD_MS = 250.0
 # Rounds of requests begin at most once in this time for each executor. After a power loss every job
 # needs a fence of every executor: a round for each job would keep a small host busy for seconds.
 ROUND_INTERVAL_PER_EXECUTOR_MS = 2.0
@@ -74,6 +77,9 @@
         self.find_ended_since: Callable[[str], float | None] = _find_no_silence
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
+        # The process last heard at an address, and the rank of the requests then.
+        self._heard: dict[str, tuple[int, int]] = {}
+        self._void_rank = 0
         self._round_ms = -math.inf
 
     def request(self, claims: Collection[OpenClaim]) -> list[OpenClaim]:
@@ -91,7 +97,8 @@
         interval_ms = ROUND_INTERVAL_PER_EXECUTOR_MS * len(executors)
         if now - self._round_ms < min(interval_ms, MAX_ROUND_INTERVAL_MS):
             return []
-        self.rank = max(self.rank, 1 + max(claim.spent_rank for claim in claims))
+        spent_rank = max(claim.spent_rank for claim in claims)
+        self.rank = max(self.rank, spent_rank + 1, self._void_rank + 1)
         job_ids_by_executor: dict[str, list[str]] = {}
         fenced = []
         for claim in claims:
@@ -100,9 +107,13 @@
             claim.fence_asked_ms = self._round_ms = now
             if claim.fence_rank != self.rank:
                 claim.fence_rank = self.rank
+                claim.fence_checked_ms = now
                 claim.fenced_by.clear()
+            is_check_due = now - claim.fence_checked_ms >= CHECK_PERIOD_MS
+            if is_check_due:
+                claim.fence_checked_ms = now
             for address in executors:
-                if address not in claim.fenced_by:
+                if is_check_due or address not in claim.fenced_by:
                     job_ids_by_executor.setdefault(address, []).append(claim.job_id)
             if self.is_complete(claim):
                 fenced.append(claim)
@@ -124,8 +135,30 @@
         message = FenceJobs(job_ids, self.rank, self.find_claims_over_ms())
         self._send(Peer(address, ANY_INCARNATION), message)
 
+    def note_incarnation(self, executor: Peer, answered_rank: int = 0) -> None:
+        """Note an executor's process; if it is another one than before, no answer counts any more.
+
+        The one before has lost the fences that it has set. Its answers may arrive after those of
+        the next one, and do not tell which of the two is running, unless the other one was last
+        heard before the requests that this one answers.
+
+        :param answered_rank: rank of the requests that it answers
+        """
+        unheard = (executor.incarnation, 0)
+        incarnation, heard_rank = self._heard.get(executor.address, unheard)
+        self._heard[executor.address] = (executor.incarnation, self.rank)
+        if incarnation != executor.incarnation and answered_rank <= heard_rank:
+            self._void_rank = self.rank
+            fields = (("executor", executor.address), ("rank", self.rank))
+            _LOG.info("fences requested again", extra={"fields": fields})
+
+    def is_current(self, claim: OpenClaim, message: JobsFenced) -> bool:
+        """Return whether an answer counts for the fence that is now requested for a claim."""
+        return claim.fence_rank == message.rank and message.rank > self._void_rank
+
     def handle_answer(self, sender: Peer, message: JobsFenced) -> None:
         """Note that an executor has answered, and raise the rank above that of fences it kept."""
+        self.note_incarnation(sender, message.rank)
         if message.highest >= self.rank:
             self.rank = message.highest + 1
         self._unanswered.pop(sender.address, None)
--- a/geraniumspool/fleet.py
+++ b/geraniumspool/fleet.py
@@ -190,7 +190,8 @@
     """Track the workers of one dispatcher and exchange messages with them.
 
     :ivar links: connections to the workers
-    :ivar on_new_incarnation: called when a worker reports with an incarnation unknown so far
+    :ivar on_new_incarnation: called with the executor's process when a worker reports with an
+        incarnation unknown so far
     """
 
     def __init__(
@@ -212,7 +213,7 @@
         self._on_lost = on_lost
         self._views: dict[str, WorkerView] = {}
         self.links: Links = ReliableLinks()
-        self.on_new_incarnation: Callable[[], None] = _do_nothing
+        self.on_new_incarnation: Callable[[Peer], None] = _do_nothing
         self._known: Set[str] = frozenset()
         self._outbox: dict[Peer, list[RunOrder]] = {}
         # Highest number of all orders, also to workers that were removed meanwhile.
@@ -541,7 +542,7 @@
                 ("runs", len(view.runs)),
             )
             _LOG.warning("worker replaced", extra={"fields": fields})
-        self.on_new_incarnation()
+        self.on_new_incarnation(sender)
         view.peer = sender
         view.worker_clock_ms = 0.0
         view.sent_worker_clock_ms = 0.0
@@ -554,5 +555,5 @@
         self._on_lost(runs, reason)
 
 
-def _do_nothing() -> None:
+def _do_nothing(_executor: Peer) -> None:
     pass
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -352,7 +352,7 @@
             claim = self._open.get(job_id)
             if claim is None or claim.number not in self._undecided:
                 continue
-            if claim.fence_rank != message.rank:
+            if not self.fences.is_current(claim, message):
                 continue
             claim.fenced_by.add(sender.address)
             claim.fence_incarnations[sender.address] = sender.incarnation
@@ -367,6 +367,11 @@
         """
         self.fences.request_from(address, self._list_undecidable())
 
+    def handle_new_executor(self, executor: Peer) -> None:
+        """Handle that another process of an executor reports, which has no fence yet."""
+        self.fences.note_incarnation(executor)
+        self.renew_grants("executor_new")
+
     def check_pause(self) -> None:
         """Renew the grants of all claims after a pause of ``MAX_PAUSE_MS`` or more."""
         now = self._clock.now()
--- a/geraniumspool/open_claim.py
+++ b/geraniumspool/open_claim.py
@@ -85,6 +85,7 @@
     :ivar spent_rank: highest rank of the requests whose answers were discarded; late ones of them
         must not count for another request
     :ivar fence_asked_ms: when executors were last asked for the fence
+    :ivar fence_checked_ms: when all of them were last asked, those that have set it included
     """
 
     def __init__(self, job: Claimant, arbiter_sets: list[list[str]], now: float):
@@ -121,6 +122,7 @@
         self.fence_rank = 0
         self.spent_rank = 0
         self.fence_asked_ms = -math.inf
+        self.fence_checked_ms = -math.inf
 
     @property
     def job_id(self) -> str:
--- a/tests/test_claim_gaps.py
+++ b/tests/test_claim_gaps.py
@@ -244,6 +244,51 @@
         self.run_for_each_job(scenario)
 
 
+class RestartedAfterAnswerTest(ClaimGapCase):
+    """An executor that is replaced after it has set a fence, before the fence is complete.
+
+    Its next process runs the job for others. The requester is cut off from the store, which would
+    tell it, and from the dispatcher that has the job then.
+    """
+
+    def replace(self, worker):
+        index = self.world.workers.index(worker)
+        worker.kill()
+        self.world.workers[index] = SimulatedWorker(
+            self.world, worker.name, 2, worker.minion, fence=100
+        )
+        for dispatcher in self.all_dispatchers[1:]:
+            dispatcher.handle_key_written(worker.address)
+
+    def find_worker(self, index):
+        """Return the worker that a dispatcher owns."""
+        (address,) = self.all_dispatchers[index].peers.owned
+        return next(worker for worker in self.world.workers if worker.address == address)
+
+    def test_an_executor_that_has_lost_a_fence_is_asked_again_before_it_is_complete(self):
+        def scenario(name):
+            requester, holder, third = self.all_dispatchers
+            replaced, last = self.find_worker(1), self.find_worker(2)
+            self.partition(requester.address, [holder.address, third.address])
+            self.partition(requester.address, [last.address])
+            self.advance(PEERS_SILENT_MS)
+            spec = make_spec(name, count=1, cpu=4_000, run_ms=4_000, declared_ms=500)
+            self.place(0, spec)
+            self.advance(200)
+            self.assertIn(replaced.address, requester.claims._open[name].fenced_by)
+            self.replace(replaced)
+            self.advance(700)
+            self.place(1, spec)
+            self.advance(300)
+            self.assertGreater(self.world.start_count(f"{name}.0.0.0"), 0)
+            for link in ((requester.address, last.address), (last.address, requester.address)):
+                self.world.network.partitioned.discard(link)
+            self.advance(1_000)
+            self.assertEqual(set(), self.ran_twice)
+
+        self.run_for_each_job(scenario, 8)
+
+
 class NewExecutorTest(ClaimGapCase):
     """An executor that starts after a fence was set by all others."""
 
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -18,7 +18,7 @@
 from geraniumspool.claim_table import ClaimTable
 from geraniumspool.clock import ManualClock
 from geraniumspool.counters import MemoryCounters
-from geraniumspool.fence_requests import FenceRequests
+from geraniumspool.fence_requests import CHECK_PERIOD_MS, FenceRequests
 from geraniumspool.job_claims import HEDGE_MS, MAX_PAUSE_MS, JobClaims
 from geraniumspool.messages import Peer
 from geraniumspool.open_claim import GRANTED_BY_FENCE, MAX_LOGGED_GRANTERS, OpenClaim
@@ -402,6 +402,66 @@
         self.assertEqual([], self.granted)
 
 
+class ReplacedExecutorTest(ClaimsCase):
+    """An executor that is replaced by another process before the fence is complete.
+
+    Its answer counts for the fences of the process that has sent it alone.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.job = Job("j")
+        self.claims.claim(self.job)
+        self.advance(600)
+        self.first, self.last = (Peer(worker, 1) for worker in WORKERS)
+        self.rank = self.find_rank()
+        self.answer(self.first, self.rank)
+
+    def find_rank(self):
+        return self.find_sent(FenceJobs)[-1][1].rank
+
+    def answer(self, executor, rank, job_ids=("j",)):
+        self.claims.handle_jobs_fenced(executor, JobsFenced(job_ids, rank))
+
+    def check_needs_new_answers(self):
+        self.answer(self.last, self.rank)
+        self.assertEqual([], self.granted)
+        self.advance(2 * STEP_MS)
+        rank = self.find_rank()
+        self.assertGreater(rank, self.rank)
+        self.answer(self.last, rank)
+        self.assertEqual([], self.granted)
+        self.answer(self.first._replace(incarnation=2), rank)
+        self.assertEqual([(self.job, rank)], self.granted)
+
+    def test_its_answer_does_not_count_once_the_next_process_reports(self):
+        self.claims.handle_new_executor(self.first)
+        self.claims.handle_new_executor(self.first._replace(incarnation=2))
+        self.check_needs_new_answers()
+
+    def test_its_answer_does_not_count_once_the_next_process_answers(self):
+        self.answer(self.first._replace(incarnation=2), self.rank, ())
+        self.check_needs_new_answers()
+
+    def test_its_late_answer_does_not_count(self):
+        self.advance()
+        self.claims.handle_new_executor(self.first._replace(incarnation=2))
+        self.answer(self.first, self.rank)
+        self.check_needs_new_answers()
+
+    def test_executors_that_have_answered_are_asked_again_until_the_fence_is_complete(self):
+        """A process that is not heard otherwise may have replaced one of them."""
+        self.sent.clear()
+        self.advance(CHECK_PERIOD_MS + 2 * STEP_MS)
+        asked = [peer.address for peer, _ in self.find_sent(FenceJobs)]
+        self.assertEqual(1, asked.count(self.first.address))
+        self.assertGreater(asked.count(self.last.address), 1)
+
+    def test_other_answers_complete_the_fence(self):
+        self.answer(self.last, self.rank)
+        self.assertEqual([(self.job, self.rank)], self.granted)
+
+
 class ContactTest(unittest.TestCase):
     """Since when a claim is without contact to its arbiters."""
 
