job_claims: answers of an arbiter's former incarnation do not count

Cause: verdicts count by the address of the arbiter. One of a former incarnation that arrived after the next one was heard counted as a grant, though the current process had forgotten it and could grant the job to another dispatcher; a late refusal took a granted claim away. Grants of the former incarnation stayed counted where the first message of the next one was a verdict.

Change: verdicts of another incarnation than the current one are ignored; a verdict of a new one ends the grants of the one before, as its report does.

Before the change three cases of test_job_claims.FormerArbiterTest failed. Cost: none; where a late report has made a former incarnation the current one for a moment, answers until the next report are asked for again.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -268,6 +268,11 @@
         for number in list(self._open_claims.get(peer, ())):
             self.release(peer, number)
 
+    def is_current(self, peer: Peer) -> bool:
+        """Return whether no other incarnation of a dispatcher was heard last."""
+        member = self._dispatchers.get(peer.address)
+        return member is None or member.peer == peer
+
     def is_synced(self, peer: Peer) -> bool:
         """Return whether this incarnation of a dispatcher has sent all its open claims."""
         member = self._dispatchers.get(peer.address)
--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -331,7 +331,13 @@
             self._send(view.peer, EndClaims())
 
     def handle_claim_verdicts(self, sender: Peer, message: ClaimVerdicts) -> None:
-        """Handle an arbiter's answers to claims."""
+        """Handle an arbiter's answers to claims.
+
+        Those of a former incarnation do not count: the current one does not know what it granted.
+        """
+        if not self._is_current(sender):
+            return
+        self._note_incarnation(sender)
         if message.is_settled:
             self._settled_arbiters.add(sender)
         else:
@@ -345,6 +351,13 @@
                 if claim.number in self._undecided and self._is_undecidable(claim, now):
                     self._request_fences_soon()
 
+    def _is_current(self, peer: Peer) -> bool:
+        """Return whether no other incarnation of a dispatcher is known to have followed."""
+        view = self._peers.get(peer.address)
+        if view is None or view.peer.incarnation == ANY_INCARNATION:
+            return self.table.is_current(peer)
+        return view.peer == peer
+
     def handle_jobs_fenced(self, sender: Peer, message: JobsFenced) -> None:
         """Handle an executor's answer to a request for fences."""
         self.fences.handle_answer(sender, message)
--- a/tests/test_job_claims.py
+++ b/tests/test_job_claims.py
@@ -462,6 +462,60 @@
         self.assertEqual([(self.job, self.rank)], self.granted)
 
 
+class FormerArbiterTest(ClaimsCase):
+    """An arbiter is restarted, and answers of its former incarnation arrive late.
+
+    The current one has forgotten the grants, and may grant the job to another dispatcher.
+    """
+
+    current = ONE._replace(incarnation=2)
+
+    def setUp(self):
+        super().setUp()
+        self.claims.claim(Job("j"))
+        self.advance()
+
+    def restart(self):
+        self.peers[0] = ReachablePeer(self.current)
+        self.claims.note_report(self.current)
+        self.claims.update_members()
+
+    def unlist(self):
+        """Have it leave the list of members, which keeps it an arbiter for some time."""
+        self.peers.pop(0)
+        self.claims.note_report(self.current)
+        self.claims.update_members()
+
+    def test_a_late_grant_of_its_former_incarnation_does_not_count(self):
+        for fault in (self.restart, self.unlist):
+            with self.subTest(fault.__name__):
+                self.setUp()
+                fault()
+                self.answer_grant(OTHER, ONE)
+                self.assertEqual([], self.granted)
+
+    def test_a_late_refusal_of_its_former_incarnation_does_not_take_a_grant_away(self):
+        self.restart()
+        self.answer_grant(self.current, OTHER)
+        verdict = ClaimVerdict(self.last_claim_number(), "tcp://d", 1)
+        self.claims.handle_claim_verdicts(ONE, ClaimVerdicts((verdict,), True))
+        self.assertTrue(self.claims._open["j"].is_granted)
+
+    def test_answers_of_the_current_incarnation_count(self):
+        self.restart()
+        self.answer_grant(OTHER, self.current)
+        self.assertEqual([(Job("j"), 0)], self.granted)
+
+    def test_its_first_answer_ends_grants_of_the_former_incarnation(self):
+        """The answer may arrive before a report, and be about another job."""
+        self.answer_grant(ONE)
+        self.peers[0] = ReachablePeer(self.current)
+        self.claims._peers[ONE.address] = self.peers[0]
+        self.claims.handle_claim_verdicts(self.current, ClaimVerdicts((), True))
+        self.answer_grant(OTHER)
+        self.assertEqual([], self.granted)
+
+
 class ContactTest(unittest.TestCase):
     """Since when a claim is without contact to its arbiters."""
 
