job_fences: a late request does not lower the rank of an own fence

Cause: an executor replaced a dispatcher's own fence by each further request, whatever its rank. One that arrived after a request of higher rank lowered it: orders under the newer fence were refused ("fenced"), and a fence of another dispatcher with a rank in between replaced it there.

Change: a request whose rank is lower than that of the dispatcher's own fence changes nothing.

Before the change test_job_fences.JobFenceTest.test_a_late_request_of_lower_rank_does_not_lower_an_own_ fence failed. No double run was found that comes from it alone: the other dispatcher still needs a complete fence.

--- a/geraniumspool/job_fences.py
+++ b/geraniumspool/job_fences.py
@@ -128,6 +128,9 @@
         fenced = []
         for job_id in message.job_ids:
             fence = self._fences.get(job_id)
+            if fence is not None and fence.holder == dispatcher and fence.rank > message.rank:
+                # A late message: orders and other dispatchers' requests go by the newer rank.
+                continue
             if fence is not None and _outranks(fence, dispatcher, message.rank):
                 highest_kept = max(highest_kept, fence.rank)
                 continue
--- a/tests/test_job_fences.py
+++ b/tests/test_job_fences.py
@@ -129,6 +129,20 @@
             self.world.clock.advance(5)
             self.assertEqual([("asker", JobsFenced((JOB,), rank))], self.results)
 
+    def test_a_late_request_of_lower_rank_does_not_lower_an_own_fence(self):
+        """Orders under the newer fence were refused, and another dispatcher's fence replaced it."""
+        second = self.connect("late")
+        for rank in (RANK + 2, RANK):
+            self.request_fence(rank=rank)
+            self.world.clock.advance(5)
+        self.assertEqual([], self.results)
+        self.assertFalse(
+            self.worker.executor.job_fences.excludes(self.requester.local_peer, TASK, RANK + 2)
+        )
+        self.request_fence(second, RANK + 1)
+        self.world.clock.advance(5)
+        self.assertEqual([("late", JobsFenced((), RANK + 1, RANK + 2))], self.results)
+
     def test_a_fence_is_not_confirmed_while_runs_of_an_earlier_process_may_go_on(self):
         self.start_run()
         minion = self.worker.minion
