dispatcher_peers: a report that newer ones have overtaken changes nothing

Cause: a dispatcher's view of another one took over each report, also one that arrived after a newer one. Executors that the sender uses without an entry in the store were then dropped from those that are asked for fences, until its next report; one that leaves was sent jobs again, and a silent one counted as alive.

Change: a report whose clock value is lower than the highest one of the incarnation only confirms what it echoes.

--- a/geraniumspool/dispatcher_peers.py
+++ b/geraniumspool/dispatcher_peers.py
@@ -125,9 +125,11 @@
         )
 
     def apply_report(self, report: DispatcherReport, now: float) -> None:
-        """Store the contents of its report."""
-        self.clock_ms = max(self.clock_ms, report.now_ms)
+        """Store the contents of its report, unless a newer one has arrived."""
         self.confirmed_ms = max(self.confirmed_ms, report.echo_ms)
+        if report.now_ms < self.clock_ms:
+            return
+        self.clock_ms = report.now_ms
         self.last_message_ms = now
         self.is_leaving = report.is_leaving
         self.loads = {load.service: load for load in report.loads}
