claim_table: a list of open claims that a newer one has overtaken changes nothing

Cause: an arbiter took over each complete list of a dispatcher's claims, also one that arrived after a newer one.

Change: the age of the sender's process, which each list states, orders them.

Open: a list that was overtaken by the claim of a job whose arbiters have changed since releases that claim at this arbiter.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -93,6 +93,7 @@
 
     :ivar peer: its address and incarnation
     :ivar is_synced: whether it has sent its open claims
+    :ivar age_ms: age of its process when it sent the newest list that has arrived
     :ivar is_settled: whether it is settled as an arbiter itself
     :ivar started_ms: when its process started, by the clock of this process; infinite if unknown
     :ivar clean: addresses of dispatchers whose last incarnation it has seen exit with no run left
@@ -105,6 +106,7 @@
     def __init__(self, peer: Peer, heard_ms: float, replaced: "_DispatcherState | None" = None):
         self.peer = peer
         self.is_synced = False
+        self.age_ms = -math.inf
         self.is_settled = False
         self.started_ms = math.inf
         self.clean: frozenset[str] = frozenset()
@@ -353,10 +355,14 @@
     def apply_open_claims(self, sender: Peer, message: OpenClaims) -> list[ClaimVerdict]:
         """Apply the complete list of a dispatcher's claims; return the answers to them.
 
-        Grants up to ``message.upto`` that are not listed are released.
+        Grants up to ``message.upto`` that are not listed are released. A list that a newer one has
+        overtaken changes nothing.
         """
         self.note_incarnation(sender)
         member = self._dispatchers[sender.address]
+        if message.age_ms < member.age_ms:
+            return []
+        member.age_ms = message.age_ms
         member.is_synced = True
         member.is_settled = message.is_settled
         member.started_ms = self._clock.now() - message.age_ms
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -7,7 +7,7 @@
 from geraniumspool.clock import ManualClock
 from geraniumspool.messages import Peer
 from geraniumspool.released_claims import MAX_INCARNATIONS, MAX_NUMBERS
-from geraniumspool.run_leases import CLAIMS_LAPSED_MS
+from geraniumspool.run_leases import CLAIMS_LAPSED_MS, RUNS_OVER_MS
 from geraniumspool.wire_versions import make_incarnation
 from tests.dispatch_world import SimulatedWorker, make_spec
 from tests.test_claim_gaps import PEERS_SILENT_MS, ClaimGapCase
@@ -192,6 +192,38 @@
         self.assertEqual("", self.send_claim(self.third).holder)
 
 
+class LateListTest(LateClaimsCase):
+    """A complete list of a dispatcher's open claims arrives after a newer one."""
+
+    def send_list(self, age_ms, upto=9, has_lost_members=False, claims=()):
+        message = OpenClaims(claims, upto, age_ms, True, (), has_lost_members)
+        return self.table.apply_open_claims(self.other, message)
+
+    def test_claims_that_a_newer_list_has_released_are_not_recorded_again(self):
+        claim = Claim(5, "j", LEFT_MS, RANK)
+        self.send_claim(self.other, 5, RANK)
+        self.send_list(UPTIME_MS + 20)
+        self.assertEqual("", self.send_claim(self.holder).holder)
+        self.assertEqual([], self.send_list(UPTIME_MS + 10, claims=(claim,)))
+        self.assertEqual(self.holder.address, self.send_claim(self.third).holder)
+
+    def test_members_that_its_sender_has_lost_since_still_count(self):
+        """They may run jobs that this arbiter has forgotten by its restart."""
+        self.table = ClaimTable(self.clock, "tcp://h0", self.clock.now())
+        self.table.set_members({"tcp://h0": DOMAIN, self.other.address: DOMAIN})
+        self.send_list(UPTIME_MS + 20, has_lost_members=True)
+        self.send_list(UPTIME_MS + 10)
+        self.clock.advance(RUNS_OVER_MS + 10)
+        self.assertFalse(self.table.is_settled)
+
+    def test_a_later_list_counts(self):
+        self.send_claim(self.other, 5)
+        self.send_list(UPTIME_MS + 10, claims=(Claim(5, "j", LEFT_MS),))
+        self.assertEqual(self.other.address, self.send_claim(self.third).holder)
+        self.send_list(UPTIME_MS + 10)
+        self.assertEqual("", self.send_claim(self.third).holder)
+
+
 class LateFenceWorldTest(ClaimGapCase):
     """Connections of a dispatcher stall, and deliver after the job has gone to another one."""
 
