--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -20,7 +20,7 @@
 REQUEST_PERIOD_MS = 50.0
 # Interval at which executors that have set a fence are asked again until it is complete: another
 # process at their address, which this one may not hear otherwise, does not have it.
-CHECK_PERIOD_MS = 250.0
+CHECK_PERIOD_MS = 500.0
 # Rounds of requests begin at most once in this time for each executor. After a power loss every job
 # needs a fence of every executor: a round for each job would keep a small host busy for seconds.
 ROUND_INTERVAL_PER_EXECUTOR_MS = 2.0
