cancels: a job ends whichever dispatcher its cancel reaches

What callers saw: a DELETE that reached another dispatcher than the job's was answered 410, and the job's tasks went on to start for seconds.

Cause: a cancel was looked up among the jobs of the process that it reached. Neither the other dispatchers nor the one that places the job were asked.

One message and one answer for each dispatcher and cancel.

--- a/geraniumspool/dispatch_entry.py
+++ b/geraniumspool/dispatch_entry.py
@@ -20,7 +20,14 @@
 from geraniumspool.dispatcher_peers import DispatcherPeers
 from geraniumspool.evacuations import Evacuations
 from geraniumspool.job_claims import JobClaims
-from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
+from geraniumspool.job_messages import (
+    CancelJob,
+    DispatcherReport,
+    DropJobs,
+    ForwardedEnd,
+    ForwardJob,
+    JobCancelled,
+)
 from geraniumspool.job_router import JobRouter
 from geraniumspool.leased_key import LeasedKey
 from geraniumspool.messages import Message, Peer, WrongIncarnation
@@ -149,6 +156,8 @@
             ForwardJob: self.router.handle_forward_job,
             ForwardedEnd: self.router.handle_forwarded_end,
             DropJobs: self.router.forwarded.handle_drop_jobs,
+            CancelJob: self.router.cancels.handle_cancel_job,
+            JobCancelled: self.router.cancels.handle_job_cancelled,
             DispatcherReport: self.router.handle_report,
             ClaimJobs: self.claims.handle_claim_jobs,
             OpenClaims: self.claims.handle_open_claims,
--- a/geraniumspool/dispatcher.py
+++ b/geraniumspool/dispatcher.py
@@ -68,6 +68,8 @@
 
 # Result code: another dispatcher runs the job.
 HELD_ELSEWHERE = "held_elsewhere"
+# Result code: the caller has cancelled the job.
+CANCELLED = "cancelled"
 
 _RETRIED = frozenset({RUN_STOPPED, RUN_LAPSED})
 
@@ -84,6 +86,7 @@
     :ivar remote_data: factor by which tasks take longer away from their data
     :ivar get_remote_capacity: returns the CPU capacity, in thousandths of a core, of the workers
         that other dispatchers own for a service
+    :ivar is_cancelled: returns whether a job was cancelled before it arrived
     :ivar find_served: returns what other dispatchers report that the queues of a service got
     """
 
@@ -148,6 +151,7 @@
         claims.fences.find_ended_since = self.fleet.find_ended_since
         self.get_remote_capacity: Callable[[str], float] = _no_remote_capacity
         self.find_served: FindServed = _no_served
+        self.is_cancelled: Callable[[str], bool] = _is_never_cancelled
         self.exit_ms = math.inf
 
     @property
@@ -198,6 +202,9 @@
             job.lease_expiries.append(lease_expiry)
             job.may_return = job.may_return and may_return
             return job
+        if self.is_cancelled(spec.job_id):
+            # The request was overtaken by the cancel.
+            return JobResult(JobOutcome.FAILED, CANCELLED)
         job = DispatchJob(spec, queue, make_steps(spec, self.learner.run_time_ratio(queue.name)))
         refusal = self._check_admission(job, timeout_ms or DEFAULT_TIMEOUT_MS, age_ms)
         if refusal is not None:
@@ -276,7 +283,7 @@
         job = self._jobs.get(job_id)
         if job is None:
             return False
-        self._end(job, JobResult(JobOutcome.FAILED, "cancelled"))
+        self._end(job, JobResult(JobOutcome.FAILED, CANCELLED))
         return True
 
     def abort_jobs(self) -> None:
@@ -735,6 +742,10 @@
     return end.how == RUN_LAPSED and end.reason in CRASH_REASONS
 
 
+def _is_never_cancelled(_job_id: str) -> bool:
+    return False
+
+
 def _no_served(_service: str) -> tuple[QueueShare, ...]:
     return ()
 
--- a/geraniumspool/job_messages.py
+++ b/geraniumspool/job_messages.py
@@ -81,6 +81,22 @@
     numbers: tuple[int, ...]
 
 
+class CancelJob(NamedTuple):
+    """Dispatcher to dispatcher: a caller has cancelled this job, which must not run any more."""
+
+    job_id: str
+
+
+class JobCancelled(NamedTuple):
+    """Answer to ``CancelJob``: the job has ended at this dispatcher, and is not accepted again.
+
+    :param was_known: whether it was running or queued there
+    """
+
+    job_id: str
+    was_known: bool
+
+
 class DispatcherReport(NamedTuple):
     """Periodic report of a dispatcher to another; also renews the sender's lease there.
 
--- a/geraniumspool/job_router.py
+++ b/geraniumspool/job_router.py
@@ -17,6 +17,7 @@
 from geraniumspool.contracts import Clock, Counters, Links
 from geraniumspool.dispatch_job import DispatchJob
 from geraniumspool.dispatcher import (
+    CANCELLED,
     DEFAULT_TIMEOUT_MS,
     HELD_ELSEWHERE,
     RESULT_MARGIN_MS,
@@ -27,6 +28,7 @@
 from geraniumspool.fleet import RUNS_LOST_AFTER_MS, STARTUP_REPORT_MS
 from geraniumspool.forwarded_jobs import LEASE_OVER, NOT_RECEIVED, ForwardedJobs
 from geraniumspool.job_admission import NO_WORKER_RETRY_MS, POWER_LOSS_RECOVERY_MS
+from geraniumspool.job_cancels import JobCancels
 from geraniumspool.job_claims import JobClaims
 from geraniumspool.job_messages import (
     DispatcherReport,
@@ -111,6 +113,7 @@
 
     :ivar peers: the other dispatchers, and which workers this one owns
     :ivar forwarded: jobs that other dispatchers have forwarded to this one
+    :ivar cancels: callers' cancels, which are passed on between the dispatchers
     :ivar links: connections to the other dispatchers
     :ivar returns_jobs: whether waiting jobs are returned to the dispatchers of their callers while
         another dispatcher has free capacity, and other owners may do so with jobs of this one
@@ -148,6 +151,8 @@
         self.peers = peers
         self._claims = claims
         self.forwarded = ForwardedJobs(clock, send, counters, dispatcher)
+        self.cancels = JobCancels(clock, send, counters, self.cancel, peers.views.values)
+        dispatcher.is_cancelled = self.cancels.is_cancelled
         self.links: Links = ReliableLinks()
         self._jobs: dict[str, ForwardedJob] = {}
         # Jobs that were sent to an owner and not answered yet, by number.
@@ -192,7 +197,8 @@
         if existing is not None:
             existing.waiters += 1
             return existing
-        if self._dispatcher.has_job(spec.job_id) or spec.unsupported:
+        is_cancelled = self.cancels.is_cancelled(spec.job_id)
+        if self._dispatcher.has_job(spec.job_id) or spec.unsupported or is_cancelled:
             return self._dispatcher.submit(spec, queue, timeout_ms, version)
         option = self._choose_owner(spec, queue, set())
         now = self._clock.now()
@@ -303,11 +309,11 @@
             self._drop(found, JobResult(JobOutcome.GONE, "caller_gone"))
 
     def cancel(self, job_id: str) -> bool:
-        """End a job at its caller's request; return whether it was known."""
+        """End a job of this process at its caller's request; return whether it was known."""
         job = self._jobs.get(job_id)
         if job is None:
             return self._dispatcher.cancel(job_id)
-        self._drop(job, JobResult(JobOutcome.FAILED, "cancelled"))
+        self._drop(job, JobResult(JobOutcome.FAILED, CANCELLED))
         return True
 
     def count_waiting(self, queue: Queue) -> int:
--- a/geraniumspool/messages.py
+++ b/geraniumspool/messages.py
@@ -35,10 +35,12 @@
 from geraniumspool.decoding import DECODE_ERRORS
 from geraniumspool.errors import MalformedMessage, UnknownKind
 from geraniumspool.job_messages import (
+    CancelJob,
     DispatcherReport,
     DropJobs,
     ForwardedEnd,
     ForwardJob,
+    JobCancelled,
     ServiceLoad,
 )
 from geraniumspool.message_growth import skip_unknown_elements, trim_elements
@@ -583,6 +585,8 @@
     JobsFenced,
     RelayClaims,
     RelayedClaims,
+    CancelJob,
+    JobCancelled,
 )
 # Kinds below this number are known to every build that is in use.
 _BASE_KINDS = 31
--- a/geraniumspool/platform/dispatcher_program.py
+++ b/geraniumspool/platform/dispatcher_program.py
@@ -43,7 +43,7 @@
         PROCESS_STARTED_MS,
     )
     callers = WebServer(
-        Ingress(entry.router, entry.configuration, metrics),
+        Ingress(entry.router, entry.configuration, metrics, entry.router.cancels.cancel),
         settings.callers_listen,
         clock,
         bodies=BodyBudget(counters=metrics),
--- a/geraniumspool/platform/ingress.py
+++ b/geraniumspool/platform/ingress.py
@@ -90,15 +90,24 @@
     are routed by :meth:`dispatch` and not by a table of routes.
     """
 
-    def __init__(self, router: JobRouter, configuration: QueueConfiguration, counters: Counters):
+    def __init__(
+        self,
+        router: JobRouter,
+        configuration: QueueConfiguration,
+        counters: Counters,
+        cancel: Callable[[str], bool] | None = None,
+    ):
         """Create the application.
 
         :param router: receives the jobs
         :param configuration: the queues in force
         :param counters: where ``http_requests`` is counted by status
+        :param cancel: ends a job wherever it is, and returns whether it was known; by default only
+            the jobs of the router are ended
         """
         super().__init__((), MAX_BODY_BYTES, counters, _LOG)
         self._router = router
+        self._cancel = cancel or router.cancel
         self._configuration = configuration
 
     def handle(self, environ: dict[str, Any], body: bytes) -> Reply:
@@ -127,7 +136,7 @@
             return reply_problem(404, "not_found", "this is not the id of a job")
         if method == "POST":
             return self._submit(environ, queue, job_id, body, table.version)
-        if method == "DELETE" and self._router.cancel(job_id):
+        if method == "DELETE" and self._cancel(job_id):
             return reply_json(200, {"state": "cancelled"})
         if method in ("GET", "DELETE"):
             return reply_problem(410, "not_found", "no such job is kept")
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -23,7 +23,14 @@
 from geraniumspool.executor import Executor
 from geraniumspool.groups import GROUP_WORKERS
 from geraniumspool.job_claims import JobClaims
-from geraniumspool.job_messages import DispatcherReport, DropJobs, ForwardedEnd, ForwardJob
+from geraniumspool.job_messages import (
+    CancelJob,
+    DispatcherReport,
+    DropJobs,
+    ForwardedEnd,
+    ForwardJob,
+    JobCancelled,
+)
 from geraniumspool.job_router import JobRouter
 from geraniumspool.job_specs import JobResult, JobSpec, StepSpec
 from geraniumspool.memory_link import MemoryMessenger, MemoryNetwork
@@ -230,6 +237,8 @@
             ForwardJob: self.router.handle_forward_job,
             ForwardedEnd: self.router.handle_forwarded_end,
             DropJobs: self.router.forwarded.handle_drop_jobs,
+            CancelJob: self.router.cancels.handle_cancel_job,
+            JobCancelled: self.router.cancels.handle_job_cancelled,
             DispatcherReport: self.router.handle_report,
             ClaimJobs: self.claims.handle_claim_jobs,
             OpenClaims: self.claims.handle_open_claims,
