claim_table: a late clean exit does not count for later incarnations

Cause: `EndClaims` of a process that arrived after two more had been heard at its address made the arbiter tell the others that the last incarnation there had exited with no run left. The next one then counted as settled at once, though the one in between may have been killed with jobs granted.

Change: an exit of a known former incarnation releases its claims and tells nothing of later ones.

Before the change test_claim_table.SettledTest.test_a_late_clean_exit_does_not_count_for_an_incarnation_ after_the_next_one failed.

--- a/geraniumspool/claim_table.py
+++ b/geraniumspool/claim_table.py
@@ -276,9 +276,15 @@
         return tuple(self._clean_exits)
 
     def note_clean_exit(self, peer: Peer) -> None:
-        """Note that a dispatcher exits with no run left, and release its claims."""
+        """Note that a dispatcher exits with no run left, and release its claims.
+
+        A late message of a former incarnation does not say how those after it have ended.
+        """
+        member = self._dispatchers.get(peer.address)
+        is_former = member is not None and peer.incarnation in member.others_heard_ms
         self.note_incarnation(peer)
-        self._clean_exits[peer.address] = peer
+        if not is_former:
+            self._clean_exits[peer.address] = peer
         self._released.add_all(peer)
         for former in self._former_members:
             if former.unannounced.get(peer.address) == peer:
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -406,6 +406,14 @@
         self.table.note_incarnation(ONE._replace(incarnation=3))
         self.assertEqual((), self.table.clean_exits)
 
+    def test_a_late_clean_exit_does_not_count_for_an_incarnation_after_the_next_one(self):
+        """The one in between may have been killed, with runs left."""
+        for incarnation in (1, 2, 3):
+            self.table.note_incarnation(ONE._replace(incarnation=incarnation))
+        self.table.note_clean_exit(ONE)
+        self.table.note_incarnation(ONE._replace(incarnation=3))
+        self.assertEqual((), self.table.clean_exits)
+
 
 class ArbitersTest(unittest.TestCase):
     """Which dispatchers are the arbiters of a job."""
