--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -110,22 +110,47 @@
                 return
         self.fail("the job is not started again")
 
-    def test_an_order_that_arrives_after_renewals_is_not_started(self):
-        """The path to one worker comes back; that to the other one is reopened again and again."""
+    def give_up(self):
+        """Order a run into a cut, and wait until it is given up; its caller hangs up meanwhile.
+
+        The path to its worker comes back then; that to another one is reopened again and again, so
+        that the dispatcher renews its lease at all workers.
+
+        :return: sender, worker and message of the order
+        """
+        sender, receiver, message = self.order_into_cut()
+        worker = next(w for w in self.world.workers if w.address == receiver.address)
+        self.advance(300)
+        self.dispatcher.router.remove_waiter(self.job)
+        self.advance(self.CUT_MS - 400)
+        return sender, worker, message
+
+    def check_single_run(self):
+        self.advance(300)
+        self.assertEqual(set(), self.twice)
+        self.assertEqual(1, self.world.start_count("j.0.0.0"))
+
+    def test_an_order_that_arrives_after_the_next_run_has_started(self):
         for late_ms in self.LATE_MS:
             with self.subTest(late_ms=late_ms):
-                sender, receiver, message = self.order_into_cut()
-                worker = next(w for w in self.world.workers if w.address == receiver.address)
-                self.advance(300)
-                self.dispatcher.router.remove_waiter(self.job)
-                self.advance(self.CUT_MS - 400)
+                sender, worker, message = self.give_up()
                 self.send_again()
-                self.reconnect(receiver.address)
+                self.reconnect(worker.address)
                 self.advance(late_ms)
                 worker.executor.handle_start(sender, message)
-                self.advance(300)
-                self.assertEqual(set(), self.twice)
-                self.assertEqual(1, self.world.start_count("j.0.0.0"))
+                self.check_single_run()
+
+    def test_an_order_that_arrives_before_the_next_run_starts(self):
+        for late_ms in self.LATE_MS:
+            with self.subTest(late_ms=late_ms):
+                sender, worker, message = self.give_up()
+                self.reconnect(worker.address)
+                self.advance(late_ms)
+                worker.executor.handle_start(sender, message)
+                self.advance(20)
+                self.assertEqual(set(), worker.minion.running)
+                self.send_again()
+                self.check_single_run()
 
 
 class UnknownRunTest(ExecutorCase):
