--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1,5 +1,6 @@
 """Tests of orders that newer messages have overtaken, and of runs unknown to their dispatcher."""
 
+import random
 import unittest
 
 from geraniumspool.memory_minion import MemoryMinion
@@ -82,6 +83,7 @@
 
     def order_into_cut(self):
         """Cut a dispatcher off its workers, and have it order a run; return what was sent."""
+        random.seed(1)
         self.make_world(4, 2, group_workers=2)
         self.dispatcher, self.other = self.world.dispatchers
         views = self.dispatcher.dispatcher.fleet.views
