job_claims: a claim that is requested again is not released while its runs go on

Cause: a holder that requests its claim again has no grants meanwhile. An arbiter that has just claimed the job itself answers that it holds it. If the other arbiters do not answer by the next check, the holder handed the job over and released the claim at once, as if none of its runs had started. They go on until their stop arrives, and the next claim was granted before that.

Change: such a claim is given up, and released once its runs are over.

--- a/geraniumspool/job_claims.py
+++ b/geraniumspool/job_claims.py
@@ -488,6 +488,10 @@
         if not self._is_reachable(holder, now):
             return
         if holder.address < self._me.address or now - claim.held_since_ms > YIELD_WAIT_MS:
+            if claim.first_granted_ms is not None:
+                # Requested again: runs may be active, and the claim lasts until they are over.
+                self._give_up(claim, holder.address, "held_elsewhere")
+                return
             job = claim.job
             self._release_claim(claim)
             self._flush_soon()
