--- a/geraniumspool/run_leases.py
+++ b/geraniumspool/run_leases.py
@@ -15,8 +15,8 @@
 LONGEST_LEASE_MS = 1_000.0
 # Largest relative difference in rate between two clocks: 2%.
 CLOCK_DRIFT = 0.02
-# Time after which the runs of a silent dispatcher must be over: both leases, the time until a stop
-# counts as stuck, and the time that a stop takes.
+# Time after which the runs of a silent dispatcher must be over: both leases, and the time that a
+# stop may take before the minion's lease is cut short for it.
 RUNS_OVER_MS = (DISPATCHER_LEASE_MS + MINION_LEASE_MS) * (1 + CLOCK_DRIFT) + 150.0
 # Time after the end of an executor's process after which its runs must be over: the lease at the
 # minion, which nothing renews any more, and the time that a stop takes.
