tests: storms whose connections keep messages and deliver them late

The network in memory lost what was sent during a cut, so that messages between two processes always arrived in order; and a paused process still handled messages. LateStorm draws from its seed which of these faults, cuts, resets, restarts, lost keys and callers a storm has.

--- a/benchmarks/cuts.py
+++ b/benchmarks/cuts.py
@@ -1,9 +1,10 @@
 """Storms of network cuts between dispatchers, one seed after another.
 
 Run as ``python -m benchmarks.cuts KIND [FIRST [COUNT]]``, where KIND is one of the kinds of
-:mod:`tests.cut_storm`. Prints a JSON line for each seed in which a task ran on two minions at
-the same time, with what was done, and a summary as the last line. A seed repeats its run only with
-a fixed ``PYTHONHASHSEED``.
+:mod:`tests.cut_storm`, or ``late`` or ``late-small`` for the storms of :mod:`tests.late_storm`,
+with the names of the faults if they are not to be drawn, such as ``late-small:cuts,callers``.
+Prints a JSON line for each seed in which a task ran on two minions at the same time, with what was
+done, and a summary as the last line. A seed repeats its run only with a fixed ``PYTHONHASHSEED``.
 """
 
 import json
@@ -15,6 +16,7 @@
 
 from geraniumspool.claim_messages import FenceJobs, RelayClaims
 from tests.cut_storm import KINDS, CutStorm
+from tests.late_storm import SIZES, LateStorm
 
 DEFAULT_COUNT = 100
 
@@ -43,9 +45,17 @@
     relays: int
 
 
+def make_storm(kind: str, seed: int) -> CutStorm | LateStorm:
+    """Return a storm that was not run yet."""
+    if kind in KINDS:
+        return CutStorm(seed, KINDS[kind])
+    size, _, names = kind.partition(":")
+    return LateStorm(seed, names.split(",") if names else None, SIZES[size])
+
+
 def play(kind: str, seed: int) -> StormResult:
     """Run one storm."""
-    storm = CutStorm(seed, KINDS[kind])
+    storm = make_storm(kind, seed)
     doubled = sorted(storm.run())
     jobs, served = storm.count_outcomes()
     sent = [message for _, _, message in storm.world.network.sent]
