--- a/geraniumspool/claim_relays.py
+++ b/geraniumspool/claim_relays.py
@@ -74,7 +74,7 @@
         self._relayed: dict[str, _RelayedClaim] = {}
         self._relayed_ms = -math.inf
         self._released: list[int] = []
-        self._told_arbiters: set[str] = set()
+        self._release_receivers: set[str] = set()
 
     def add(self, claim: OpenClaim, unreachable: Collection[str]) -> None:
         """Add a claim that was just granted by a fence, and that all arbiters were asked for.
@@ -95,7 +95,7 @@
         relayed = self._relayed.pop(claim.job_id, None)
         if relayed is not None and relayed.relayed_to:
             self._released.extend(claim.numbers)
-            self._told_arbiters |= relayed.relayed_to
+            self._release_receivers |= relayed.relayed_to
 
     def run_checks(self) -> None:
         """Repeat the claims that are due and not confirmed. Called periodically."""
@@ -135,7 +135,7 @@
             left_ms = claim.job.remaining_claim_ms(now)
             claims.append(Claim(claim.number, claim.job_id, left_ms, claim.rank))
         released, self._released = self._released, []
-        told, self._told_arbiters = arbiters | self._told_arbiters, set()
+        told, self._release_receivers = arbiters | self._release_receivers, set()
         message = RelayClaims(tuple(claims), tuple(released), tuple(sorted(told)))
         for address in self._list_executors():
             self._send(Peer(address, ANY_INCARNATION), message)
--- a/geraniumspool/fence_requests.py
+++ b/geraniumspool/fence_requests.py
@@ -7,6 +7,7 @@
 import logging
 import math
 from collections.abc import Callable, Collection, Iterable
+from typing import NamedTuple
 
 from geraniumspool.claim_messages import FenceJobs, JobsFenced
 from geraniumspool.contracts import Clock
@@ -42,6 +43,16 @@
         self.last_ms = now
 
 
+class _HeardExecutor(NamedTuple):
+    """The process that was last heard at an executor's address.
+
+    :param rank: rank of the requests at that time
+    """
+
+    incarnation: int
+    rank: int
+
+
 class FenceRequests:
     """Requests for fences, and which executors have not answered them.
 
@@ -77,9 +88,9 @@
         self.find_ended_since: Callable[[str], float | None] = _find_no_silence
         self.find_silent_since: Callable[[str], float | None] = _find_no_silence
         self._unanswered: dict[str, _UnansweredRequest] = {}
-        # The process last heard at an address, and the rank of the requests then.
-        self._heard: dict[str, tuple[int, int]] = {}
-        self._void_rank = 0
+        self._heard: dict[str, _HeardExecutor] = {}
+        # Answers to requests up to this rank do not count.
+        self._last_void_rank = 0
         self._round_ms = -math.inf
 
     def request(self, claims: Collection[OpenClaim]) -> list[OpenClaim]:
@@ -98,7 +109,7 @@
         if now - self._round_ms < min(interval_ms, MAX_ROUND_INTERVAL_MS):
             return []
         spent_rank = max(claim.spent_rank for claim in claims)
-        self.rank = max(self.rank, spent_rank + 1, self._void_rank + 1)
+        self.rank = max(self.rank, spent_rank + 1, self._last_void_rank + 1)
         job_ids_by_executor: dict[str, list[str]] = {}
         fenced = []
         for claim in claims:
@@ -144,17 +155,17 @@
 
         :param answered_rank: rank of the requests that it answers
         """
-        unheard = (executor.incarnation, 0)
+        unheard = _HeardExecutor(executor.incarnation, 0)
         incarnation, heard_rank = self._heard.get(executor.address, unheard)
-        self._heard[executor.address] = (executor.incarnation, self.rank)
+        self._heard[executor.address] = _HeardExecutor(executor.incarnation, self.rank)
         if incarnation != executor.incarnation and answered_rank <= heard_rank:
-            self._void_rank = self.rank
+            self._last_void_rank = self.rank
             fields = (("executor", executor.address), ("rank", self.rank))
             _LOG.info("fences requested again", extra={"fields": fields})
 
     def is_current(self, claim: OpenClaim, message: JobsFenced) -> bool:
         """Return whether an answer counts for the fence that is now requested for a claim."""
-        return claim.fence_rank == message.rank and message.rank > self._void_rank
+        return claim.fence_rank == message.rank and message.rank > self._last_void_rank
 
     def handle_answer(self, sender: Peer, message: JobsFenced) -> None:
         """Note that an executor has answered, and raise the rank above that of fences it kept."""
--- a/geraniumspool/forwarded_jobs.py
+++ b/geraniumspool/forwarded_jobs.py
@@ -43,7 +43,7 @@
     :ivar results: results of its last jobs by their numbers
     :ivar rejected_numbers: numbers of jobs that are not accepted any more: it was told that their
         messages had not arrived, or has dropped them before they arrived
-    :ivar covered_upto: number up to which one of its lists was complete: an unknown job up to it
+    :ivar listed_upto: number up to which one of its lists was complete: an unknown job up to it
         was dropped, or counts as lost
     """
 
@@ -55,12 +55,12 @@
         self.jobs: dict[int, DispatchJob] = {}
         self.results: dict[int, JobResult] = {}
         self.rejected_numbers: dict[int, None] = {}
-        self.covered_upto = 0
+        self.listed_upto = 0
         self._highest_forgotten = 0
 
     def knows(self, number: int) -> bool:
         """Return whether a job is unfinished, has ended, counts as lost, or may be forgotten."""
-        if number <= max(self._highest_forgotten, self.covered_upto):
+        if number <= max(self._highest_forgotten, self.listed_upto):
             return True
         return number in self.jobs or number in self.results or number in self.rejected_numbers
 
@@ -171,7 +171,7 @@
                 self._drop_job(entry, number)
         for number in wanted - entry.jobs.keys():
             self._send(entry.peer, ForwardedEnd(number, entry.find_result(number)))
-        entry.covered_upto = max(entry.covered_upto, report.upto)
+        entry.listed_upto = max(entry.listed_upto, report.upto)
 
     def expire_leases(self, now: float) -> None:
         """End the jobs of entry dispatchers whose leases have expired.
--- a/geraniumspool/job_cancels.py
+++ b/geraniumspool/job_cancels.py
@@ -24,7 +24,7 @@
 # A caller waits this long for the answers of reachable dispatchers.
 ANSWER_LIMIT_MS = 1_000.0
 # Dispatchers that are out of reach, or do not answer, are asked for this long.
-PASSED_ON_MS = 15_000.0
+PASS_ON_LIMIT_MS = 15_000.0
 # Interval of these requests once the caller has its answer.
 LATE_REPEAT_MS = 500.0
 # Cancels are remembered for this long, and at most this many of them.
@@ -86,7 +86,7 @@
         """End a job at its caller's request, wherever it is; return whether it was known.
 
         Blocks until all reachable dispatchers have answered, or for ``ANSWER_LIMIT_MS``. The others
-        are asked until they answer, for ``PASSED_ON_MS``.
+        are asked until they answer, for ``PASS_ON_LIMIT_MS``.
         """
         began_ms = self._clock.now()
         was_known = self._apply(job_id)
@@ -156,7 +156,7 @@
     def _pass_on(self, job_id: str, request: _Request) -> None:
         """Ask the other dispatchers until each has answered or has left."""
         began_ms = self._clock.now()
-        while self._clock.now() - began_ms < PASSED_ON_MS:
+        while self._clock.now() - began_ms < PASS_ON_LIMIT_MS:
             peers = [view.peer for view in self._find_peers()]
             request.unanswered &= {peer.address for peer in peers}
             if not request.unanswered:
--- a/geraniumspool/link_monitor.py
+++ b/geraniumspool/link_monitor.py
@@ -11,7 +11,7 @@
 
 A connection that was replaced may still deliver what was sent over it, after newer messages over
 the new one. Where a protocol relies on the order, a message that was overtaken counts as lost: all
-of these repeat or reconcile what is lost, which a message that its receiver takes late undoes.
+of these repeat or reconcile what is lost, and a late message would undo that.
 """
 
 from enum import Enum
@@ -159,7 +159,8 @@
         other = self.others.get(incarnation)
         if other is None or not other.is_former:
             return False
-        # Nothing but a count that a process before this one has left may have misled.
+        # The belief may rest on what a process before this one had received. A confirmation of what
+        # this one has sent corrects it.
         return not self.heard_sent < received <= self.sent
 
     def find_former(self, received: int) -> None:
--- a/geraniumspool/run_stops.py
+++ b/geraniumspool/run_stops.py
@@ -84,8 +84,8 @@
         if run.state is RunState.QUEUED or is_unsent:
             self._ends.refuse(run, reason)
             return
-        if reason in _PRESUMED_OVER_REASONS and not run.presumed_over_ms:
-            run.presumed_over_ms = self._clock.now()
+        if reason in _PRESUMED_OVER_REASONS and not run.counted_stop_ms:
+            run.counted_stop_ms = self._clock.now()
         if run.is_stopping:
             return
         run.is_stopping = True
@@ -142,8 +142,8 @@
         """
         until_ms = now + MINION_LEASE_MS
         for run in self._table:
-            if run.presumed_over_ms:
-                until_ms = min(until_ms, run.presumed_over_ms + STOP_LEASE_MS)
+            if run.counted_stop_ms:
+                until_ms = min(until_ms, run.counted_stop_ms + STOP_LEASE_MS)
         return until_ms
 
     def _hedge(self, incarnation: IncarnationState | None, run: Run) -> None:
--- a/geraniumspool/run_table.py
+++ b/geraniumspool/run_table.py
@@ -52,7 +52,7 @@
     :ivar is_stopping: whether a stop has been requested
     :ivar is_stop_answered: whether the minion has answered a stop call for the run
     :ivar stop_reason: why the stop was requested
-    :ivar presumed_over_ms: when a stop was first requested on which dispatchers rely, 0 if none was
+    :ivar counted_stop_ms: when a stop was first requested on which dispatchers rely, 0 if none was
     """
 
     def __init__(self, dispatcher: Peer, order: RunOrder, now: float, echo_ms: float):
@@ -76,7 +76,7 @@
         self.is_stopping = False
         self.is_stop_answered = False
         self.stop_reason = ""
-        self.presumed_over_ms = 0.0
+        self.counted_stop_ms = 0.0
 
     @property
     def latest_start_ms(self) -> float:
--- a/tests/test_cancelled_elsewhere.py
+++ b/tests/test_cancelled_elsewhere.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from geraniumspool.job_cancels import ANSWER_LIMIT_MS, PASSED_ON_MS, REMEMBERED_MS
+from geraniumspool.job_cancels import ANSWER_LIMIT_MS, PASS_ON_LIMIT_MS, REMEMBERED_MS
 from geraniumspool.job_specs import JobOutcome
 from tests.dispatch_world import DispatchWorld, make_spec
 
@@ -97,7 +97,7 @@
     def test_a_dispatcher_that_has_left_is_not_asked_for_ever(self):
         self.owner.kill()
         self.cancel(self.other, ANSWER_LIMIT_MS + 100)
-        self.world.clock.advance(PASSED_ON_MS + 1_000)
+        self.world.clock.advance(PASS_ON_LIMIT_MS + 1_000)
         sent = len([m for *_, m in self.world.network.sent if type(m).__name__ == "CancelJob"])
         self.world.clock.advance(5_000)
         later = len([m for *_, m in self.world.network.sent if type(m).__name__ == "CancelJob"])
