--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -427,17 +427,20 @@
 class Platform:
     """A small installation: store, minions, dispatchers and executors, all on loopback."""
 
-    def __init__(self, record, dispatchers, room, labels=(), on_start=lambda minion, run: None):
+    def __init__(self, record, dispatchers, room, labels=(), shares=()):
         """Prepare it.
 
         :param room: room of each minion; there is an executor beside each
         :param labels: labels of each minion, the same for all if not given
+        :param shares: processor share of each dispatcher, the same for all if not given
         """
         self.record, self.store = record, Store()
         self.dispatchers, self.executors, self.minions = [], [], []
         self.fronts, self.ready = [], []
         self._labels = labels or [["a", "r1-1"]] * len(room)
-        self._dispatcher_count, self._rooms, self.on_start = dispatchers, room, on_start
+        self._dispatcher_count, self._rooms = dispatchers, room
+        self._shares = shares or [0.537] * dispatchers
+        self.on_start = _ignore_start
         self._tasks = []
         self._folder = tempfile.TemporaryDirectory()
         self.log_folder = os.environ.get("LOGS") or self._folder.name
@@ -512,7 +515,7 @@
             settings = self._settings(f"dispatcher-{number + 1}") | {
                 "callers_listen": front,
                 "ready_listen": ready,
-                "processor_share": 0.537,
+                "processor_share": self._shares[number],
                 "processors": 2,
                 "run_times_by_queue": True,
                 "remote_data_factor": 1.5,
@@ -572,6 +575,10 @@
         self._folder.cleanup()
 
 
+def _ignore_start(_minion, _run):
+    pass
+
+
 def job_body(count, cpu, work_ms, **step):
     """Return the body of a job of one step."""
     spec = f"cpu={cpu} mem=64 ms={work_ms}"
